--- a/src/bin/oakshore-simhost/host.rs
+++ b/src/bin/magpiechute-simhost/host.rs
@@ -2,7 +2,7 @@
 
 use crate::frame::{Batch, Bytes, Problem, Reply};
 use crate::settings;
-use oakshore::{
+use magpiechute::{
     Action, Ended, EngineEntry, Event, Gateway, ListKind, ListState, LoadReport, Note, Outcome, Request,
 };
 use std::collections::BTreeMap;
@@ -217,7 +217,7 @@
 }
 
 fn put(reply: &mut Reply, instance: u16, action: &Action) {
-    let address = |e: &oakshore::EngineId| {
+    let address = |e: &magpiechute::EngineId| {
         let mut field = [0; 6];
         field[..4].copy_from_slice(&e.addr);
         field[4..].copy_from_slice(&e.port.to_le_bytes());
--- a/src/bin/oakshore-simhost/main.rs
+++ b/src/bin/magpiechute-simhost/main.rs
@@ -17,14 +17,14 @@
             Ok(Some(batch)) => batch,
             Ok(None) => return ExitCode::SUCCESS,
             Err(problem) => {
-                eprintln!("oakshore-simhost: {problem}");
+                eprintln!("magpiechute-simhost: {problem}");
                 return ExitCode::FAILURE;
             }
         };
         let reply = match host.answer(&batch) {
             Ok(reply) => reply,
             Err(problem) => {
-                eprintln!("oakshore-simhost: {problem}");
+                eprintln!("magpiechute-simhost: {problem}");
                 return ExitCode::FAILURE;
             }
         };
--- a/src/bin/oakshore-simhost/settings.rs
+++ b/src/bin/magpiechute-simhost/settings.rs
@@ -1,6 +1,6 @@
 //! The settings message, from the wire's words to the library's.
 
-use oakshore::{Class, DedupScope, Effect, ExtraBudget, ReportMode, Settings};
+use magpiechute::{Class, DedupScope, Effect, ExtraBudget, ReportMode, Settings};
 use serde::Deserialize;
 
 #[derive(Deserialize)]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,4 +1,4 @@
-//! oakshore decides, for a query gateway, when and on which shared SQL engine each query runs.
+//! magpiechute decides, for a query gateway, when and on which shared SQL engine each query runs.
 //!
 //! The library is sans-I/O: [`Gateway::new`] takes [`Settings`] and a seed, and [`Gateway::handle`] takes the
 //! time and one [`Event`] and appends [`Action`]s. It reads no clock, starts no thread, and two gateways share
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! Small helpers shared by the tests: settings, engines and events in few words.
 #![allow(dead_code)]
 
-use oakshore::*;
+use magpiechute::*;
 
 pub fn class(threads: u32, promise_ms: f64, worth: f64) -> Class {
     Class {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use oakshore::*;
+use magpiechute::*;
 
 /// if7d304: a share of attempts is reset on every engine. Resets between answers must shut no engine.
 #[test]
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use oakshore::*;
+use magpiechute::*;
 
 /// Runs `n` queries through, each with the engine reporting full business, so that the bound binds.
 fn busy(rig: &mut Rig, engine: EngineId) {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use oakshore::*;
+use magpiechute::*;
 use proptest::prelude::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
