--- a/src/bin/magpiechute-simhost/host.rs
+++ b/src/bin/magpiechute-simhost/host.rs
@@ -1,7 +1,7 @@
 //! The table of instances: events to the library, its actions to reply records.
 
 use crate::frame::{Batch, Bytes, Problem, Reply};
-use crate::settings;
+use magpiechute::settings;
 use magpiechute::{
     Action, Ended, EngineEntry, Event, Gateway, ListKind, ListState, LoadReport, Note, Outcome, Request,
 };
--- a/src/bin/magpiechute-simhost/main.rs
+++ b/src/bin/magpiechute-simhost/main.rs
@@ -3,7 +3,6 @@
 
 mod frame;
 mod host;
-mod settings;
 
 use std::io::{self, BufReader, BufWriter, Write};
 use std::process::ExitCode;
--- /dev/null
+++ b/src/clients/mod.rs
@@ -0,0 +1,45 @@
+//! Clients, by the protocol that they speak.
+
+pub(crate) mod msgpack;
+pub(crate) mod platform;
+
+use crate::core::Handle;
+use crate::counters::Counters;
+use crate::limits::Limits;
+use crate::settings::Parsed;
+use std::sync::Arc;
+use tokio::sync::watch;
+
+/// What every front holds.
+#[derive(Clone)]
+pub(crate) struct Front {
+    pub(crate) core: Handle,
+    pub(crate) parsed: Arc<Parsed>,
+    pub(crate) limits: Arc<Limits>,
+    pub(crate) counters: Arc<Counters>,
+    /// True once the program was asked to stop.
+    pub(crate) stopping: watch::Receiver<bool>,
+}
+
+impl Front {
+    /// A class by its name.
+    pub(crate) fn class(&self, name: &[u8]) -> Option<usize> {
+        self.parsed.classes.iter().position(|c| c.as_bytes() == name)
+    }
+
+    /// A tenant by its name; where there are no tenants any name will do.
+    pub(crate) fn knows_tenant(&self, name: &[u8]) -> bool {
+        self.parsed.tenants.is_empty() || self.parsed.tenants.iter().any(|t| t.as_bytes() == name)
+    }
+}
+
+/// A figure sent as text: finite and not negative, or nothing.
+pub(crate) fn figure(text: &[u8]) -> Option<f64> {
+    let value: f64 = std::str::from_utf8(text).ok()?.trim().parse().ok()?;
+    (value.is_finite() && value >= 0.0).then_some(value)
+}
+
+/// Whether a request's name is what engines take: 16 hex digits.
+pub(crate) fn is_ref(name: &[u8]) -> bool {
+    name.len() == 16 && name.iter().all(u8::is_ascii_hexdigit)
+}
--- /dev/null
+++ b/src/clients/platform.rs
@@ -0,0 +1,251 @@
+//! The platform's clients: MessagePack-RPC over TCP, one actor a connection.
+
+use super::msgpack::{self, Message};
+use super::{Front, figure, is_ref};
+use crate::core::{Answer, ClientPort, Form, Input, Taken, Why};
+use crate::interface::RequestId;
+use crate::net::{self, Outbox};
+use crate::sql;
+use bytes::{Bytes, BytesMut};
+use std::collections::HashMap;
+use std::sync::Arc;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, mpsc};
+use tokio::time::{Instant, sleep_until};
+
+/// Accepts clients for as long as the program runs, also while it stops.
+pub(crate) async fn listen(listener: TcpListener, front: Front) {
+    let places = Arc::new(Semaphore::new(front.limits.client_conns));
+    loop {
+        // A request counts once it is written to a connection that the machine accepted, so what finds no place
+        // waits in the backlog until idle connections have closed.
+        let Ok(place) = places.clone().acquire_owned().await else { return };
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let front = front.clone();
+                tokio::spawn(async move {
+                    front.counters.client_conns.up();
+                    front.counters.client_conns_open.up();
+                    Connection::new(stream, front.clone()).run().await;
+                    front.counters.client_conns_open.down();
+                    drop(place);
+                });
+            }
+            // Out of descriptors, or a client that left at once: neither ends the program.
+            Err(_) => tokio::time::sleep(std::time::Duration::from_millis(10)).await,
+        }
+    }
+}
+
+struct Mailbox(mpsc::Sender<(RequestId, Answer)>);
+
+impl ClientPort for Mailbox {
+    fn answer(&self, id: RequestId, answer: Answer) {
+        // The mailbox holds one answer for each request that may be open, so it is full never; it is closed
+        // where the client left.
+        let _ = self.0.try_send((id, answer));
+    }
+}
+
+struct Connection {
+    stream: TcpStream,
+    front: Front,
+    port: Arc<Mailbox>,
+    answers: mpsc::Receiver<(RequestId, Answer)>,
+    input: BytesMut,
+    out: Outbox,
+    /// Message ids of open requests, by the core's id.
+    open: HashMap<RequestId, u64>,
+    last: u64,
+    idle_since: Instant,
+    /// Whether it is counted as owing an answer; the exit waits for those.
+    owing: bool,
+}
+
+/// Why a connection ends.
+enum End {
+    Closed,
+    Malformed,
+}
+
+impl From<std::io::Error> for End {
+    fn from(_: std::io::Error) -> End {
+        End::Closed
+    }
+}
+
+impl Connection {
+    fn new(stream: TcpStream, front: Front) -> Connection {
+        // One answer for each open request, and as many again for refusals on the spot.
+        let (port, answers) = mpsc::channel(front.limits.open_per_client * 2);
+        let _ = stream.set_nodelay(true);
+        Connection {
+            stream,
+            port: Arc::new(Mailbox(port)),
+            answers,
+            input: BytesMut::with_capacity(4096),
+            out: Outbox::default(),
+            open: HashMap::new(),
+            last: 0,
+            idle_since: Instant::now(),
+            owing: false,
+            front,
+        }
+    }
+
+    async fn run(mut self) {
+        if let Err(End::Malformed) = self.serve().await {
+            self.front.counters.client_malformed.up();
+            let _ = self.out.flush(&self.stream);
+        }
+        self.answers.close();
+        if self.owing {
+            self.front.counters.client_conns_owing.down();
+        }
+        for id in std::mem::take(&mut self.open).into_keys() {
+            self.front.core.tell(Input::Left(id)).await;
+        }
+    }
+
+    async fn serve(&mut self) -> Result<(), End> {
+        let mut ended = false; // the client sends no more, but may still read
+        loop {
+            self.out.flush(&self.stream)?;
+            self.owe();
+            let done = self.open.is_empty() && self.out.is_empty();
+            if ended && done {
+                return Ok(());
+            }
+            let idle = self.idle_since + self.front.limits.client_idle;
+            // A slow reader holds at most a few answers here: then nothing more is read from it.
+            let held = self.out.waiting() > 4 * self.front.limits.answer_bytes as u64;
+            tokio::select! {
+                biased;
+                Some((id, answer)) = self.answers.recv() => self.answer(id, answer),
+                ready = self.stream.writable(), if !self.out.is_empty() => ready?,
+                ready = self.stream.readable(), if !ended && !held => {
+                    ready?;
+                    ended = !net::read(&self.stream, &mut self.input, self.front.limits.message_bytes)?;
+                    self.read().await?;
+                }
+                () = sleep_until(idle), if done => return Ok(()),
+            }
+        }
+    }
+
+    fn owe(&mut self) {
+        let owes = !self.open.is_empty() || !self.out.is_empty();
+        let gauge = &self.front.counters.client_conns_owing;
+        match (std::mem::replace(&mut self.owing, owes), owes) {
+            (false, true) => gauge.up(),
+            (true, false) => gauge.down(),
+            _ => {}
+        }
+    }
+
+    async fn read(&mut self) -> Result<(), End> {
+        let now = self.front.core.now();
+        while let Some(message) =
+            msgpack::take(&mut self.input, &self.front.limits).map_err(|_| End::Malformed)?
+        {
+            match message {
+                Message::Call { id, method, fields, body } => {
+                    // Guard: ids rise, so one that comes again would get two answers. Nothing on this connection
+                    // can be told apart any more.
+                    if id <= self.last {
+                        return Err(End::Malformed);
+                    }
+                    self.last = id;
+                    self.idle_since = Instant::now();
+                    if method.as_ref() == b"health" {
+                        let fit = !*self.front.stopping.borrow();
+                        self.out.push(msgpack::health(id, fit));
+                        continue;
+                    }
+                    match self.taken(now, &method, fields, body) {
+                        Ok(taken) if self.open.len() < self.front.limits.open_per_client => {
+                            self.open.insert(taken.id, id);
+                            self.owe();
+                            self.front.core.tell(Input::Take(taken)).await;
+                        }
+                        Ok(_) => {
+                            self.front.counters.client_over_limit.up();
+                            self.out.push(msgpack::error(id, "Overloaded", None));
+                        }
+                        Err(error) => {
+                            self.front.counters.client_bad_calls.up();
+                            self.out.push(msgpack::error(id, error, None));
+                        }
+                    }
+                }
+                Message::Cancel { id } => {
+                    let found = self.open.iter().find(|(_, m)| **m == id).map(|(r, _)| *r);
+                    if let Some(request) = found {
+                        self.open.remove(&request);
+                        self.front.core.tell(Input::Left(request)).await;
+                    }
+                }
+                Message::Notice => self.front.counters.client_bad_calls.up(),
+            }
+        }
+        Ok(())
+    }
+
+    /// What a call asks for, or the error that answers it.
+    fn taken(
+        &self,
+        now: f64,
+        method: &[u8],
+        fields: Option<msgpack::Fields>,
+        body: Option<Bytes>,
+    ) -> Result<Taken, &'static str> {
+        let class = self.front.class(method).ok_or("NoMethodError")?;
+        let (Some(fields), Some(statement)) = (fields, body) else { return Err("ArgumentError") };
+        let name = fields.get("ref").filter(|r| is_ref(r)).ok_or("ArgumentError")?;
+        let allow = fields.get("allow").and_then(|a| figure(a)).ok_or("ArgumentError")?;
+        if !fields.get("project").is_some_and(|p| self.front.knows_tenant(p)) {
+            return Err("ArgumentError");
+        }
+        let estimate = |field: &str| match fields.get(field) {
+            None => Ok(None),
+            Some(text) => figure(text).map(Some).ok_or("ArgumentError"),
+        };
+        Ok(Taken {
+            id: self.front.core.next_id(),
+            name: name.clone(),
+            class,
+            due_ms: now + allow,
+            cost_ms: estimate("effort")?,
+            memory_mb: estimate("need_mb")?,
+            dataset: sql::dataset(&statement).unwrap_or(0),
+            statement,
+            client: self.port.clone(),
+        })
+    }
+
+    fn answer(&mut self, id: RequestId, answer: Answer) {
+        // Gone where the client has cancelled: then no answer is owed.
+        let Some(message) = self.open.remove(&id) else { return };
+        self.idle_since = Instant::now();
+        match answer {
+            Answer::Served(body) if body.form == Form::Text && body.rest.is_none() => {
+                self.out.push(msgpack::result_head(message, body.pieces.iter().map(Bytes::len).sum()));
+                for piece in body.pieces {
+                    self.out.push(piece);
+                }
+                self.out.push(msgpack::END);
+            }
+            // A result that this protocol cannot carry.
+            Answer::Served(_) => drop(self.out.push(msgpack::error(message, "Internal", None))),
+            Answer::Refused { hold_off_ms } => {
+                let wait = format!("{hold_off_ms:.0}");
+                let field = (hold_off_ms >= 1.0).then_some(("cooldown", wait.as_str()));
+                self.out.push(msgpack::error(message, "Overloaded", field));
+            }
+            Answer::Failed(why) => {
+                let name = if why == Why::Deadline { "DeadlineExceeded" } else { "Internal" };
+                self.out.push(msgpack::error(message, name, None));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,227 @@
+//! What a workload manager is told at its start: the platform's JSON file, and the files under `deploy/` that
+//! turn the optional fronts on. Whatever cannot be used is a plain message.
+
+use crate::interface::{EngineEntry, EngineId, ListKind, ListState};
+use crate::settings::{self, Parsed};
+use serde::Deserialize;
+use serde_json::value::RawValue;
+use std::fmt;
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::path::Path;
+
+/// Why a configuration cannot be used.
+#[derive(Debug, PartialEq, Eq)]
+pub struct ConfigError(pub String);
+
+impl fmt::Display for ConfigError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl std::error::Error for ConfigError {}
+
+/// One engine as listed, with the address at which this workload manager reaches it.
+#[derive(Clone, Debug)]
+pub struct Listed {
+    /// What the module is told.
+    pub entry: EngineEntry,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+/// One event of the list.
+#[derive(Clone, Debug)]
+pub struct ListEvent {
+    /// Its number.
+    pub number: u64,
+    /// The whole list, or changes.
+    pub kind: ListKind,
+    /// The entries.
+    pub entries: Vec<Listed>,
+}
+
+/// The whole configuration of one workload manager.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Its name.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// For random numbers.
+    pub seed: u64,
+    /// Descriptors it may hold.
+    pub sockets: usize,
+    /// Where the control feed listens.
+    pub feed: SocketAddr,
+    /// Number of the last event known.
+    pub known: u64,
+    /// The events known at the start.
+    pub events: Vec<ListEvent>,
+    /// The settings, as the simulator's first message has them.
+    pub parsed: Parsed,
+}
+
+#[derive(Deserialize)]
+struct File<'a> {
+    #[serde(default)]
+    name: String,
+    listen: SocketAddr,
+    #[serde(default)]
+    seed: String,
+    #[serde(default)]
+    limits: Machine,
+    feed: SocketAddr,
+    #[serde(default)]
+    known: Known,
+    #[serde(borrow)]
+    settings: &'a RawValue,
+}
+
+#[derive(Deserialize)]
+struct Machine {
+    #[serde(default = "sockets")]
+    sockets: usize,
+}
+
+impl Default for Machine {
+    fn default() -> Self {
+        Machine { sockets: sockets() }
+    }
+}
+
+fn sockets() -> usize {
+    1024
+}
+
+#[derive(Default, Deserialize)]
+struct Known {
+    #[serde(default)]
+    n: u64,
+    #[serde(default)]
+    events: Vec<KnownEvent>,
+}
+
+#[derive(Deserialize)]
+struct KnownEvent {
+    n: u64,
+    members: Members,
+}
+
+#[derive(Deserialize)]
+struct Members {
+    #[serde(default)]
+    reset: bool,
+    #[serde(default)]
+    instances: Vec<Member>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Member {
+    instance_id: String,
+    host_port: SocketAddrV4,
+    #[serde(default)]
+    zone: String,
+    #[serde(default)]
+    machine_type: String,
+    #[serde(default)]
+    cell: u16,
+    #[serde(default = "active")]
+    lifecycle: String,
+    #[serde(default)]
+    weight: f64,
+    #[serde(default)]
+    started_at_ms: f64,
+}
+
+fn active() -> String {
+    "active".to_owned()
+}
+
+/// The module's name of the engine with this id. Not its address: a new engine may reuse that, and each
+/// workload manager is given other addresses, while all have to agree on which engines keep a data set warm.
+pub fn engine_id(id: u32) -> EngineId {
+    EngineId { addr: id.to_be_bytes(), port: 0 }
+}
+
+impl Member {
+    fn listed(self, parsed: &Parsed) -> Result<Listed, ConfigError> {
+        let wrong = |what: &str, value: &str| ConfigError(format!("known events: {what} {value:?}"));
+        let place = |names: &[String], name: &str, what: &str| {
+            names.iter().position(|n| n == name).ok_or_else(|| wrong(what, name))
+        };
+        let id = self.instance_id.strip_prefix("s-").and_then(|hex| u32::from_str_radix(hex, 16).ok());
+        let id = id.ok_or_else(|| wrong("engine id", &self.instance_id))?;
+        let state = match self.lifecycle.as_str() {
+            "active" => ListState::Ready,
+            "leaving" => ListState::Draining,
+            "left" => ListState::Gone,
+            other => return Err(wrong("lifecycle", other)),
+        };
+        let zone = place(&parsed.zones, &self.zone, "zone")? as u8;
+        let kind = place(&parsed.kinds, &self.machine_type, "machine kind")? as u16;
+        let (cell, nominal, started_ms) = (self.cell, self.weight, self.started_at_ms);
+        let entry = EngineEntry { engine: engine_id(id), zone, kind, cell, state, nominal, started_ms };
+        Ok(Listed { entry, address: SocketAddr::V4(self.host_port) })
+    }
+}
+
+impl Config {
+    /// Reads the file that `NODE_CONFIG` names.
+    pub fn load(path: &Path) -> Result<Config, ConfigError> {
+        let text = std::fs::read(path)
+            .map_err(|e| ConfigError(format!("cannot read the configuration {}: {e}", path.display())))?;
+        Config::parse(&text)
+    }
+
+    /// Reads the configuration's text.
+    pub fn parse(text: &[u8]) -> Result<Config, ConfigError> {
+        let file: File<'_> =
+            serde_json::from_slice(text).map_err(|e| ConfigError(format!("configuration: {e}")))?;
+        let parsed = settings::parse(file.settings.get().as_bytes()).map_err(ConfigError)?;
+        let seed = match file.seed.as_str() {
+            "" => 0,
+            hex => u64::from_str_radix(hex, 16)
+                .map_err(|_| ConfigError(format!("configuration: seed {hex:?} is not 16 hex digits")))?,
+        };
+        let mut events = Vec::new();
+        for event in file.known.events {
+            let kind = if event.members.reset { ListKind::Full } else { ListKind::Delta };
+            let entries: Result<Vec<_>, _> =
+                event.members.instances.into_iter().map(|m| m.listed(&parsed)).collect();
+            events.push(ListEvent { number: event.n, kind, entries: entries? });
+        }
+        // The first event holds the whole list, however it is marked.
+        if let Some(first) = events.first_mut() {
+            first.kind = ListKind::Full;
+        }
+        Ok(Config {
+            name: file.name,
+            listen: file.listen,
+            seed,
+            sockets: file.limits.sockets.max(64),
+            feed: file.feed,
+            known: file.known.n,
+            events,
+            parsed,
+        })
+    }
+}
+
+/// An address in a file under `deploy/`; those fronts listen on loopback only.
+pub fn loopback(text: &str, what: &str) -> Result<SocketAddr, ConfigError> {
+    let at: SocketAddr = text
+        .parse()
+        .map_err(|_| ConfigError(format!("{what}: listen address {text:?} is not an address and port")))?;
+    if at.ip().is_loopback() {
+        Ok(at)
+    } else {
+        Err(ConfigError(format!("{what}: listen address {text} is not a loopback address")))
+    }
+}
+
+/// An address from its four bytes and port.
+pub fn address(ip: [u8; 4], port: u16) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::from(ip), port))
+}
--- /dev/null
+++ b/src/core/actor.rs
@@ -0,0 +1,94 @@
+//! The module's actor: one task with a mailbox round the core.
+
+use super::{Core, EnginePort, Input};
+use crate::interface::{Millis, RequestId};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::sync::mpsc;
+use tokio::time::{Instant, sleep_until};
+
+/// Unix time that never goes back: the system's clock at the start, carried on by the monotonic one.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    unix_ms: Millis,
+    start: Instant,
+}
+
+impl Clock {
+    /// Reads the system's clock once.
+    pub fn new() -> Clock {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { unix_ms: unix.as_secs_f64() * 1000.0, start: Instant::now() }
+    }
+
+    /// Unix time in ms.
+    pub fn now(&self) -> Millis {
+        self.unix_ms + self.start.elapsed().as_secs_f64() * 1000.0
+    }
+
+    fn instant(&self, at: Millis) -> Instant {
+        let after = (at - self.unix_ms).clamp(0.0, 1e12);
+        self.start + Duration::from_micros((after * 1000.0).ceil() as u64)
+    }
+}
+
+impl Default for Clock {
+    fn default() -> Self {
+        Clock::new()
+    }
+}
+
+/// The way into the core's mailbox, for fronts, engines and the list.
+#[derive(Clone)]
+pub struct Handle {
+    mailbox: mpsc::Sender<Input>,
+    ids: Arc<AtomicU32>,
+    clock: Clock,
+}
+
+impl Handle {
+    /// A mailbox of this size; its receiver goes to [`start`].
+    pub fn new(size: usize, clock: Clock) -> (Handle, mpsc::Receiver<Input>) {
+        let (mailbox, inputs) = mpsc::channel(size);
+        (Handle { mailbox, ids: Arc::new(AtomicU32::new(1)), clock }, inputs)
+    }
+
+    /// A new request's id.
+    pub fn next_id(&self) -> RequestId {
+        self.ids.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// The clock that all deadlines are on.
+    pub fn now(&self) -> Millis {
+        self.clock.now()
+    }
+
+    /// Puts one input into the mailbox, waiting while it is full. The core never waits for its peers, so this
+    /// cannot lock up.
+    pub async fn tell(&self, input: Input) {
+        let _ = self.mailbox.send(input).await;
+    }
+
+    /// The same where nothing may wait: false where the mailbox is full.
+    pub fn try_tell(&self, input: Input) -> bool {
+        self.mailbox.try_send(input).is_ok()
+    }
+}
+
+/// Runs the core until its mailbox closes.
+pub async fn start<E: EnginePort>(mut core: Core<E>, mut inputs: mpsc::Receiver<Input>, clock: Clock) {
+    core.begin(clock.now());
+    loop {
+        let alarm = core.next_alarm().unwrap_or_else(|| clock.now() + 1000.0);
+        tokio::select! {
+            biased;
+            input = inputs.recv() => match input {
+                Some(input) => core.handle(clock.now(), input),
+                None => return,
+            },
+            () = sleep_until(clock.instant(alarm)) => {}
+        }
+        core.alarms(clock.now());
+    }
+}
--- /dev/null
+++ b/src/core/mod.rs
@@ -0,0 +1,648 @@
+//! The core: it knows no wire and no socket. It owns requests, attempts, deadlines and timers, drives the
+//! decision module, and applies the module's actions through one port for clients and one for engines.
+//!
+//! Whatever the module or a peer does, the core sees to it that a request gets one final answer, that one
+//! attempt at most is out for it, and that what may run once only is not sent again unless every earlier
+//! attempt provably never ran.
+
+mod actor;
+
+pub use actor::{Clock, Handle, start};
+
+use crate::config::{ListEvent, Listed};
+use crate::counters::{Count, Counters};
+use crate::interface::*;
+use crate::limits::Limits;
+use bytes::Bytes;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::sync::Arc;
+use tokio::sync::mpsc;
+
+/// In which form the pieces of a result stand.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Form {
+    /// Rows as text: a tab between columns, a line feed after each row.
+    Text,
+    /// Arrow data as the Flight format frames it, one message a piece.
+    Arrow,
+}
+
+/// The break of a result that had begun.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Cut;
+
+/// A result, in pieces that pass on unchanged.
+#[derive(Debug)]
+pub struct Body {
+    /// Their form.
+    pub form: Form,
+    /// The pieces held.
+    pub pieces: Vec<Bytes>,
+    /// Further pieces of a result too large to hold; it ends with the channel or in a break.
+    pub rest: Option<mpsc::Receiver<Result<Bytes, Cut>>>,
+}
+
+impl Body {
+    /// A result that is held whole.
+    pub fn whole(form: Form, pieces: Vec<Bytes>) -> Body {
+        Body { form, pieces, rest: None }
+    }
+}
+
+/// The final answer to a request.
+#[derive(Debug)]
+pub enum Answer {
+    /// Served, with the result as the engine gave it.
+    Served(Body),
+    /// Refused: trying again is harmless. The client may come back after this many milliseconds, if any.
+    Refused {
+        /// Advice to stay away this long; 0 for none.
+        hold_off_ms: Millis,
+    },
+    /// Failed; it may have run.
+    Failed(Why),
+}
+
+/// Why a request failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Why {
+    /// Its client's deadline.
+    Deadline,
+    /// Anything else: an engine's error, a lost attempt, a module that gave it up.
+    Lost,
+}
+
+/// Where answers go: a client's connection, of whatever protocol.
+pub trait ClientPort: Send + Sync {
+    /// Takes the one final answer. It must not block; whether the client still is there is its own matter.
+    fn answer(&self, id: RequestId, answer: Answer);
+}
+
+/// A request as a front took it.
+pub struct Taken {
+    /// The id that the core's handle gave out.
+    pub id: RequestId,
+    /// The client's own name for it: passed to engines unchanged.
+    pub name: Bytes,
+    /// Its class, by position.
+    pub class: usize,
+    /// Unix time in ms at which the client gives up.
+    pub due_ms: Millis,
+    /// Estimated work over all threads.
+    pub cost_ms: Option<f64>,
+    /// Estimated memory in MB.
+    pub memory_mb: Option<f64>,
+    /// Its group of tables.
+    pub dataset: u32,
+    /// The statement.
+    pub statement: Bytes,
+    /// Where its answer goes.
+    pub client: Arc<dyn ClientPort>,
+}
+
+/// One attempt, for an engine.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    /// The core's id of the request.
+    pub id: RequestId,
+    /// Which attempt.
+    pub attempt: u16,
+    /// The client's name for the request.
+    pub name: Bytes,
+    /// Its class, by position.
+    pub class: usize,
+    /// Unix time in ms at which the attempt is over.
+    pub due_ms: Millis,
+    /// Memory to grant in MB; 0 for the engine's choice.
+    pub memory_mb: f64,
+    /// Priority, 0 to 3.
+    pub priority: u8,
+    /// The statement.
+    pub statement: Bytes,
+}
+
+/// Where attempts go: all engines, of whatever protocol. No call blocks.
+pub trait EnginePort: Send {
+    /// Starts an attempt; false where it provably was not sent.
+    fn ask(&mut self, engine: EngineId, ask: Ask) -> bool;
+    /// Gives an attempt up; nothing comes back.
+    fn quit(&mut self, engine: EngineId, id: RequestId, attempt: u16);
+    /// Names a new priority for an attempt that is out.
+    fn priority(&mut self, engine: EngineId, id: RequestId, attempt: u16, priority: u8);
+    /// The list's word on an engine: nothing new may go where it is not ready.
+    fn listed(&mut self, line: &Listed);
+}
+
+/// News from an engine's side of the house.
+#[derive(Debug)]
+pub enum EngineNews {
+    /// A running attempt's note, or a mere sign of life.
+    Note(Option<Note>),
+    /// The result outgrew what is held and streams to the client from now on.
+    Streaming(Body),
+    /// The end of an attempt.
+    Ended {
+        /// How.
+        outcome: Outcome,
+        /// The work it needed, where told.
+        billed_ms: Option<f64>,
+        /// The memory it needed in MB, where told.
+        billed_mb: Option<f64>,
+        /// The result, where it ended well and did not stream.
+        body: Option<Body>,
+    },
+}
+
+/// What comes into the core's mailbox.
+pub enum Input {
+    /// A client's request.
+    Take(Taken),
+    /// The client of a request left or no longer waits.
+    Left(RequestId),
+    /// News of an attempt.
+    Engine {
+        /// Which engine.
+        engine: EngineId,
+        /// Which request.
+        id: RequestId,
+        /// Which attempt.
+        attempt: u16,
+        /// The engine's load report, if one came along.
+        report: LoadReport,
+        /// The news.
+        news: EngineNews,
+    },
+    /// An event of the list.
+    List(ListEvent),
+}
+
+struct Out {
+    number: u16,
+    engine: EngineId,
+    sent: Millis,
+    heard: Millis,
+    quitting: bool,
+}
+
+struct Open {
+    taken: Taken,
+    attempts: u16,
+    out: Option<Out>,
+    may_have_run: bool,
+    streaming: bool,
+    memory_mb: f64,
+    priority: u8,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Alarm {
+    Module(u64),
+    Deadline(RequestId),
+    Quit(RequestId, u16),
+    Silence(RequestId, u16),
+}
+
+/// A point in time with a total order.
+#[derive(Clone, Copy, PartialEq)]
+struct At(Millis);
+
+impl Eq for At {}
+
+impl PartialOrd for At {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for At {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        self.0.total_cmp(&other.0)
+    }
+}
+
+/// The core of one workload manager.
+pub struct Core<E> {
+    gateway: Gateway,
+    engines: E,
+    limits: Arc<Limits>,
+    counters: Arc<Counters>,
+    effects: Vec<Effect>,
+    cap: u32,
+    requests: HashMap<RequestId, Open>,
+    ready: BTreeMap<EngineId, bool>,
+    alarms: BinaryHeap<Reverse<(At, u64, Alarm)>>,
+    armed: u64,
+    actions: Vec<Action>,
+}
+
+use crate::choice::Gateway;
+
+impl<E: EnginePort> Core<E> {
+    /// A core round a new module with these settings.
+    pub fn new(
+        settings: Settings,
+        seed: u64,
+        engines: E,
+        limits: Arc<Limits>,
+        counters: Arc<Counters>,
+    ) -> Result<Self, SettingsError> {
+        let effects = settings.classes.iter().map(|c| c.effect).collect();
+        let cap = settings.attempts_cap;
+        Ok(Core {
+            gateway: Gateway::new(settings, seed)?,
+            engines,
+            limits,
+            counters,
+            effects,
+            cap,
+            requests: HashMap::new(),
+            ready: BTreeMap::new(),
+            alarms: BinaryHeap::new(),
+            armed: 0,
+            actions: Vec::new(),
+        })
+    }
+
+    /// The first event: the module sets its timers.
+    pub fn begin(&mut self, now: Millis) {
+        self.tell(now, Event::Started);
+    }
+
+    /// Requests open now.
+    pub fn open(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// When the next alarm is due.
+    pub fn next_alarm(&self) -> Option<Millis> {
+        self.alarms.peek().map(|Reverse((at, ..))| at.0)
+    }
+
+    /// Runs the alarms that are due.
+    pub fn alarms(&mut self, now: Millis) {
+        while let Some(Reverse((at, _, alarm))) =
+            self.alarms.peek().copied().filter(|Reverse((at, ..))| at.0 <= now)
+        {
+            self.alarms.pop();
+            match alarm {
+                Alarm::Module(token) => self.tell(now, Event::Timer { token }),
+                Alarm::Deadline(id) => self.deadline(now, id),
+                Alarm::Quit(id, attempt) => {
+                    self.ended(now, id, attempt, Outcome::Cancelled, LoadReport::default(), (None, None))
+                }
+                Alarm::Silence(id, attempt) => self.silence(now, id, attempt, at.0),
+            }
+        }
+    }
+
+    /// Takes one input.
+    pub fn handle(&mut self, now: Millis, input: Input) {
+        match input {
+            Input::Take(taken) => self.take(now, taken),
+            Input::Left(id) => self.left(now, id),
+            Input::List(event) => self.list(now, event),
+            Input::Engine { engine, id, attempt, report, news } => {
+                let open = self.requests.get_mut(&id);
+                let Some(out) =
+                    open.and_then(|r| r.out.as_mut()).filter(|o| o.number == attempt && o.engine == engine)
+                else {
+                    return; // given up meanwhile
+                };
+                out.heard = now;
+                match news {
+                    EngineNews::Note(Some(note)) => self.tell(now, Event::Note { id, attempt, note }),
+                    EngineNews::Note(None) => {}
+                    EngineNews::Streaming(body) => self.streaming(now, id, attempt, body),
+                    EngineNews::Ended { outcome: Outcome::Ok, billed_ms, billed_mb, body } => {
+                        self.served(now, id, attempt, report, (billed_ms, billed_mb), body)
+                    }
+                    EngineNews::Ended { outcome, billed_ms, billed_mb, .. } => {
+                        self.ended(now, id, attempt, outcome, report, (billed_ms, billed_mb))
+                    }
+                }
+            }
+        }
+    }
+
+    fn take(&mut self, now: Millis, taken: Taken) {
+        self.counters.taken.up();
+        let id = taken.id;
+        if self.requests.len() >= self.limits.open || self.requests.contains_key(&id) {
+            self.counters.client_over_limit.up();
+            self.counters.refused.up();
+            return taken.client.answer(id, Answer::Refused { hold_off_ms: 0.0 });
+        }
+        let request = Request {
+            id,
+            class: taken.class,
+            key: 0,
+            due_ms: taken.due_ms,
+            cost_ms: taken.cost_ms,
+            dataset: taken.dataset,
+            memory_mb: taken.memory_mb,
+        };
+        self.arm(taken.due_ms - self.limits.answer_margin_ms, Alarm::Deadline(id));
+        let open = Open {
+            taken,
+            attempts: 0,
+            out: None,
+            may_have_run: false,
+            streaming: false,
+            memory_mb: 0.0,
+            priority: 1,
+        };
+        self.counters.open.up();
+        self.requests.insert(id, open);
+        self.tell(now, Event::Request(request));
+    }
+
+    /// The client left: nothing is owed, and what is out is given up at once, as it would only take room.
+    fn left(&mut self, now: Millis, id: RequestId) {
+        let Some(open) = self.remove(id) else { return };
+        self.counters.left.up();
+        self.tell(now, Event::ClientGone { id });
+        if let Some(out) = open.out {
+            self.engines.quit(out.engine, id, out.number);
+            self.tell_ended(now, id, &out, Outcome::Cancelled, true, LoadReport::default(), (None, None));
+        }
+    }
+
+    fn list(&mut self, now: Millis, event: ListEvent) {
+        if event.kind == ListKind::Full {
+            let named: Vec<EngineId> = event.entries.iter().map(|l| l.entry.engine).collect();
+            self.ready.iter_mut().filter(|(id, _)| !named.contains(id)).for_each(|(_, ready)| *ready = false);
+        }
+        for line in &event.entries {
+            // Guard: sends to what drains or is gone end here, whatever the module holds.
+            self.ready.insert(line.entry.engine, line.entry.state == ListState::Ready);
+            self.engines.listed(line);
+        }
+        self.ready.retain(|_, ready| *ready);
+        let entries = event.entries.into_iter().map(|l| l.entry).collect();
+        self.tell(now, Event::List { kind: event.kind, entries });
+    }
+
+    fn streaming(&mut self, now: Millis, id: RequestId, attempt: u16, body: Body) {
+        let Some(open) = self.requests.get_mut(&id).filter(|o| !o.streaming) else { return };
+        open.streaming = true;
+        open.may_have_run = true;
+        self.counters.served.up();
+        open.taken.client.answer(id, Answer::Served(body));
+        self.tell(now, Event::Streaming { id, attempt });
+    }
+
+    fn served(
+        &mut self,
+        now: Millis,
+        id: RequestId,
+        attempt: u16,
+        report: LoadReport,
+        billed: (Option<f64>, Option<f64>),
+        body: Option<Body>,
+    ) {
+        let streaming = self.requests.get(&id).is_some_and(|o| o.streaming);
+        let Some(body) = body.or_else(|| streaming.then(|| Body::whole(Form::Text, Vec::new()))) else {
+            // A good end without a result has run, and there is nothing to pass on.
+            return self.ended(now, id, attempt, Outcome::Error, report, billed);
+        };
+        let Some(open) = self.remove(id) else { return };
+        if !open.streaming {
+            self.counters.served.up();
+            open.taken.client.answer(id, Answer::Served(body));
+        }
+        if let Some(out) = open.out {
+            self.tell_ended(now, id, &out, Outcome::Ok, true, report, billed);
+        }
+    }
+
+    /// An attempt ended without a result; the module decides what follows.
+    fn ended(
+        &mut self,
+        now: Millis,
+        id: RequestId,
+        attempt: u16,
+        outcome: Outcome,
+        report: LoadReport,
+        billed: (Option<f64>, Option<f64>),
+    ) {
+        let Some(open) = self.requests.get_mut(&id) else { return };
+        let Some(out) = open.out.take_if(|o| o.number == attempt) else { return };
+        // What was called off may have run, even if its end tells otherwise a moment later.
+        open.may_have_run |= out.quitting || !never_ran(outcome);
+        let finished = open.streaming;
+        if finished {
+            self.remove(id); // its client was told by the break in its stream
+        }
+        self.tell_ended(now, id, &out, outcome, finished, report, billed);
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn tell_ended(
+        &mut self,
+        now: Millis,
+        id: RequestId,
+        out: &Out,
+        outcome: Outcome,
+        finished: bool,
+        report: LoadReport,
+        (billed_ms, billed_mb): (Option<f64>, Option<f64>),
+    ) {
+        self.count_end(outcome).up();
+        let (attempt, engine, took_ms) = (out.number, out.engine, now - out.sent);
+        let ended = Ended { id, attempt, engine, outcome, took_ms, finished, billed_ms, billed_mb, report };
+        self.tell(now, Event::Ended(ended));
+    }
+
+    fn count_end(&self, outcome: Outcome) -> &Count {
+        match outcome {
+            Outcome::Ok => &self.counters.ended_ok,
+            Outcome::Error => &self.counters.ended_error,
+            Outcome::Full => &self.counters.ended_full,
+            Outcome::TimedOut => &self.counters.ended_timeout,
+            Outcome::NoConnection => &self.counters.ended_no_connection,
+            Outcome::Reset => &self.counters.ended_reset,
+            Outcome::Cancelled => &self.counters.ended_cancelled,
+            Outcome::Moot => &self.counters.ended_moot,
+        }
+    }
+
+    /// The client's deadline: what is out is given up, and whatever the module leaves open is answered.
+    fn deadline(&mut self, now: Millis, id: RequestId) {
+        let Some(open) = self.requests.get(&id).filter(|o| !o.streaming) else { return };
+        if let Some(out) = &open.out {
+            let (engine, attempt) = (out.engine, out.number);
+            self.engines.quit(engine, id, attempt);
+            self.ended(now, id, attempt, Outcome::TimedOut, LoadReport::default(), (None, None));
+        }
+        // Guard: a module that still holds it, or has sent it once more, gets no further say.
+        if self.requests.contains_key(&id) {
+            self.answer(id, Answer::Failed(Why::Deadline));
+            self.left_over(now, id);
+        }
+    }
+
+    /// Tells the module that a request is over which the core itself has answered.
+    fn left_over(&mut self, now: Millis, id: RequestId) {
+        self.tell(now, Event::ClientGone { id });
+    }
+
+    /// An attempt on a machine that vanished says nothing and is not reset. What may be repeated is given up;
+    /// what may run once only waits on, as no other attempt is allowed anyway.
+    fn silence(&mut self, now: Millis, id: RequestId, attempt: u16, armed: Millis) {
+        let Some(open) = self.requests.get(&id).filter(|o| !o.streaming) else { return };
+        let Some(out) = open.out.as_ref().filter(|o| o.number == attempt) else { return };
+        let engine = out.engine;
+        let due = out.heard + self.limits.silence_ms;
+        if due > armed {
+            self.arm(due, Alarm::Silence(id, attempt));
+        } else if self.effects.get(open.taken.class) == Some(&Effect::Repeatable) {
+            self.engines.quit(engine, id, attempt);
+            self.ended(now, id, attempt, Outcome::TimedOut, LoadReport::default(), (None, None));
+        }
+    }
+
+    fn arm(&mut self, at: Millis, alarm: Alarm) {
+        self.armed += 1;
+        self.alarms.push(Reverse((At(at), self.armed, alarm)));
+    }
+
+    /// Hands the module one event, carries out what it wants, and what follows from that at once.
+    fn tell(&mut self, now: Millis, event: Event) {
+        let mut actions = std::mem::take(&mut self.actions);
+        self.gateway.handle(now, event, &mut actions);
+        let mut moot = Vec::new();
+        for action in actions.drain(..) {
+            match action {
+                Action::Send { id, engine, timeout_ms } => {
+                    if let Some(outcome) = self.send(now, id, engine, timeout_ms) {
+                        moot.push((id, engine, outcome));
+                    }
+                }
+                Action::Terms { id, memory_mb, priority } => self.terms(id, memory_mb, priority),
+                Action::Refuse { id, hold_off_ms } => {
+                    // Guard: a refusal says that a repeat is harmless, so it may not cover a load that may have run.
+                    let sure = self
+                        .requests
+                        .get(&id)
+                        .is_some_and(|o| !o.may_have_run && o.out.is_none() || self.repeatable(o));
+                    let why = Answer::Failed(Why::Lost);
+                    self.answer(id, if sure { Answer::Refused { hold_off_ms } } else { why });
+                }
+                Action::Fail { id } => self.answer(id, Answer::Failed(Why::Lost)),
+                Action::Cancel { id, attempt } => self.cancel(now, id, attempt),
+                Action::Timer { after_ms, token } => self.arm(now + after_ms.max(1.0), Alarm::Module(token)),
+                Action::Log { line } => eprintln!("magpiechute: {line}"),
+                // Engines may not be probed, and the feed pushes: nothing to do.
+                Action::Probe { .. } | Action::Subscribe => {}
+            }
+        }
+        self.actions = actions;
+        for (id, engine, outcome) in moot {
+            let attempt = self.requests.get(&id).map_or(0, |o| o.attempts.saturating_sub(1));
+            self.count_end(outcome).up();
+            let ended = Ended {
+                id,
+                attempt,
+                engine,
+                outcome,
+                took_ms: 0.0,
+                finished: !self.requests.contains_key(&id),
+                billed_ms: None,
+                billed_mb: None,
+                report: LoadReport::default(),
+            };
+            self.tell(now, Event::Ended(ended));
+        }
+    }
+
+    fn repeatable(&self, open: &Open) -> bool {
+        self.effects.get(open.taken.class).is_some_and(|e| *e == Effect::Repeatable)
+    }
+
+    /// Starts an attempt, or says why it cannot be; then it provably never ran.
+    fn send(
+        &mut self,
+        now: Millis,
+        id: RequestId,
+        engine: EngineId,
+        timeout_ms: Option<Millis>,
+    ) -> Option<Outcome> {
+        let repeatable = self.requests.get(&id).is_some_and(|o| self.repeatable(o));
+        let ready = self.ready.contains_key(&engine);
+        let cap = self.cap;
+        let open = self.requests.get_mut(&id)?;
+        let number = open.attempts;
+        open.attempts = open.attempts.saturating_add(1);
+        // Guards: one attempt out at a time, no second run of what may run once, no more than the cap.
+        let barred = open.out.is_some() || open.may_have_run && !repeatable || u32::from(number) >= cap;
+        if barred || !ready {
+            self.counters.guarded.up();
+            return Some(if barred { Outcome::Moot } else { Outcome::NoConnection });
+        }
+        let due_ms =
+            timeout_ms.filter(|t| *t > 0.0).map_or(open.taken.due_ms, |t| (now + t).min(open.taken.due_ms));
+        let ask = Ask {
+            id,
+            attempt: number,
+            name: open.taken.name.clone(),
+            class: open.taken.class,
+            due_ms,
+            memory_mb: open.memory_mb,
+            priority: open.priority,
+            statement: open.taken.statement.clone(),
+        };
+        if !self.engines.ask(engine, ask) {
+            return Some(Outcome::NoConnection);
+        }
+        open.out = Some(Out { number, engine, sent: now, heard: now, quitting: false });
+        self.counters.sent.up();
+        self.arm(now + self.limits.silence_ms, Alarm::Silence(id, number));
+        None
+    }
+
+    fn terms(&mut self, id: RequestId, memory_mb: f64, priority: u8) {
+        let Some(open) = self.requests.get_mut(&id) else { return };
+        open.memory_mb = memory_mb;
+        let before = std::mem::replace(&mut open.priority, priority.min(3));
+        if let Some(out) = open.out.as_ref().filter(|_| before != open.priority) {
+            self.engines.priority(out.engine, id, out.number, open.priority);
+        }
+    }
+
+    /// Gives an attempt up. It counts as ended once the word has had time to reach the socket: a further
+    /// attempt before that would be out beside it.
+    fn cancel(&mut self, now: Millis, id: RequestId, attempt: u16) {
+        let open = self.requests.get_mut(&id).filter(|o| !o.streaming);
+        let out = open.and_then(|o| o.out.as_mut()).filter(|o| o.number == attempt && !o.quitting);
+        if let Some(out) = out {
+            out.quitting = true;
+            self.engines.quit(out.engine, id, attempt);
+            self.arm(now + self.limits.quit_settle_ms, Alarm::Quit(id, attempt));
+        }
+    }
+
+    /// The one final answer: whoever comes second finds the request gone.
+    fn answer(&mut self, id: RequestId, answer: Answer) {
+        let Some(open) = self.remove(id) else { return };
+        if let Some(out) = &open.out {
+            self.engines.quit(out.engine, id, out.number);
+        }
+        match answer {
+            Answer::Refused { .. } => self.counters.refused.up(),
+            _ => self.counters.failed.up(),
+        }
+        open.taken.client.answer(id, answer);
+    }
+
+    fn remove(&mut self, id: RequestId) -> Option<Open> {
+        let open = self.requests.remove(&id)?;
+        self.counters.open.down();
+        Some(open)
+    }
+}
+
+/// Whether an outcome proves that the attempt never ran.
+pub fn never_ran(outcome: Outcome) -> bool {
+    matches!(outcome, Outcome::Full | Outcome::NoConnection | Outcome::Moot)
+}
--- /dev/null
+++ b/src/engines/mod.rs
@@ -0,0 +1,82 @@
+//! Engines, by the protocol that they speak: one actor an engine, which owns its connections.
+
+pub(crate) mod lines;
+
+use crate::config::Listed;
+use crate::core::{Ask, EnginePort, Handle};
+use crate::counters::Counters;
+use crate::interface::{EngineId, ListState, RequestId};
+use crate::limits::Limits;
+use crate::settings::Parsed;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use tokio::sync::mpsc;
+
+/// What every engine's actor holds.
+#[derive(Clone)]
+pub(crate) struct House {
+    pub(crate) core: Handle,
+    pub(crate) parsed: Arc<Parsed>,
+    pub(crate) limits: Arc<Limits>,
+    pub(crate) counters: Arc<Counters>,
+}
+
+/// What an engine's actor is told.
+#[derive(Debug)]
+pub(crate) enum Order {
+    Ask(Ask),
+    Quit(RequestId, u16),
+    Priority(RequestId, u16, u8),
+    /// The list's word on it.
+    Listed(ListState),
+}
+
+struct Peer {
+    address: SocketAddr,
+    orders: mpsc::Sender<Order>,
+}
+
+/// All engines that the list has named.
+pub(crate) struct Fleet {
+    house: House,
+    peers: HashMap<EngineId, Peer>,
+}
+
+impl Fleet {
+    pub(crate) fn new(house: House) -> Fleet {
+        Fleet { house, peers: HashMap::new() }
+    }
+
+    fn tell(&self, engine: EngineId, order: Order) -> bool {
+        self.peers.get(&engine).is_some_and(|p| p.orders.try_send(order).is_ok())
+    }
+}
+
+impl EnginePort for Fleet {
+    fn ask(&mut self, engine: EngineId, ask: Ask) -> bool {
+        self.tell(engine, Order::Ask(ask))
+    }
+
+    fn quit(&mut self, engine: EngineId, id: RequestId, attempt: u16) {
+        self.tell(engine, Order::Quit(id, attempt));
+    }
+
+    fn priority(&mut self, engine: EngineId, id: RequestId, attempt: u16, priority: u8) {
+        self.tell(engine, Order::Priority(id, attempt, priority));
+    }
+
+    fn listed(&mut self, line: &Listed) {
+        let (engine, state) = (line.entry.engine, line.entry.state);
+        let moved = self.peers.get(&engine).is_none_or(|p| p.address != line.address || p.orders.is_closed());
+        if moved && state == ListState::Ready && self.peers.len() < self.house.limits.engines {
+            let (orders, mailbox) = mpsc::channel(self.house.limits.mailbox);
+            tokio::spawn(lines::run(engine, line.address, mailbox, self.house.clone()));
+            self.peers.insert(engine, Peer { address: line.address, orders });
+        }
+        self.tell(engine, Order::Listed(state));
+        if state == ListState::Gone {
+            self.peers.remove(&engine); // its actor ends with its mailbox, once its attempts are over
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,13 +1,27 @@
-//! magpiechute decides, for a query gateway, when and on which shared SQL engine each query runs.
+//! magpiechute decides, for a workload manager, when and on which shared SQL engine each query runs, and is that
+//! workload manager on real sockets.
 //!
-//! The library is sans-I/O: [`Gateway::new`] takes [`Settings`] and a seed, and [`Gateway::handle`] takes the
+//! The decisions are sans-I/O: [`Gateway::new`] takes [`Settings`] and a seed, and [`Gateway::handle`] takes the
 //! time and one [`Event`] and appends [`Action`]s. It reads no clock, starts no thread, and two gateways share
 //! nothing. All decisions are in the `choice` module; the types it speaks are in the `interface` module.
+//!
+//! Round them stands the [`core`], which knows no wire, and round that one module for each kind of peer.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
 mod choice;
+mod clients;
+pub mod config;
+pub mod core;
+pub mod counters;
+mod engines;
 mod interface;
+pub mod limits;
+mod list;
+mod net;
+pub mod node;
+pub mod settings;
+mod sql;
 
 pub use choice::Gateway;
 pub use interface::*;
--- /dev/null
+++ b/src/limits.rs
@@ -0,0 +1,99 @@
+//! Every limit on sizes, counts and times, filled once at start and handed down. Queues, buffers and
+//! connections are bounded by it, so that what the program may hold can be read off in one place.
+
+use crate::settings::Parsed;
+use std::time::Duration;
+
+/// The limits of one running workload manager.
+#[derive(Clone, Debug)]
+pub struct Limits {
+    /// Bytes of one client message, head and body.
+    pub message_bytes: usize,
+    /// Nesting of one MessagePack message.
+    pub message_depth: usize,
+    /// Fields read of one map.
+    pub message_fields: usize,
+    /// Open requests on one client connection.
+    pub open_per_client: usize,
+    /// Client connections; more wait in the listener's backlog.
+    pub client_conns: usize,
+    /// Requests open at once.
+    pub open: usize,
+    /// Bytes of a whole result.
+    pub answer_bytes: usize,
+    /// Bytes of one line of an engine, without its payload.
+    pub line_bytes: usize,
+    /// Bytes of one page of a result.
+    pub page_bytes: usize,
+    /// Pages of one result.
+    pub pages: usize,
+    /// Attempts on one engine connection.
+    pub streams_per_conn: usize,
+    /// Connections to one engine.
+    pub conns_per_engine: usize,
+    /// Engines held from the list.
+    pub engines: usize,
+    /// Messages in an actor's mailbox.
+    pub mailbox: usize,
+    /// Bytes of one frame of the control feed.
+    pub frame_bytes: usize,
+    /// A connection not up by then has failed.
+    pub connect: Duration,
+    /// Own close of an idle engine connection, well before the engine's: a request never crosses one.
+    pub engine_idle: Duration,
+    /// Own close of an idle client connection; clients close theirs sooner.
+    pub client_idle: Duration,
+    /// Wait for a page of a result: an engine that fell silent between pages is given up.
+    pub page_wait: Duration,
+    /// An engine told gone is given this long to reset its connections before they are cut.
+    pub gone_grace: Duration,
+    /// Silence of the control feed that counts as a fault; it speaks each second.
+    pub feed_silence: Duration,
+    /// First and longest wait before connecting to the feed anew.
+    pub feed_retry: (Duration, Duration),
+    /// After SIGTERM new requests keep coming for this long at most.
+    pub late_arrivals: Duration,
+    /// Before a client's deadline, in ms, at which an open attempt is given up and answered.
+    pub answer_margin_ms: f64,
+    /// From giving an attempt up to calling it ended, in ms: it has then reached the socket.
+    pub quit_settle_ms: f64,
+    /// An attempt on a repeatable class whose engine said nothing for this long, in ms, is given up.
+    pub silence_ms: f64,
+}
+
+impl Limits {
+    /// The limits for a machine with so many descriptors, under these settings.
+    pub fn new(sockets: usize, parsed: &Parsed) -> Limits {
+        let millis = |ms: f64| Duration::from_micros((ms.clamp(0.0, 3_600_000.0) * 1000.0) as u64);
+        let clients = (sockets / 2).max(8);
+        let engines = 64;
+        Limits {
+            message_bytes: 128 * 1024,
+            message_depth: 8,
+            message_fields: 64,
+            open_per_client: 32,
+            client_conns: clients,
+            open: parsed.max_open.min(8192),
+            answer_bytes: 48_000,
+            line_bytes: 4096,
+            page_bytes: 64 * 1024,
+            pages: 256,
+            streams_per_conn: parsed.streams_per_conn,
+            conns_per_engine: (sockets / 4 / engines).clamp(1, 4),
+            engines,
+            mailbox: 1024,
+            frame_bytes: 1 << 20,
+            connect: millis(parsed.connect_timeout_ms),
+            engine_idle: millis(parsed.conn_idle_ms * 0.6),
+            client_idle: Duration::from_secs(30),
+            page_wait: Duration::from_millis(2000),
+            gone_grace: Duration::from_millis(500),
+            feed_silence: Duration::from_millis(2500),
+            feed_retry: (Duration::from_millis(50), Duration::from_millis(500)),
+            late_arrivals: Duration::from_millis(1000),
+            answer_margin_ms: 10.0,
+            quit_settle_ms: 5.0,
+            silence_ms: (parsed.settings.progress_ms * 6.0).max(3000.0),
+        }
+    }
+}
--- /dev/null
+++ b/src/list.rs
@@ -0,0 +1,128 @@
+//! The list of engines: the control feed, followed by one actor that connects anew whenever it fails.
+
+use crate::config::{ListEvent, Listed, address, engine_id};
+use crate::core::{Handle, Input};
+use crate::counters::Counters;
+use crate::interface::{EngineEntry, ListKind, ListState};
+use crate::limits::Limits;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
+
+const RECORD: usize = 27;
+const FRAME_HEAD: usize = 9;
+
+/// Why the feed has to be connected anew.
+#[derive(Debug, PartialEq, Eq)]
+enum Fault {
+    Lost,
+    Silent,
+    Malformed,
+}
+
+impl From<std::io::Error> for Fault {
+    fn from(_: std::io::Error) -> Fault {
+        Fault::Lost
+    }
+}
+
+impl From<tokio::time::error::Elapsed> for Fault {
+    fn from(_: tokio::time::error::Elapsed) -> Fault {
+        Fault::Silent
+    }
+}
+
+/// Follows the feed from event `last` on.
+pub(crate) async fn follow(
+    feed: SocketAddr,
+    mut last: u64,
+    core: Handle,
+    limits: Arc<Limits>,
+    counters: Arc<Counters>,
+) {
+    let (first, longest) = limits.feed_retry;
+    let mut wait = first;
+    loop {
+        let before = last;
+        match session(feed, &mut last, &core, &limits, &counters).await {
+            Ok(()) | Err(Fault::Lost) => {}
+            Err(Fault::Silent) => counters.feed_silences.up(),
+            Err(Fault::Malformed) => counters.feed_malformed.up(),
+        }
+        wait = if last > before { first } else { (wait * 2).min(longest) };
+        sleep(wait).await;
+    }
+}
+
+async fn session(
+    feed: SocketAddr,
+    last: &mut u64,
+    core: &Handle,
+    limits: &Limits,
+    counters: &Counters,
+) -> Result<(), Fault> {
+    // A feed that accepts nothing, or says nothing, may have been cut off while engines drain: go elsewhere in
+    // time, as what it has to tell counts as told.
+    let mut stream = timeout(limits.feed_silence, TcpStream::connect(feed)).await??;
+    counters.feed_conns.up();
+    stream.write_all(&last.to_be_bytes()).await?;
+    let mut frame = Vec::new();
+    loop {
+        let head = timeout(limits.feed_silence, stream.read_u32()).await??;
+        let length = head as usize;
+        if !(FRAME_HEAD..=limits.frame_bytes).contains(&length) {
+            return Err(Fault::Malformed);
+        }
+        frame.resize(length, 0);
+        timeout(limits.feed_silence, stream.read_exact(&mut frame)).await??;
+        let Some(event) = read_frame(&frame).ok_or(Fault::Malformed)? else { continue };
+        if event.number <= *last {
+            continue; // told already, over an earlier connection
+        }
+        *last = event.number;
+        counters.feed_events.up();
+        core.tell(Input::List(event)).await;
+    }
+}
+
+/// One frame behind its length; `Some(None)` where it tells nothing new, `None` where it cannot be read.
+fn read_frame(frame: &[u8]) -> Option<Option<ListEvent>> {
+    let (head, payload) = frame.split_at_checked(FRAME_HEAD)?;
+    let number = u64::from_be_bytes(head[..8].try_into().ok()?);
+    let kind = match head[8] {
+        0 if payload.is_empty() => return Some(None),
+        1 => ListKind::Full,
+        2 => ListKind::Delta,
+        _ => return None,
+    };
+    let records = payload.chunks_exact(RECORD);
+    if !records.remainder().is_empty() {
+        return None;
+    }
+    let entries: Option<Vec<Listed>> = records.map(read_record).collect();
+    Some(Some(ListEvent { number, kind, entries: entries? }))
+}
+
+fn read_record(r: &[u8]) -> Option<Listed> {
+    let four = |at: usize| r.get(at..at + 4).and_then(|b| <[u8; 4]>::try_from(b).ok());
+    let two = |at: usize| r.get(at..at + 2).and_then(|b| <[u8; 2]>::try_from(b).ok()).map(u16::from_be_bytes);
+    let state = match r[10] {
+        0 => ListState::Ready,
+        1 => ListState::Draining,
+        2 => ListState::Gone,
+        _ => return None,
+    };
+    let started = u64::from_be_bytes(r.get(19..27)?.try_into().ok()?);
+    let entry = EngineEntry {
+        engine: engine_id(u32::from_be_bytes(four(0)?)),
+        zone: r[11],
+        kind: u16::from(r[12]),
+        cell: two(13)?,
+        state,
+        nominal: f64::from(u32::from_be_bytes(four(15)?)) / 1000.0,
+        started_ms: started as f64,
+    };
+    Some(Listed { entry, address: address(four(4)?, two(8)?) })
+}
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,50 @@
+//! The workload manager on real sockets.
+#![forbid(unsafe_code)]
+
+use magpiechute::config::{Config, ConfigError};
+use magpiechute::node::Node;
+use std::path::Path;
+use std::process::ExitCode;
+use tokio::signal::unix::{SignalKind, signal};
+
+fn main() -> ExitCode {
+    let done = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|e| ConfigError(format!("no runtime: {e}")))
+        .and_then(|runtime| runtime.block_on(run()));
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(problem) => {
+            eprintln!("magpiechute: {problem}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run() -> Result<(), ConfigError> {
+    let path = std::env::var_os("NODE_CONFIG")
+        .ok_or_else(|| ConfigError("NODE_CONFIG does not name a configuration".to_owned()))?;
+    let mut config = Config::load(Path::new(&path))?;
+    if let Ok(listen) = std::env::var("NODE_LISTEN") {
+        config.listen =
+            listen.parse().map_err(|_| ConfigError(format!("NODE_LISTEN {listen:?} is not an address")))?;
+    }
+    let hear = |kind| signal(kind).map_err(|e| ConfigError(format!("cannot hear signals: {e}")));
+    let (mut term, mut int) = (hear(SignalKind::terminate())?, hear(SignalKind::interrupt())?);
+    let mut print = hear(SignalKind::user_defined1())?;
+    let name = config.name.clone();
+    let node = Node::start(config).await?;
+    eprintln!("magpiechute: {name} serves on {}", node.listen);
+    loop {
+        tokio::select! {
+            _ = term.recv() => break,
+            _ = int.recv() => break,
+            _ = print.recv() => eprintln!("magpiechute: {}", node.counters),
+        }
+    }
+    let counters = node.counters.clone();
+    node.finish().await;
+    eprintln!("magpiechute: {counters}");
+    Ok(())
+}
--- /dev/null
+++ b/src/net.rs
@@ -0,0 +1,108 @@
+//! Bytes on their way out, shared by all connections: pieces are queued as they are and leave in gathered
+//! writes; what the socket does not take stays for the next time.
+
+use bytes::{Buf, Bytes};
+use std::collections::VecDeque;
+use std::io::{self, IoSlice};
+use tokio::net::TcpStream;
+
+/// Pieces that one gathered write takes at most.
+const GATHERED: usize = 64;
+
+/// The queue of one connection.
+#[derive(Default)]
+pub(crate) struct Outbox {
+    pieces: VecDeque<Bytes>,
+    queued: u64,
+    written: u64,
+}
+
+impl Outbox {
+    /// Queues a piece; returns the count of bytes queued so far, which `written` reaches once it is out.
+    pub(crate) fn push(&mut self, piece: impl Into<Bytes>) -> u64 {
+        let piece = piece.into();
+        self.queued += piece.len() as u64;
+        if !piece.is_empty() {
+            self.pieces.push_back(piece);
+        }
+        self.queued
+    }
+
+    /// Bytes handed to the socket so far.
+    pub(crate) fn written(&self) -> u64 {
+        self.written
+    }
+
+    /// Bytes queued and not yet written.
+    pub(crate) fn waiting(&self) -> u64 {
+        self.queued - self.written
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.pieces.is_empty()
+    }
+
+    /// Takes what the socket took off the front, which may end inside a piece.
+    fn advance(&mut self, mut taken: usize) {
+        self.written += taken as u64;
+        while let Some(first) = self.pieces.front_mut() {
+            if taken < first.len() {
+                return first.advance(taken);
+            }
+            taken -= first.len();
+            self.pieces.pop_front();
+        }
+    }
+
+    /// Writes as much as the socket takes now.
+    pub(crate) fn flush(&mut self, stream: &TcpStream) -> io::Result<()> {
+        while !self.is_empty() {
+            let slices: Vec<IoSlice<'_>> =
+                self.pieces.iter().take(GATHERED).map(|p| IoSlice::new(p)).collect();
+            match stream.try_write_vectored(&slices) {
+                Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+                Ok(n) => self.advance(n),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) => return Err(e),
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Reads what is there into `buffer`. `Ok(false)` at the end of the stream.
+pub(crate) fn read(stream: &TcpStream, buffer: &mut bytes::BytesMut, most: usize) -> io::Result<bool> {
+    loop {
+        buffer.reserve(4096);
+        match stream.try_read_buf(buffer) {
+            Ok(0) => return Ok(false),
+            // Enough for one round: what is read is parsed before more is taken in.
+            Ok(_) if buffer.len() >= most => return Ok(true),
+            Ok(_) => {}
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(true),
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            Err(e) => return Err(e),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::Outbox;
+
+    /// A write may end anywhere: inside a piece, at its end, or over several.
+    #[test]
+    fn partial_writes_lose_nothing() {
+        let mut out = Outbox::default();
+        for piece in ["head ", "", "body", "\r\n"] {
+            out.push(piece.as_bytes());
+        }
+        for (taken, left) in [(3, 8), (2, 6), (5, 1), (1, 0)] {
+            out.advance(taken);
+            assert_eq!(out.waiting(), left);
+            assert_eq!(out.pieces.iter().map(|p| p.len() as u64).sum::<u64>(), left);
+        }
+        assert!(out.is_empty() && out.written() == 11);
+    }
+}
--- a/src/bin/magpiechute-simhost/settings.rs
+++ b/src/settings.rs
@@ -1,6 +1,7 @@
-//! The settings message, from the wire's words to the library's.
+//! The settings object, from its JSON words to the library's. The simulator's adapter and the real program
+//! share it, so that both run the module on the same figures.
 
-use magpiechute::{Class, DedupScope, Effect, ExtraBudget, ReportMode, Settings};
+use crate::interface::{Class, DedupScope, Effect, ExtraBudget, ReportMode, Settings};
 use serde::Deserialize;
 
 #[derive(Deserialize)]
@@ -22,11 +23,17 @@
     az: u8,
     #[serde(default)]
     charges: Charges,
+    #[serde(default)]
+    zones: Vec<String>,
+    #[serde(default)]
+    shapes: Vec<String>,
 }
 
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct Tenant {
+    #[serde(default)]
+    name: String,
     #[serde(default)]
     quota_per_s: f64,
 }
@@ -45,6 +52,8 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct ClassText {
+    #[serde(default)]
+    name: String,
     #[serde(default)]
     aim_stretch: f64,
     promise_ms: f64,
@@ -90,6 +99,30 @@
     retry_after: bool,
     #[serde(default)]
     max_retry_after_ms: f64,
+    #[serde(default = "connect_timeout")]
+    connect_timeout_ms: f64,
+    #[serde(default = "conn_idle")]
+    conn_idle_ms: f64,
+    #[serde(default = "streams")]
+    streams_per_conn: usize,
+    #[serde(default = "max_open")]
+    max_open: usize,
+}
+
+fn connect_timeout() -> f64 {
+    250.0
+}
+
+fn conn_idle() -> f64 {
+    15_000.0
+}
+
+fn streams() -> usize {
+    100
+}
+
+fn max_open() -> usize {
+    20_000
 }
 
 #[derive(Deserialize, Default)]
@@ -120,11 +153,31 @@
     progress_ms: f64,
 }
 
-/// Settings for the library, and what the adapter itself needs to read records.
+/// Settings for the library, and what its hosts need besides.
+#[derive(Clone, Debug)]
 pub struct Parsed {
+    /// What the module is told.
     pub settings: Settings,
+    /// Names of the values of a load report, in order.
     pub report_names: Vec<String>,
+    /// Answers tell the work and memory that a query needed.
     pub bills: bool,
+    /// Class names, by position.
+    pub classes: Vec<String>,
+    /// Tenant names, by position.
+    pub tenants: Vec<String>,
+    /// Zone names, by position.
+    pub zones: Vec<String>,
+    /// Names of machine kinds, by position.
+    pub kinds: Vec<String>,
+    /// A connection that is not up within this time has failed.
+    pub connect_timeout_ms: f64,
+    /// Engines close connections that idle this long.
+    pub conn_idle_ms: f64,
+    /// Attempts that one connection carries at once.
+    pub streams_per_conn: usize,
+    /// Requests that may be open at once.
+    pub max_open: usize,
 }
 
 /// Reads a settings message.
@@ -171,6 +224,7 @@
         "on_probe" => ReportMode::OnProbe,
         _ => ReportMode::Off,
     };
+    let classes_named = s.classes.iter().map(|c| c.name.clone()).collect();
     let settings = Settings {
         instances: s.n_instances,
         classes,
@@ -193,5 +247,18 @@
         order_pause_ms: g.order_pause_ms,
         extra,
     };
-    Ok(Parsed { settings, report_names: s.report.names, bills: s.specifics.bills })
+    settings.check().map_err(|e| e.to_string())?;
+    Ok(Parsed {
+        settings,
+        report_names: s.report.names,
+        bills: s.specifics.bills,
+        classes: classes_named,
+        tenants: s.tenants.into_iter().map(|t| t.name).collect(),
+        zones: s.zones,
+        kinds: s.shapes,
+        connect_timeout_ms: s.limits.connect_timeout_ms,
+        conn_idle_ms: s.limits.conn_idle_ms,
+        streams_per_conn: s.limits.streams_per_conn.max(1),
+        max_open: s.limits.max_open.max(1),
+    })
 }
