--- a/src/clients/mod.rs
+++ b/src/clients/mod.rs
@@ -1,5 +1,6 @@
 //! Clients, by the protocol that they speak.
 
+pub(crate) mod flight;
 pub(crate) mod msgpack;
 pub(crate) mod platform;
 
--- a/src/clients/msgpack.rs
+++ b/src/clients/msgpack.rs
@@ -194,6 +194,10 @@
     fn skip(&mut self, depth: usize) -> Step<()> {
         let many = |r: &mut Self, count: usize| {
             // Guard: nesting is bounded, or a few bytes would make the stack as deep as they say.
+            // An element is a byte at least, so more than a message may have of them never come.
+            if count > r.limits.message_bytes {
+                return Err(Stop::Bad(Malformed::TooLarge));
+            }
             let deeper = depth.checked_sub(1).ok_or(Stop::Bad(Malformed::TooLarge))?;
             (0..count).try_for_each(|_| r.skip(deeper))
         };
--- a/src/clients/platform.rs
+++ b/src/clients/platform.rs
@@ -2,10 +2,10 @@
 
 use super::msgpack::{self, Message};
 use super::{Front, figure, is_ref};
-use crate::core::{Answer, ClientPort, Form, Input, Taken, Why};
+use crate::core::{Answer, Body, ClientPort, Input, Kind, Taken, Why};
 use crate::interface::RequestId;
 use crate::net::{self, Outbox};
-use crate::sql;
+use crate::{rows, sql};
 use bytes::{Bytes, BytesMut};
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -218,6 +218,7 @@
             cost_ms: estimate("effort")?,
             memory_mb: estimate("need_mb")?,
             dataset: sql::dataset(&statement).unwrap_or(0),
+            kind: if sql::reads(&statement) { Kind::Query } else { Kind::Update },
             statement,
             client: self.port.clone(),
         })
@@ -228,15 +229,7 @@
         let Some(message) = self.open.remove(&id) else { return };
         self.idle_since = Instant::now();
         match answer {
-            Answer::Served(body) if body.form == Form::Text && body.rest.is_none() => {
-                self.out.push(msgpack::result_head(message, body.pieces.iter().map(Bytes::len).sum()));
-                for piece in body.pieces {
-                    self.out.push(piece);
-                }
-                self.out.push(msgpack::END);
-            }
-            // A result that this protocol cannot carry.
-            Answer::Served(_) => drop(self.out.push(msgpack::error(message, "Internal", None))),
+            Answer::Served(body) => self.result(message, &body),
             Answer::Refused { hold_off_ms } => {
                 let wait = format!("{hold_off_ms:.0}");
                 let field = (hold_off_ms >= 1.0).then_some(("cooldown", wait.as_str()));
@@ -248,4 +241,19 @@
             }
         }
     }
+
+    /// Writes a result out in the pieces in which it came; one that this protocol cannot carry has failed.
+    fn result(&mut self, message: u64, body: &Body) {
+        let pieces = rows::text(body).ok().filter(|_| body.rest.is_none());
+        let size = |pieces: &Vec<Bytes>| pieces.iter().map(Bytes::len).sum::<usize>();
+        let Some(pieces) = pieces.filter(|p| size(p) <= self.front.limits.answer_bytes) else {
+            self.out.push(msgpack::error(message, "Internal", None));
+            return;
+        };
+        self.out.push(msgpack::result_head(message, size(&pieces)));
+        for piece in pieces {
+            self.out.push(piece);
+        }
+        self.out.push(msgpack::END);
+    }
 }
--- a/src/config.rs
+++ b/src/config.rs
@@ -209,6 +209,61 @@
     }
 }
 
+/// The fronts that are off unless a file under `deploy/` turns them on.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Fronts {
+    /// Arrow Flight SQL.
+    pub flight: Option<FlightFront>,
+    /// The SNMP agent.
+    pub snmp: Option<Agent>,
+}
+
+/// The Flight SQL front.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct FlightFront {
+    /// Where it listens.
+    pub listen: String,
+    /// What the engines of the list speak.
+    #[serde(default)]
+    pub engines: Speech,
+}
+
+/// What the engines of a list speak.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "lowercase")]
+pub enum Speech {
+    /// The platform's lines.
+    #[default]
+    Lines,
+    /// Arrow Flight SQL.
+    Flight,
+}
+
+/// The SNMP agent.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Agent {
+    /// Where it listens.
+    pub listen: String,
+    /// The community that may read.
+    pub community: String,
+}
+
+impl Fronts {
+    /// Reads the file; where there is none, both are off.
+    pub fn load(path: &Path) -> Result<Fronts, ConfigError> {
+        match std::fs::read_to_string(path) {
+            Ok(text) => {
+                toml::from_str(&text).map_err(|e| ConfigError(format!("{}: {}", path.display(), e.message())))
+            }
+            Err(e) if e.kind() == std::io::ErrorKind::NotFound => Ok(Fronts::default()),
+            Err(e) => Err(ConfigError(format!("cannot read {}: {e}", path.display()))),
+        }
+    }
+}
+
 /// An address in a file under `deploy/`; those fronts listen on loopback only.
 pub fn loopback(text: &str, what: &str) -> Result<SocketAddr, ConfigError> {
     let at: SocketAddr = text
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -28,9 +28,23 @@
     Arrow,
 }
 
-/// The break of a result that had begun.
+/// What follows of a result that streams. A channel that closes without [`Flow::End`] is a result cut off.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Cut;
+pub enum Flow {
+    /// The next piece.
+    Piece(Bytes),
+    /// All pieces have come.
+    End,
+}
+
+/// What a statement is to its client.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// Rows are wanted.
+    Query,
+    /// A count of changed rows is wanted.
+    Update,
+}
 
 /// A result, in pieces that pass on unchanged.
 #[derive(Debug)]
@@ -39,8 +53,8 @@
     pub form: Form,
     /// The pieces held.
     pub pieces: Vec<Bytes>,
-    /// Further pieces of a result too large to hold; it ends with the channel or in a break.
-    pub rest: Option<mpsc::Receiver<Result<Bytes, Cut>>>,
+    /// Further pieces of a result too large to hold.
+    pub rest: Option<mpsc::Receiver<Flow>>,
 }
 
 impl Body {
@@ -97,6 +111,8 @@
     pub dataset: u32,
     /// The statement.
     pub statement: Bytes,
+    /// What its client wants of it.
+    pub kind: Kind,
     /// Where its answer goes.
     pub client: Arc<dyn ClientPort>,
 }
@@ -120,6 +136,8 @@
     pub priority: u8,
     /// The statement.
     pub statement: Bytes,
+    /// What its client wants of it.
+    pub kind: Kind,
 }
 
 /// Where attempts go: all engines, of whatever protocol. No call blocks.
@@ -191,6 +209,7 @@
     out: Option<Out>,
     may_have_run: bool,
     streaming: bool,
+    expired: bool,
     memory_mb: f64,
     priority: u8,
 }
@@ -349,6 +368,7 @@
             out: None,
             may_have_run: false,
             streaming: false,
+            expired: false,
             memory_mb: 0.0,
             priority: 1,
         };
@@ -469,7 +489,8 @@
 
     /// The client's deadline: what is out is given up, and whatever the module leaves open is answered.
     fn deadline(&mut self, now: Millis, id: RequestId) {
-        let Some(open) = self.requests.get(&id).filter(|o| !o.streaming) else { return };
+        let Some(open) = self.requests.get_mut(&id).filter(|o| !o.streaming) else { return };
+        open.expired = true;
         if let Some(out) = &open.out {
             let (engine, attempt) = (out.engine, out.number);
             self.engines.quit(engine, id, attempt);
@@ -478,15 +499,10 @@
         // Guard: a module that still holds it, or has sent it once more, gets no further say.
         if self.requests.contains_key(&id) {
             self.answer(id, Answer::Failed(Why::Deadline));
-            self.left_over(now, id);
+            self.tell(now, Event::ClientGone { id });
         }
     }
 
-    /// Tells the module that a request is over which the core itself has answered.
-    fn left_over(&mut self, now: Millis, id: RequestId) {
-        self.tell(now, Event::ClientGone { id });
-    }
-
     /// An attempt on a machine that vanished says nothing and is not reset. What may be repeated is given up;
     /// what may run once only waits on, as no other attempt is allowed anyway.
     fn silence(&mut self, now: Millis, id: RequestId, attempt: u16, armed: Millis) {
@@ -591,13 +607,16 @@
             memory_mb: open.memory_mb,
             priority: open.priority,
             statement: open.taken.statement.clone(),
+            kind: open.taken.kind,
         };
         if !self.engines.ask(engine, ask) {
             return Some(Outcome::NoConnection);
         }
         open.out = Some(Out { number, engine, sent: now, heard: now, quitting: false });
         self.counters.sent.up();
-        self.arm(now + self.limits.silence_ms, Alarm::Silence(id, number));
+        if self.limits.silence_ms.is_finite() {
+            self.arm(now + self.limits.silence_ms, Alarm::Silence(id, number));
+        }
         None
     }
 
@@ -628,6 +647,8 @@
         if let Some(out) = &open.out {
             self.engines.quit(out.engine, id, out.number);
         }
+        // At its deadline a client has no use for advice on when to come back.
+        let answer = if open.expired { Answer::Failed(Why::Deadline) } else { answer };
         match answer {
             Answer::Refused { .. } => self.counters.refused.up(),
             _ => self.counters.failed.up(),
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -19,6 +19,14 @@
     };
 }
 
+/// Those that also go down.
+const GAUGES: [&str; 4] = ["client_conns_open", "client_conns_owing", "engine_conns_open", "open"];
+
+/// Whether a name is a gauge's and not a counter's.
+pub fn is_gauge(name: &str) -> bool {
+    GAUGES.contains(&name)
+}
+
 /// One counter, or a gauge where it also goes down.
 #[derive(Debug, Default)]
 pub struct Count(AtomicU64);
--- /dev/null
+++ b/src/engines/flight.rs
@@ -0,0 +1,274 @@
+//! Engines that speak Arrow Flight SQL: one actor an engine, one channel to it, one task an attempt. Dropping a
+//! task resets its stream, which is how an attempt is given up.
+
+use super::{House, Order};
+use crate::clients::flight::{CLASS, REF};
+use crate::core::{Ask, Body, EngineNews, Flow, Form, Input, Kind};
+use crate::interface::{EngineId, ListState, LoadReport, Outcome, RequestId};
+use crate::rows;
+use arrow_flight::flight_service_client::FlightServiceClient;
+use arrow_flight::sql::{CommandStatementQuery, CommandStatementUpdate, DoPutUpdateResult, ProstMessageExt};
+use arrow_flight::{FlightData, FlightDescriptor};
+use bytes::Bytes;
+use futures::stream;
+use prost::Message;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+use tokio::sync::{Mutex, mpsc};
+use tokio::task::{AbortHandle, JoinSet};
+use tokio::time::{Instant, sleep_until, timeout};
+use tonic::metadata::MetadataMap;
+use tonic::transport::{Channel, Endpoint};
+use tonic::{Code, ConnectError, Request, Status};
+
+/// Names of the metadata in which an engine tells its load and what a query needed.
+const INFLIGHT: &str = "magpiechute-inflight";
+const WORK_MS: &str = "magpiechute-work-ms";
+const USED_MB: &str = "magpiechute-used-mb";
+/// And of those that name a query's terms to it.
+const MEMORY_MB: &str = "magpiechute-memory-mb";
+const PRIORITY: &str = "magpiechute-priority";
+
+/// Runs one engine until the list drops it and its attempts are over.
+pub(crate) async fn run(
+    engine: EngineId,
+    address: SocketAddr,
+    mut orders: mpsc::Receiver<Order>,
+    house: House,
+) {
+    let link =
+        Arc::new(Link { engine, address, house, channel: Mutex::default(), drained: AtomicBool::new(false) });
+    let mut tasks = JoinSet::new();
+    let mut running: HashMap<(RequestId, u16), AbortHandle> = HashMap::new();
+    let (mut listed, mut cut) = (true, None);
+    while listed || !tasks.is_empty() {
+        let until = cut.unwrap_or_else(|| Instant::now() + link.house.limits.engine_idle);
+        tokio::select! {
+            order = orders.recv(), if listed => match order {
+                Some(Order::Ask(ask)) => {
+                    let key = (ask.id, ask.attempt);
+                    let task = tasks.spawn(attempt(link.clone(), ask));
+                    running.insert(key, task);
+                }
+                Some(Order::Quit(id, attempt)) => {
+                    running.remove(&(id, attempt)).into_iter().for_each(|task| task.abort());
+                }
+                // Flight SQL has no word for a query's new priority.
+                Some(Order::Priority(..)) => {}
+                Some(Order::Listed(state)) => {
+                    link.drained.store(state != ListState::Ready, Ordering::Relaxed);
+                    let gone = state == ListState::Gone;
+                    cut = gone.then(|| cut.unwrap_or(Instant::now() + link.house.limits.gone_grace));
+                }
+                None => {
+                    listed = false;
+                    cut = cut.or(Some(Instant::now() + link.house.limits.gone_grace));
+                }
+            },
+            Some(done) = tasks.join_next(), if !tasks.is_empty() => {
+                if let Ok(key) = done {
+                    running.remove(&key);
+                }
+            }
+            () = sleep_until(until) => if cut.take().is_some() {
+                // The engine is gone and its connection was not reset: what it held may have run.
+                for ((id, attempt), task) in running.drain() {
+                    task.abort();
+                    link.ended(id, attempt, Outcome::Reset, &MetadataMap::new(), None).await;
+                }
+            }
+        }
+    }
+}
+
+struct Link {
+    engine: EngineId,
+    address: SocketAddr,
+    house: House,
+    channel: Mutex<Option<Channel>>,
+    drained: AtomicBool,
+}
+
+impl Link {
+    /// The channel, which is up; `None` where it does not come up, so that nothing was sent.
+    async fn channel(&self) -> Option<Channel> {
+        let mut channel = self.channel.lock().await;
+        if channel.is_none() {
+            let limits = &self.house.limits;
+            let endpoint = Endpoint::from_shared(format!("http://{}", self.address))
+                .ok()?
+                .tcp_nodelay(true)
+                .connect_timeout(limits.connect)
+                .http2_keep_alive_interval(limits.keep_alive.0)
+                .keep_alive_timeout(limits.keep_alive.1);
+            *channel = Some(timeout(limits.connect, endpoint.connect()).await.ok()?.ok()?);
+            self.house.counters.engine_conns.up();
+        }
+        channel.clone()
+    }
+
+    async fn ended(
+        &self,
+        id: RequestId,
+        attempt: u16,
+        outcome: Outcome,
+        told: &MetadataMap,
+        body: Option<Body>,
+    ) {
+        let figure = |key| told.get(key).and_then(|v| crate::clients::figure(v.as_bytes()));
+        let report = LoadReport { inflight: figure(INFLIGHT), ..LoadReport::default() };
+        let news =
+            EngineNews::Ended { outcome, billed_ms: figure(WORK_MS), billed_mb: figure(USED_MB), body };
+        self.house.core.tell(Input::Engine { engine: self.engine, id, attempt, report, news }).await;
+    }
+}
+
+/// How an attempt failed.
+struct Lost(Outcome);
+
+/// What a status tells of the attempt that it ended.
+fn outcome(status: &Status) -> Outcome {
+    let mut cause: Option<&(dyn std::error::Error + 'static)> = Some(status);
+    while let Some(e) = cause {
+        // Refused connect: it never ran.
+        if e.downcast_ref::<ConnectError>().is_some() {
+            return Outcome::NoConnection;
+        }
+        cause = e.source();
+    }
+    match status.code() {
+        Code::ResourceExhausted => Outcome::Full, // the engine's own word that it never ran
+        Code::DeadlineExceeded => Outcome::TimedOut,
+        Code::Unavailable | Code::Cancelled => Outcome::Reset,
+        _ => Outcome::Error,
+    }
+}
+
+impl From<Status> for Lost {
+    fn from(status: Status) -> Lost {
+        Lost(outcome(&status))
+    }
+}
+
+async fn attempt(link: Arc<Link>, ask: Ask) -> (RequestId, u16) {
+    let key = (ask.id, ask.attempt);
+    let (id, attempt) = key;
+    let mut told = MetadataMap::new();
+    let done = match link.channel().await {
+        // Guard: a drain that came while the connection did stops the attempt before its first byte.
+        Some(channel) if !link.drained.load(Ordering::Relaxed) => send(&link, &ask, channel, &mut told).await,
+        _ => Err(Lost(Outcome::NoConnection)),
+    };
+    match done {
+        Ok(body) => link.ended(id, attempt, Outcome::Ok, &told, body).await,
+        Err(Lost(lost)) => {
+            if matches!(lost, Outcome::Reset | Outcome::NoConnection) {
+                // The next attempt connects anew and so learns for sure whether it was sent.
+                *link.channel.lock().await = None;
+            }
+            link.ended(id, attempt, lost, &told, None).await;
+        }
+    }
+    key
+}
+
+/// A request with the metadata that every call of an attempt carries.
+fn dress<T>(link: &Link, ask: &Ask, message: T) -> Request<T> {
+    let mut request = Request::new(message);
+    let left = (ask.due_ms - link.house.core.now()).max(1.0);
+    request.set_timeout(Duration::from_micros((left * 1000.0) as u64));
+    let class = link.house.parsed.classes.get(ask.class).cloned().unwrap_or_default();
+    let name = String::from_utf8_lossy(&ask.name).into_owned();
+    let mut put = |key: &'static str, value: String| {
+        if let Ok(value) = value.parse() {
+            request.metadata_mut().insert(key, value);
+        }
+    };
+    put(CLASS, class);
+    put(REF, name);
+    put(PRIORITY, ask.priority.to_string());
+    if ask.memory_mb > 0.0 {
+        put(MEMORY_MB, format!("{:.0}", ask.memory_mb.ceil()));
+    }
+    request
+}
+
+/// One attempt: a result that is held whole, or `None` where it streamed to the client.
+async fn send(
+    link: &Link,
+    ask: &Ask,
+    channel: Channel,
+    told: &mut MetadataMap,
+) -> Result<Option<Body>, Lost> {
+    let limits = &link.house.limits;
+    let mut client = FlightServiceClient::new(channel).max_decoding_message_size(limits.flight_message_bytes);
+    let text = String::from_utf8(ask.statement.to_vec()).map_err(|_| Lost(Outcome::Moot))?;
+    if ask.kind == Kind::Update {
+        let command = CommandStatementUpdate { query: text, transaction_id: None };
+        let descriptor = FlightDescriptor::new_cmd(command.as_any().encode_to_vec());
+        let data = FlightData::new().with_descriptor(descriptor);
+        let response = client.do_put(dress(link, ask, stream::iter([data]))).await?;
+        note(told, response.metadata());
+        let mut results = response.into_inner();
+        // An update that ends without its result may have run.
+        let result = results.message().await?.ok_or(Lost(Outcome::Error))?;
+        let count = DoPutUpdateResult::decode(result.app_metadata).map_err(|_| Lost(Outcome::Error))?;
+        while results.message().await?.is_some() {}
+        return Ok(Some(rows::counted(count.record_count)));
+    }
+    let command = CommandStatementQuery { query: text, transaction_id: None };
+    let descriptor = FlightDescriptor::new_cmd(command.as_any().encode_to_vec());
+    let info = client.get_flight_info(dress(link, ask, descriptor)).await?.into_inner();
+    let mut held: Vec<Bytes> = Vec::new();
+    let (mut size, mut flow) = (0, None::<mpsc::Sender<Flow>>);
+    for (part, endpoint) in info.endpoint.into_iter().enumerate() {
+        let ticket = endpoint.ticket.ok_or(Lost(Outcome::Error))?;
+        let response = client.do_get(dress(link, ask, ticket)).await?;
+        note(told, response.metadata());
+        let mut data = response.into_inner();
+        let mut first = part > 0;
+        while let Some(message) = data.message().await? {
+            // Each endpoint begins with the schema, which the client gets once.
+            if std::mem::take(&mut first) {
+                continue;
+            }
+            let piece = Bytes::from(message.encode_to_vec());
+            size += piece.len();
+            if let Some(to) = &flow {
+                // The client sets the pace; where it has left, nobody waits for the rest.
+                to.send(Flow::Piece(piece)).await.map_err(|_| Lost(Outcome::Cancelled))?;
+                continue;
+            }
+            held.push(piece);
+            if size > limits.flight_held_bytes {
+                let (to, rest) = mpsc::channel(limits.flight_pieces);
+                let body = Body { form: Form::Arrow, pieces: std::mem::take(&mut held), rest: Some(rest) };
+                let news = EngineNews::Streaming(body);
+                let report = LoadReport::default();
+                let (id, attempt) = (ask.id, ask.attempt);
+                link.house.core.tell(Input::Engine { engine: link.engine, id, attempt, report, news }).await;
+                flow = Some(to);
+            }
+        }
+        if let Some(trailers) = data.trailers().await? {
+            note(told, &trailers);
+        }
+    }
+    // Only what ended well says so: a task that fails or is dropped leaves the result cut off.
+    if let Some(to) = &flow {
+        to.send(Flow::End).await.map_err(|_| Lost(Outcome::Cancelled))?;
+    }
+    Ok(flow.is_none().then(|| Body::whole(Form::Arrow, held)))
+}
+
+/// Keeps what an engine tells of itself and of the query.
+fn note(told: &mut MetadataMap, from: &MetadataMap) {
+    for key in [INFLIGHT, WORK_MS, USED_MB] {
+        if let Some(value) = from.get(key) {
+            told.insert(key, value.clone());
+        }
+    }
+}
--- a/src/engines/mod.rs
+++ b/src/engines/mod.rs
@@ -1,5 +1,6 @@
 //! Engines, by the protocol that they speak: one actor an engine, which owns its connections.
 
+pub(crate) mod flight;
 pub(crate) mod lines;
 
 use crate::config::Listed;
@@ -20,6 +21,8 @@
     pub(crate) parsed: Arc<Parsed>,
     pub(crate) limits: Arc<Limits>,
     pub(crate) counters: Arc<Counters>,
+    /// Whether the engines speak Flight SQL and not lines.
+    pub(crate) flight: bool,
 }
 
 /// What an engine's actor is told.
@@ -71,7 +74,11 @@
         let moved = self.peers.get(&engine).is_none_or(|p| p.address != line.address || p.orders.is_closed());
         if moved && state == ListState::Ready && self.peers.len() < self.house.limits.engines {
             let (orders, mailbox) = mpsc::channel(self.house.limits.mailbox);
-            tokio::spawn(lines::run(engine, line.address, mailbox, self.house.clone()));
+            let house = self.house.clone();
+            match house.flight {
+                true => tokio::spawn(flight::run(engine, line.address, mailbox, house)),
+                false => tokio::spawn(lines::run(engine, line.address, mailbox, house)),
+            };
             self.peers.insert(engine, Peer { address: line.address, orders });
         }
         self.tell(engine, Order::Listed(state));
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,7 +20,9 @@
 mod list;
 mod net;
 pub mod node;
+mod rows;
 pub mod settings;
+mod snmp;
 mod sql;
 
 pub use choice::Gateway;
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -35,6 +35,22 @@
     pub engines: usize,
     /// Messages in an actor's mailbox.
     pub mailbox: usize,
+    /// Connections to the Flight SQL front; more wait in the backlog.
+    pub flight_conns: usize,
+    /// Tickets that the Flight SQL front keeps; past that the oldest are forgotten.
+    pub tickets: usize,
+    /// Bytes of one Flight message of an engine.
+    pub flight_message_bytes: usize,
+    /// Bytes of a Flight result that are held back to answer it whole; a larger one streams.
+    pub flight_held_bytes: usize,
+    /// Pieces of a streaming result between an engine and its client.
+    pub flight_pieces: usize,
+    /// Interval and patience of the pings that tell a Flight engine's connection from a dead one.
+    pub keep_alive: (Duration, Duration),
+    /// Bytes of one SNMP message.
+    pub snmp_bytes: usize,
+    /// Variables in one SNMP answer.
+    pub snmp_variables: usize,
     /// Bytes of one frame of the control feed.
     pub frame_bytes: usize,
     /// A connection not up by then has failed.
@@ -62,8 +78,9 @@
 }
 
 impl Limits {
-    /// The limits for a machine with so many descriptors, under these settings.
-    pub fn new(sockets: usize, parsed: &Parsed) -> Limits {
+    /// The limits for a machine with so many descriptors, under these settings. Where engines send no notes,
+    /// silence tells nothing.
+    pub fn new(sockets: usize, notes: bool, parsed: &Parsed) -> Limits {
         let millis = |ms: f64| Duration::from_micros((ms.clamp(0.0, 3_600_000.0) * 1000.0) as u64);
         let clients = (sockets / 2).max(8);
         let engines = 64;
@@ -82,6 +99,14 @@
             conns_per_engine: (sockets / 4 / engines).clamp(1, 4),
             engines,
             mailbox: 1024,
+            flight_conns: (sockets / 8).max(4),
+            tickets: 1024,
+            flight_message_bytes: 4 << 20,
+            flight_held_bytes: 64 * 1024,
+            flight_pieces: 8,
+            keep_alive: (Duration::from_secs(2), Duration::from_secs(2)),
+            snmp_bytes: 1472,
+            snmp_variables: 24,
             frame_bytes: 1 << 20,
             connect: millis(parsed.connect_timeout_ms),
             engine_idle: millis(parsed.conn_idle_ms * 0.6),
@@ -93,7 +118,11 @@
             late_arrivals: Duration::from_millis(1000),
             answer_margin_ms: 10.0,
             quit_settle_ms: 5.0,
-            silence_ms: (parsed.settings.progress_ms * 6.0).max(3000.0),
+            silence_ms: if notes && parsed.settings.progress_ms > 0.0 {
+                (parsed.settings.progress_ms * 6.0).max(3000.0)
+            } else {
+                f64::INFINITY
+            },
         }
     }
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,7 +1,7 @@
 //! The workload manager on real sockets.
 #![forbid(unsafe_code)]
 
-use magpiechute::config::{Config, ConfigError};
+use magpiechute::config::{Config, ConfigError, Fronts};
 use magpiechute::node::Node;
 use std::path::Path;
 use std::process::ExitCode;
@@ -30,11 +30,13 @@
         config.listen =
             listen.parse().map_err(|_| ConfigError(format!("NODE_LISTEN {listen:?} is not an address")))?;
     }
+    let fronts = std::env::var_os("MAGPIECHUTE_FRONTS").unwrap_or_else(|| "deploy/fronts.toml".into());
+    let fronts = Fronts::load(Path::new(&fronts))?;
     let hear = |kind| signal(kind).map_err(|e| ConfigError(format!("cannot hear signals: {e}")));
     let (mut term, mut int) = (hear(SignalKind::terminate())?, hear(SignalKind::interrupt())?);
     let mut print = hear(SignalKind::user_defined1())?;
     let name = config.name.clone();
-    let node = Node::start(config).await?;
+    let node = Node::start(config, fronts).await?;
     eprintln!("magpiechute: {name} serves on {}", node.listen);
     loop {
         tokio::select! {
--- a/src/node.rs
+++ b/src/node.rs
@@ -1,16 +1,17 @@
 //! One running workload manager: its actors, put together from a configuration, and its end.
 
-use crate::clients::{Front, platform};
-use crate::config::{Config, ConfigError};
+use crate::clients::{Front, flight, platform};
+use crate::config::{Config, ConfigError, Fronts, Speech, loopback};
 use crate::core::{Clock, Core, Handle, Input, start};
 use crate::counters::Counters;
 use crate::engines::{Fleet, House};
 use crate::limits::Limits;
 use crate::list;
+use crate::snmp;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep};
 
@@ -18,6 +19,10 @@
 pub struct Node {
     /// Where its clients connect.
     pub listen: SocketAddr,
+    /// Where Flight SQL clients connect, if that front is on.
+    pub flight: Option<SocketAddr>,
+    /// Where the SNMP agent listens, if it is on.
+    pub snmp: Option<SocketAddr>,
     /// Its counters.
     pub counters: Arc<Counters>,
     limits: Arc<Limits>,
@@ -25,16 +30,27 @@
 }
 
 impl Node {
-    /// Starts everything that the configuration names.
-    pub async fn start(config: Config) -> Result<Node, ConfigError> {
+    /// Starts everything that the configuration and the file of further fronts name.
+    pub async fn start(config: Config, fronts: Fronts) -> Result<Node, ConfigError> {
         let parsed = Arc::new(config.parsed);
-        let limits = Arc::new(Limits::new(config.sockets, &parsed));
+        let speech = fronts.flight.as_ref().map(|f| f.engines).unwrap_or_default();
+        let limits = Arc::new(Limits::new(config.sockets, speech == Speech::Lines, &parsed));
         let counters = Arc::new(Counters::default());
-        let listener = TcpListener::bind(config.listen)
-            .await
-            .map_err(|e| ConfigError(format!("cannot listen on {}: {e}", config.listen)))?;
-        let listen =
-            listener.local_addr().map_err(|e| ConfigError(format!("no address to listen on: {e}")))?;
+        let (listener, listen) = bind(config.listen).await?;
+        let flight_listener = match &fronts.flight {
+            Some(f) => Some(bind(loopback(&f.listen, "flight")?).await?),
+            None => None,
+        };
+        let agent = match fronts.snmp {
+            Some(agent) => {
+                let at = loopback(&agent.listen, "snmp")?;
+                let wrong = |e: std::io::Error| ConfigError(format!("cannot listen on {at}: {e}"));
+                let socket = UdpSocket::bind(at).await.map_err(wrong)?;
+                let at = socket.local_addr().map_err(wrong)?;
+                Some((socket, at, agent.community))
+            }
+            None => None,
+        };
         let clock = Clock::new();
         let (core, inputs) = Handle::new(limits.mailbox, clock);
         let house = House {
@@ -42,6 +58,7 @@
             parsed: parsed.clone(),
             limits: limits.clone(),
             counters: counters.clone(),
+            flight: speech == Speech::Flight,
         };
         let (stop, stopping) = watch::channel(false);
         let made = Core::new(
@@ -59,8 +76,17 @@
         }
         tokio::spawn(list::follow(config.feed, last, core.clone(), limits.clone(), counters.clone()));
         let front = Front { core, parsed, limits: limits.clone(), counters: counters.clone(), stopping };
+        let flight = flight_listener.map(|(listener, at)| {
+            tokio::spawn(flight::listen(listener, front.clone()));
+            at
+        });
         tokio::spawn(platform::listen(listener, front));
-        Ok(Node { listen, counters, limits, stop })
+        let snmp = agent.map(|(socket, at, community)| {
+            let agent = snmp::Agent::new(community, config.name, counters.clone(), limits.clone());
+            tokio::spawn(agent.listen(socket));
+            at
+        });
+        Ok(Node { listen, flight, snmp, counters, limits, stop })
     }
 
     /// Ends as planned: goes on accepting and answering until the late arrivals are in and nothing is open.
@@ -76,3 +102,10 @@
         }
     }
 }
+
+async fn bind(at: SocketAddr) -> Result<(TcpListener, SocketAddr), ConfigError> {
+    let wrong = |e: std::io::Error| ConfigError(format!("cannot listen on {at}: {e}"));
+    let listener = TcpListener::bind(at).await.map_err(wrong)?;
+    let at = listener.local_addr().map_err(wrong)?;
+    Ok((listener, at))
+}
--- a/src/sql.rs
+++ b/src/sql.rs
@@ -1,4 +1,4 @@
-//! What a statement tells of itself: its group of tables.
+//! What a statement tells of itself: its group of tables, and whether it reads.
 
 /// The number behind the underscore in the name of the schema that a statement reads or writes: 17 in
 /// `sales_17.orders`. Names inside strings and comments do not count, nor does the schema `staging`. A schema
@@ -26,6 +26,22 @@
 /// Words that a table's name follows.
 const TABLE: [&[u8]; 8] = [b"from", b"join", b"into", b"update", b"table", b"only", b"copy", b"using"];
 
+/// Whether a statement reads only: told by its first word, and where that opens a list of common tables, by
+/// there being no word that changes any.
+pub fn reads(sql: &[u8]) -> bool {
+    const READS: [&[u8]; 4] = [b"select", b"values", b"show", b"explain"];
+    const CHANGES: [&[u8]; 4] = [b"insert", b"update", b"delete", b"merge"];
+    let any = |all: &[&[u8]], w: &[u8]| all.iter().any(|r| w.eq_ignore_ascii_case(r));
+    let mut words = Words { sql, at: 0 };
+    match words.next() {
+        Some(Word::Name(w)) if w.eq_ignore_ascii_case(b"with") => {
+            !words.any(|w| matches!(w, Word::Name(w) if any(&CHANGES, w)))
+        }
+        Some(Word::Name(w)) => any(&READS, w),
+        _ => false,
+    }
+}
+
 fn group(schema: &[u8]) -> Option<u32> {
     if schema.eq_ignore_ascii_case(b"staging") {
         return None;
@@ -139,7 +155,7 @@
 
 #[cfg(test)]
 mod tests {
-    use super::dataset;
+    use super::{dataset, reads};
     use rstest::rstest;
 
     #[rstest]
@@ -156,4 +172,14 @@
     fn group_of_tables(#[case] sql: &str, #[case] group: Option<u32>) {
         assert_eq!(dataset(sql.as_bytes()), group);
     }
+
+    #[rstest]
+    #[case(" -- a note\n select 1", true)]
+    #[case("insert into a select 1", false)]
+    #[case("with a as (select 1) select * from a", true)]
+    #[case("WITH a AS (SELECT 'delete') INSERT INTO b SELECT * FROM a", false)]
+    #[case("", false)]
+    fn statements_that_read(#[case] sql: &str, #[case] reading: bool) {
+        assert_eq!(reads(sql.as_bytes()), reading);
+    }
 }
--- /dev/null
+++ b/tests/scenarios.rs
@@ -0,0 +1,470 @@
+//! Scenarios on loopback sockets; `scene` says how they read.
+
+mod scene;
+
+use magpiechute::config::Speech;
+use rstest::rstest;
+use scene::play;
+
+/// The platform's clients and line engines.
+#[rstest]
+#[case::whole_path(
+    "
+    c1 send health 1
+    c1 expect 1 true
+    c1 send 2 seat-check
+    e expect ASK c1.2
+    e send c1.2 served batches=3,cpu=40,used=12,l=rif:1 a\\tb\\tc\\n
+    e expect NEXT c1.2 1
+    e expect NEXT c1.2 2
+    e send c1.2 rows batch=2 g\\th\\ti\\n
+    e send c1.2 rows batch=1 d\\te\\tf\\n
+    c1 expect 2 served a\\tb\\tc\\nd\\te\\tf\\ng\\th\\ti\\n
+"
+)]
+#[case::answers_in_any_order(
+    "
+    c1 send 1 seat-check
+    c1 send 2 seat-check
+    e expect ASK c1.1
+    e expect ASK c1.2
+    e send c1.2 served batches=1 two\\n
+    c1 expect 2 served two\\n
+    e send c1.1 update n=pct,num=0.5
+    e send c1.1 served batches=1 one\\n
+    c1 expect 1 served one\\n
+"
+)]
+#[case::a_load_that_may_have_run_is_not_sent_again(
+    "
+    c1 send 1 log-load
+    e expect ASK c1.1
+    e close c1.1
+    c1 expect 1 Internal
+    e expect none ASK c1.1
+"
+)]
+#[case::a_load_that_failed_is_not_sent_again(
+    "
+    c1 send 1 log-load
+    e expect ASK c1.1
+    e send c1.1 crashed
+    c1 expect 1 Internal
+    e expect none ASK c1.1
+"
+)]
+#[case::a_load_that_never_ran_is_sent_again(
+    "
+    c1 send 1 log-load
+    e expect ASK c1.1
+    e send c1.1 overload
+    e expect ASK c1.1
+    e send c1.1 served batches=1 done\\n
+    c1 expect 1 served done\\n
+"
+)]
+#[case::a_load_whose_pages_are_lost_has_run(
+    "
+    c1 send 1 log-load
+    e expect ASK c1.1
+    e send c1.1 served batches=2 a\\n
+    e expect NEXT c1.1 1
+    e send c1.1 crashed
+    c1 expect 1 Internal
+    e expect none ASK c1.1
+"
+)]
+#[case::a_reset_query_is_sent_again(
+    "
+    c1 send 1 usage-report
+    e expect ASK c1.1
+    e close c1.1
+    e expect ASK c1.1
+    e send c1.1 served batches=1 a\\n
+    c1 expect 1 served a\\n
+"
+)]
+#[case::a_refused_connection_never_ran(
+    "
+    e1 close
+    e2 close
+    c1 send 1 log-load allow=900
+    c1 expect 1 Overloaded cooldown
+    wait ended_reset=0
+"
+)]
+#[case::the_deadline_gives_the_attempt_up(
+    "
+    c1 send 1 log-load allow=300
+    e expect ASK c1.1
+    c1 expect 1 DeadlineExceeded
+    e expect QUIT c1.1
+    e expect none ASK c1.1
+"
+)]
+#[case::a_cancelled_query_is_given_up(
+    "
+    c1 send 1 seat-check
+    e expect ASK c1.1
+    c1 send cancel 1
+    e expect QUIT c1.1
+    wait left=1
+    c1 send 2 seat-check
+    e expect ASK c1.2
+    c1 send cancel 2
+    e expect QUIT c1.2
+"
+)]
+#[case::pages_that_nobody_wants_are_freed(
+    "
+    c1 send 1 seat-check
+    e expect ASK c1.1
+    e send c1.1 served batches=2 a\\n
+    e expect NEXT c1.1 1
+    c1 send cancel 1
+    e expect FREE c1.1
+"
+)]
+#[case::nothing_new_to_what_drains(
+    "
+    feed expect 1
+    feed send draining e1
+    wait feed_events=1
+    c1 send 1 seat-check
+    c1 send 2 seat-check
+    e expect ASK c1.1
+    e expect ASK c1.2
+    e send c1.1 served batches=1 a\\n
+    e send c1.2 served batches=1 b\\n
+    c1 expect 1 served a\\n
+    c1 expect 2 served b\\n
+    feed send draining e2
+    wait feed_events=2
+    c1 send 3 seat-check allow=400
+    c1 expect 3 Overloaded cooldown
+    e expect none ASK c1.3
+"
+)]
+#[case::a_draining_engine_ends_what_it_has(
+    "
+    feed expect 1
+    c1 send 1 log-load
+    e expect ASK c1.1
+    feed send draining e1
+    feed send draining e2
+    wait feed_events=2
+    e send c1.1 served batches=2 a\\n
+    e expect NEXT c1.1 1
+    e send c1.1 rows batch=1 b\\n
+    c1 expect 1 served a\\nb\\n
+"
+)]
+#[case::the_feed_is_resumed_by_the_last_number(
+    "
+    feed expect 1
+    feed send draining e1
+    wait feed_events=1
+    feed close
+    feed expect 2
+    feed send draining e2
+    wait feed_events=2
+"
+)]
+#[case::a_bad_frame_is_a_fault(
+    "
+    feed expect 1
+    feed send raw 00000003010203
+    feed expect 1
+    wait feed_malformed=1
+    feed send raw 0000000a0000000000000002020b
+    feed expect 1
+    wait feed_malformed=2
+"
+)]
+#[case::an_unreadable_line_breaks_its_connection_only(
+    "
+    c1 send 1 seat-check
+    e expect ASK c1.1
+    e send c1.1 raw 6c6f6c0d0a
+    wait engine_malformed=1
+    e expect ASK c1.1
+    e send c1.1 served batches=1 a\\n
+    c1 expect 1 served a\\n
+"
+)]
+#[case::bad_calls_are_answered(
+    "
+    c1 send 1 no-such-class
+    c1 expect 1 NoMethodError
+    c1 send 2 seat-check allow=
+    c1 expect 2 ArgumentError
+    c1 send 3 seat-check ref=xyz
+    c1 expect 3 ArgumentError
+    c1 send 4 seat-check project=nobody
+    c1 expect 4 ArgumentError
+    c1 send 5 seat-check effort=NaN
+    c1 expect 5 ArgumentError
+    c1 send 6 seat-check
+    e expect ASK c1.6
+    e send c1.6 served batches=1 a\\n
+    c1 expect 6 served a\\n
+"
+)]
+#[case::what_cannot_be_read_closes_its_connection_only(
+    "
+    c2 send 1 seat-check
+    e expect ASK c2.1
+    c1 send raw c1c1c1
+    c1 expect closed
+    wait client_malformed=1
+    c3 send raw 940001a6686561
+    c3 send raw 6c746891ddffffffff
+    c3 expect closed
+    c4 send raw 940001c6ffffffff
+    c4 expect closed
+    c5 send 7 seat-check
+    e expect ASK c5.7
+    c5 send 7 seat-check
+    c5 expect closed
+    wait client_malformed=4
+    e send c2.1 served batches=1 a\\n
+    c2 expect 1 served a\\n
+"
+)]
+#[case::a_message_in_parts(
+    "
+    c1 send raw 940001a6686561
+    c1 send raw 6c74689180
+    c1 expect 1 true
+"
+)]
+fn platform(#[case] script: &str) {
+    play(2, Speech::Lines, script);
+}
+
+/// Over 32 open on one connection: refused on the spot, while those open go on.
+#[test]
+fn the_thirty_third_open_request_is_refused() {
+    let open: String = (1..=32).map(|n| format!("c1 send {n} seat-check\n")).collect();
+    let first = "c1 send 33 seat-check\nc1 expect 33 Overloaded\nwait client_over_limit=1\n";
+    play(4, Speech::Lines, &format!("{open}{first}c1 send cancel 1\nwait left=1\n"));
+}
+
+/// Flight SQL clients and engines.
+#[rstest]
+#[case::whole_path(
+    "
+    f1 send 1 seat-check
+    e expect ASK f1.1
+    e send f1.1 rows a\\tb\\tc\\n
+    e send f1.1 served d\\te\\tf\\n
+    f1 expect 1 served a\\tb\\tc\\nd\\te\\tf\\n
+    f1 send 2 log-load
+    e expect ASK f1.2
+    e send f1.2 served 42
+    f1 expect 2 served 42
+"
+)]
+#[case::a_report_cut_while_it_is_held_is_asked_for_again(
+    "
+    f1 send 1 usage-report
+    e expect ASK f1.1
+    e send f1.1 rows a\\tb\\tc\\n
+    e close f1.1
+    e expect ASK f1.1
+    e send f1.1 served d\\te\\tf\\n
+    f1 expect 1 served d\\te\\tf\\n
+"
+)]
+#[case::a_report_cut_while_it_streams_ends_in_an_error(
+    "
+    f1 send 1 usage-report
+    e expect ASK f1.1
+    e send f1.1 rows x9000
+    wait served=1
+    e close f1.1
+    f1 expect 1 cut DataLoss
+    e expect none ASK f1.1
+    wait open=0
+"
+)]
+#[case::a_long_report_streams_whole(
+    "
+    f1 send 1 usage-report
+    e expect ASK f1.1
+    e send f1.1 rows x9000
+    e send f1.1 rows x9000
+    e send f1.1 served x9000
+    f1 expect 1 served 405000
+    wait open=0
+"
+)]
+#[case::no_second_run_of_a_load(
+    "
+    f1 send 1 log-load
+    e expect ASK f1.1
+    e close f1.1
+    f1 expect 1 Internal
+    e expect none ASK f1.1
+    f1 send 2 log-load
+    e expect ASK f1.2
+    e send f1.2 crashed
+    f1 expect 2 Internal
+    e expect none ASK f1.2
+    f1 send 3 log-load
+    e expect ASK f1.3
+    e send f1.3 overload
+    e expect ASK f1.3
+    e send f1.3 served 1
+    f1 expect 3 served 1
+"
+)]
+#[case::a_ticket_of_a_load_runs_once(
+    "
+    f1 send ticket 1 log-load
+    f1 send get 2 1
+    e expect ASK f1.1
+    f1 send get 3 1
+    f1 expect 3 InvalidArgument
+    e send f1.1 served a\\tb\\tc\\n
+    f1 expect 2 served a\\tb\\tc\\n
+    e expect none ASK f1.1
+"
+)]
+#[case::deadline(
+    "
+    f1 send 1 usage-report grpc-timeout=300m
+    e expect ASK f1.1
+    f1 expect 1 DeadlineExceeded
+    e expect QUIT f1.1
+    f1 send 2 seat-check grpc-timeout=soon
+    f1 expect 2 InvalidArgument
+"
+)]
+#[case::a_dropped_call_is_given_up(
+    "
+    f1 send 1 usage-report
+    e expect ASK f1.1
+    f1 close 1
+    e expect QUIT f1.1
+    wait left=1
+"
+)]
+#[case::drain_and_refusal(
+    "
+    feed expect 1
+    feed send draining e1
+    wait feed_events=1
+    f1 send 1 seat-check
+    f1 send 2 usage-report
+    e expect ASK f1.1
+    e expect ASK f1.2
+    feed send draining e2
+    wait feed_events=2
+    e send f1.1 served a\\tb\\tc\\n
+    f1 expect 1 served a\\tb\\tc\\n
+    f1 send 3 seat-check grpc-timeout=400m
+    f1 expect 3 ResourceExhausted RETRY
+    e expect none ASK f1.3
+    e send f1.2 served d\\te\\tf\\n
+    f1 expect 2 served d\\te\\tf\\n
+"
+)]
+#[case::refused_connections(
+    "
+    e1 close
+    e2 close
+    f1 send 1 log-load grpc-timeout=600m
+    f1 expect 1 ResourceExhausted RETRY
+    wait ended_reset=0
+"
+)]
+#[case::bad_calls(
+    "
+    f1 send 1 no-such-class
+    f1 expect 1 InvalidArgument
+    f1 send 2 seat-check magpiechute-tenant=nobody
+    f1 expect 2 InvalidArgument
+    f1 send 3 seat-check magpiechute-effort=much
+    f1 expect 3 InvalidArgument
+    f1 send action 4
+    f1 expect 4 Unimplemented
+    wait flight_bad_calls=4
+    wait taken=0
+"
+)]
+fn flight(#[case] script: &str) {
+    play(2, Speech::Flight, script);
+}
+
+/// Each front serves from engines of the other protocol.
+#[rstest]
+#[case::flight_client_line_engines(
+    Speech::Lines,
+    "
+    f1 send 1 seat-check
+    e expect ASK f1.1
+    e send f1.1 served batches=2 a\\tb\\tc\\n
+    e expect NEXT f1.1 1
+    e send f1.1 rows batch=1 d\\te\\tf\\n
+    f1 expect 1 served a\\tb\\tc\\nd\\te\\tf\\n
+    f1 send 2 log-load
+    e expect ASK f1.2
+    e send f1.2 served batches=1 12\\t\\t\\n
+    f1 expect 2 served 12
+"
+)]
+#[case::platform_client_flight_engines(
+    Speech::Flight,
+    "
+    c1 send 1 seat-check
+    e expect ASK c1.1
+    e send c1.1 served a\\tb\\tc\\n
+    c1 expect 1 served a\\tb\\tc\\n
+    c1 send 2 log-load
+    e expect ASK c1.2
+    e close c1.2
+    c1 expect 2 Internal
+    e expect none ASK c1.2
+"
+)]
+fn across(#[case] speech: Speech, #[case] script: &str) {
+    play(2, speech, script);
+}
+
+/// A Monday rush: one client on both protocols at once, round after round, with every kind of end among them.
+#[rstest]
+#[case(Speech::Lines)]
+#[case(Speech::Flight)]
+fn one_client_on_both_protocols(#[case] speech: Speech) {
+    let body = |n: u32| match speech {
+        Speech::Lines => format!("batches=1 r{n}\\tb\\tc\\n"),
+        Speech::Flight => format!("r{n}\\tb\\tc\\n"),
+    };
+    let load = if speech == Speech::Lines { "batches=1 7\\t\\t\\n" } else { "7" };
+    let mut script = String::new();
+    for round in 0..20 {
+        let numbers: Vec<u32> = (1..=4).map(|n| round * 10 + n).collect();
+        let mut line = |text: String| script += &format!("{text}\n");
+        for (n, class) in numbers.iter().zip(["seat-check", "usage-report", "log-load", "log-load"]) {
+            line(format!("c1 send {n} {class}"));
+            line(format!("f1 send {n} {class}"));
+        }
+        for who in ["c1", "f1"] {
+            numbers.iter().for_each(|n| line(format!("e expect ASK {who}.{n}")));
+            // The report's connection breaks with whatever it carries; the second load is turned away first.
+            line(format!("e send {who}.{} overload", numbers[3]));
+            line(format!("e expect ASK {who}.{}", numbers[3]));
+            for n in &numbers[..2] {
+                line(format!("e send {who}.{n} served {}", body(*n)));
+                line(format!("{who} expect {n} served r{n}\\tb\\tc\\n"));
+            }
+            line(format!("e send {who}.{} crashed", numbers[2]));
+            line(format!("{who} expect {} Internal", numbers[2]));
+            line(format!("e send {who}.{} served {load}", numbers[3]));
+            let served = if who == "c1" { "7\\t\\t\\n" } else { "7" };
+            line(format!("{who} expect {} served {served}", numbers[3]));
+        }
+    }
+    play(4, speech, &format!("{script}wait open=0\nwait taken=160\nwait served=120\nwait failed=40\n"));
+}
--- /dev/null
+++ b/tests/scene/engines.rs
@@ -0,0 +1,290 @@
+//! Stand-in engines, by lines or Flight SQL, and the control feed that lists them.
+
+use super::flight::Service;
+use super::{hex, unescape};
+use arrow_flight::flight_service_server::FlightServiceServer;
+use magpiechute::config::Speech;
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::TcpListener;
+use tokio::net::tcp::OwnedWriteHalf;
+use tokio::sync::mpsc;
+use tokio::task::AbortHandle;
+
+/// What reached an engine: `ASK c1.7`, `QUIT c1.7`, ...
+pub struct Heard {
+    pub line: String,
+    pub engine: usize,
+    /// Where the answer goes.
+    pub reply: Reply,
+    /// What breaks the connection that it came over.
+    pub cut: Arc<dyn Fn() + Send + Sync>,
+    /// The engine's own name for the request: the client's id.
+    pub id: String,
+    /// It may run once only.
+    pub once: bool,
+}
+
+#[derive(Clone)]
+pub enum Reply {
+    Line(Arc<tokio::sync::Mutex<Option<OwnedWriteHalf>>>),
+    Flight(mpsc::UnboundedSender<(String, String)>),
+}
+
+struct Engine {
+    address: SocketAddr,
+    task: AbortHandle,
+    drained: Arc<Mutex<Option<Instant>>>,
+}
+
+pub struct Fleet {
+    engines: Vec<Engine>,
+    heard: mpsc::UnboundedReceiver<Heard>,
+    held: Vec<Heard>,
+    /// Attempts by request.
+    asked: HashMap<String, Heard>,
+    out: HashSet<String>,
+    /// Requests asked for anew before the end of the connection that carried them was heard.
+    suspects: HashSet<String>,
+    /// Requests of the class that may run once only which may have run.
+    ran: HashSet<String>,
+    pub feed: Feed,
+}
+
+pub struct Feed {
+    pub address: SocketAddr,
+    listener: TcpListener,
+    stream: Option<tokio::net::TcpStream>,
+    events: u64,
+}
+
+impl Fleet {
+    pub async fn new(count: usize, speech: Speech) -> Fleet {
+        let (tell, heard) = mpsc::unbounded_channel();
+        let mut engines = Vec::new();
+        for engine in 0..count {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+            let address = listener.local_addr().expect("address");
+            let task = match speech {
+                Speech::Lines => tokio::spawn(lines(engine, listener, tell.clone())),
+                Speech::Flight => tokio::spawn(flight(engine, listener, tell.clone())),
+            };
+            engines.push(Engine { address, task: task.abort_handle(), drained: Arc::default() });
+        }
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+        let address = listener.local_addr().expect("address");
+        let feed = Feed { address, listener, stream: None, events: 1 };
+        let (asked, out, ran, suspects) = Default::default();
+        Fleet { engines, heard, held: Vec::new(), asked, out, suspects, ran, feed }
+    }
+
+    /// The first event of the list, as the configuration has it.
+    pub fn known(&self) -> String {
+        let member = |(i, e): (usize, &Engine)| {
+            format!(
+                r#"{{"instanceId":"s-{:08x}","hostPort":"{}","zone":"hall-a","machineType":"std-8c","cell":0,
+                "lifecycle":"active","weight":1,"startedAtMs":0}}"#,
+                i + 1,
+                e.address
+            )
+        };
+        let members: Vec<String> = self.engines.iter().enumerate().map(member).collect();
+        format!(r#"{{"n":1,"members":{{"generation":1,"reset":true,"instances":[{}]}}}}"#, members.join(","))
+    }
+
+    pub async fn step(&mut self, who: &str, verb: &str, rest: &[&str]) {
+        match (who, verb, rest) {
+            ("feed", ..) => self.feed_step(verb, rest).await,
+            ("e", "expect", ["none", wanted @ ..]) => {
+                let wanted = wanted.join(" ");
+                while let Ok(heard) = self.heard.try_recv() {
+                    self.take(heard);
+                }
+                assert!(!self.held.iter().any(|h| h.line == wanted), "{wanted}");
+            }
+            ("e", "expect", wanted) => {
+                let wanted = wanted.join(" ");
+                let heard = loop {
+                    if let Some(i) = self.held.iter().position(|h| h.line == wanted) {
+                        break self.held.remove(i);
+                    }
+                    let heard = self.heard.recv().await.expect("engines");
+                    self.take(heard);
+                };
+                if wanted.starts_with("ASK") {
+                    self.asked.insert(wanted[4..].to_owned(), heard);
+                }
+            }
+            ("e", "send", [label, word, rest @ ..]) => {
+                let heard = &self.asked[*label];
+                if !matches!(*word, "update" | "rows" | "raw") {
+                    self.out.remove(*label);
+                    if matches!(*word, "crashed") {
+                        self.ran.insert((*label).to_owned());
+                    }
+                }
+                match &heard.reply {
+                    Reply::Flight(to) => {
+                        let _ = to.send(((*word).to_owned(), unescape(&rest.join(" "))));
+                    }
+                    Reply::Line(to) => {
+                        let text = if *word == "raw" {
+                            hex(rest[0])
+                        } else {
+                            let fields = rest.first().copied().unwrap_or("-");
+                            let body = unescape(&rest.get(1..).unwrap_or_default().join(" "));
+                            format!("{} {word} {fields} {}\r\n{body}\r\n", heard.id, body.len()).into_bytes()
+                        };
+                        let mut to = to.lock().await;
+                        to.as_mut().expect("connection").write_all(&text).await.expect("write");
+                    }
+                }
+            }
+            ("e", "close", [label]) => {
+                self.out.remove(*label);
+                self.ran.insert((*label).to_owned());
+                (self.asked[*label].cut)();
+            }
+            (engine, "close", []) => self.engines[number(engine)].task.abort(),
+            other => panic!("engines: {other:?}"),
+        }
+    }
+
+    /// Keeps what was heard, and the rules with it.
+    fn take(&mut self, heard: Heard) {
+        if let Some(label) = heard.line.strip_prefix("ASK ") {
+            if !self.out.insert(label.to_owned()) {
+                self.suspects.insert(label.to_owned());
+            }
+            assert!(!self.ran.contains(label) || !heard.once, "{label} may have run already");
+            let drained = *self.engines[heard.engine].drained.lock().expect("lock");
+            let late = drained.is_some_and(|at| at.elapsed() > Duration::from_millis(250));
+            assert!(!late, "{label} went to an engine that drains");
+        } else if let Some(label) = heard.line.strip_prefix("CLOSED ") {
+            if !self.suspects.remove(label) && self.out.remove(label) {
+                self.ran.insert(label.to_owned());
+            }
+            return;
+        } else if let Some(label) = heard.line.strip_prefix("QUIT ") {
+            self.out.remove(label);
+            self.ran.insert(label.to_owned());
+        }
+        self.held.push(heard);
+    }
+
+    /// What has to hold once the scene is over.
+    pub fn finish(&mut self) {
+        while let Ok(heard) = self.heard.try_recv() {
+            self.take(heard);
+        }
+        assert!(self.suspects.is_empty(), "attempts beside each other: {:?}", self.suspects);
+    }
+
+    async fn feed_step(&mut self, verb: &str, rest: &[&str]) {
+        let feed = &mut self.feed;
+        match (verb, rest) {
+            ("expect", [last]) => {
+                let (mut stream, _) = feed.listener.accept().await.expect("accept");
+                assert_eq!(stream.read_u64().await.expect("the last event").to_string(), *last);
+                feed.stream = Some(stream);
+            }
+            ("close", _) => feed.stream = None,
+            ("send", ["raw", bytes]) => {
+                feed.stream.as_mut().expect("feed").write_all(&hex(bytes)).await.expect("write");
+            }
+            ("send", [state, engine]) => {
+                let n = number(engine);
+                let state = ["active", "draining", "gone"].iter().position(|s| s == state).expect("state");
+                let address = self.engines[n].address;
+                *self.engines[n].drained.lock().expect("lock") = (state > 0).then(Instant::now);
+                feed.events += 1;
+                let mut frame = Vec::new();
+                frame.extend_from_slice(&(9 + 27u32).to_be_bytes());
+                frame.extend_from_slice(&feed.events.to_be_bytes());
+                frame.push(2);
+                frame.extend_from_slice(&(n as u32 + 1).to_be_bytes());
+                frame.extend_from_slice(&[127, 0, 0, 1]);
+                frame.extend_from_slice(&address.port().to_be_bytes());
+                frame.extend_from_slice(&[state as u8, 0, 0, 0, 0, 0, 0, 3, 232]);
+                frame.extend_from_slice(&0u64.to_be_bytes());
+                feed.stream.as_mut().expect("feed").write_all(&frame).await.expect("write");
+            }
+            other => panic!("feed: {other:?}"),
+        }
+    }
+}
+
+fn number(engine: &str) -> usize {
+    engine[1..].parse::<usize>().expect("engine") - 1
+}
+
+/// The label that a statement's comment carries; one that may run once only is marked.
+pub fn label(statement: &str) -> (String, bool) {
+    let label = statement.rsplit("-- ").next().unwrap_or_default().to_owned();
+    (label, statement.starts_with("INSERT"))
+}
+
+async fn lines(engine: usize, listener: TcpListener, tell: mpsc::UnboundedSender<Heard>) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let tell = tell.clone();
+        let (read, write) = stream.into_split();
+        let write = Arc::new(tokio::sync::Mutex::new(Some(write)));
+        let (stop, mut stopped) = mpsc::unbounded_channel::<()>();
+        tokio::spawn(async move {
+            let (mut read, mut labels) = (BufReader::new(read), HashMap::new());
+            let cut: Arc<dyn Fn() + Send + Sync> = Arc::new(move || _ = stop.send(()));
+            loop {
+                let mut line = String::new();
+                tokio::select! {
+                    got = read.read_line(&mut line) => if !matches!(got, Ok(n) if n > 0) {
+                        for (id, (label, once)) in labels {
+                            let (line, reply, cut) = (format!("CLOSED {label}"), Reply::Line(write.clone()), cut.clone());
+                            let _ = tell.send(Heard { line, engine, reply, cut, id, once });
+                        }
+                        return;
+                    },
+                    _ = stopped.recv() => return drop(write.lock().await.take()),
+                }
+                let words: Vec<&str> = line.split_whitespace().collect();
+                let id = words[1].to_owned();
+                if words[0] == "ASK" {
+                    let mut body = vec![0; words[3].parse::<usize>().expect("length") + 2];
+                    read.read_exact(&mut body).await.expect("statement");
+                    let body = String::from_utf8(body).expect("text");
+                    assert!(body.ends_with("\r\n") && words[2].contains("patience="), "{line}");
+                    labels.insert(id.clone(), label(body.trim_end()));
+                }
+                let (label, once) = labels.get(&id).cloned().expect("an id that was asked");
+                let number =
+                    words.get(2).filter(|_| words[0] == "NEXT").map_or(String::new(), |n| format!(" {n}"));
+                let line = format!("{} {label}{number}", words[0]);
+                let (reply, cut) = (Reply::Line(write.clone()), cut.clone());
+                let _ = tell.send(Heard { line, engine, reply, cut, id, once });
+            }
+        });
+    }
+}
+
+/// A Flight SQL engine behind a relay, whose end cuts connections as a dying process does.
+async fn flight(engine: usize, listener: TcpListener, tell: mpsc::UnboundedSender<Heard>) {
+    let inner = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+    let at = inner.local_addr().expect("address");
+    let relays: Arc<Mutex<Vec<AbortHandle>>> = Arc::default();
+    let cut: Arc<dyn Fn() + Send + Sync> = {
+        let relays = relays.clone();
+        Arc::new(move || relays.lock().expect("lock").drain(..).for_each(|r| r.abort()))
+    };
+    let service = FlightServiceServer::new(Service { engine, tell, cut });
+    let incoming = tokio_stream::wrappers::TcpListenerStream::new(inner);
+    tokio::spawn(tonic::transport::Server::builder().add_service(service).serve_with_incoming(incoming));
+    while let Ok((mut outer, _)) = listener.accept().await {
+        let relay = tokio::spawn(async move {
+            let mut inner = tokio::net::TcpStream::connect(at).await.expect("engine");
+            let _ = tokio::io::copy_bidirectional(&mut outer, &mut inner).await;
+        });
+        relays.lock().expect("lock").push(relay.abort_handle());
+    }
+}
--- /dev/null
+++ b/tests/scene/mod.rs
@@ -0,0 +1,147 @@
+//! The scenario language of the tests: one line a step, `WHO VERB ...` with the verbs send, expect, close and
+//! wait, played against a whole workload manager with stand-in clients, engines and control feed on loopback.
+//!
+//! - `c1`, `c2` are clients of the platform, `f1`, `f2` Flight SQL clients: `c1 send 7 log-load allow=900`,
+//!   `c1 send cancel 7`, `c1 send health 8`, `c1 send raw HEX`, `c1 expect 7 served TEXT`, `c1 expect 7 ERROR`,
+//!   `c1 expect closed`, `c1 close`.
+//! - `e` are the engines together; a request is named by its client and number, `c1.7`, and the step goes to the
+//!   engine that has it: `e expect ASK c1.7`, `e send c1.7 served batches=2 TEXT`, `e expect QUIT c1.7`,
+//!   `e expect none ASK c1.7`, `e close c1.7` (its connection breaks), `e1 close` (it refuses connections).
+//! - `feed expect 1` (a connection that has event 1), `feed send draining e1`, `feed send raw HEX`, `feed close`.
+//! - `wait taken=3` waits until a counter has that value.
+//!
+//! Nothing waits for a time: every step waits for its event, and fails once none has come for long. Whatever the
+//! script, the scene itself keeps watch on the rules: one answer a request, one attempt out at a time, nothing
+//! that may run once sent again after it may have run, nothing new to what drains.
+
+mod engines;
+mod flight;
+mod platform;
+
+use engines::Fleet;
+use magpiechute::config::{Config, FlightFront, Fronts, Speech};
+use magpiechute::node::Node;
+use std::collections::HashMap;
+use std::future::Future;
+use std::time::Duration;
+
+/// No step takes this long unless it fails.
+const LONG: Duration = Duration::from_secs(20);
+
+pub async fn soon<T>(what: &str, event: impl Future<Output = T>) -> T {
+    tokio::time::timeout(LONG, event).await.unwrap_or_else(|_| panic!("no {what}"))
+}
+
+/// Settings with the classes of the exchange, as a first message has them.
+fn settings() -> String {
+    let class = |name: &str, effect: &str, promise: u32| {
+        format!(
+            r#"{{"name":"{name}","effect":"{effect}","promiseMs":{promise},"aimStretch":3.0,"giveUpMs":15000,
+                "points":1,"lateWorth":0.5,"memorySpanMs":5000}}"#
+        )
+    };
+    let classes = [class("seat-check", "repeatable", 5000), class("usage-report", "repeatable", 9000)];
+    let classes = format!("{},{},{}", classes[0], classes[1], class("log-load", "once", 9000));
+    format!(
+        r#"{{"nInstances":1,"classes":[{classes}],"discovery":"push","zones":["hall-a"],"shapes":["std-8c"],
+        "tenants":[{{"name":"member-north","quotaPerS":28}}],"report":{{"how":"inline","names":["rif"]}},
+        "guarantees":{{"coldMs":15000,"coldShare":0.3,"overloadForMs":1500,"tipMultiple":3}},
+        "limits":{{"attemptsCap":6,"cancel":true,"retryAfter":true,"maxRetryAfterMs":1000,"connectTimeoutMs":250,
+        "connIdleMs":15000,"streamsPerConn":100,"maxOpen":200}},
+        "specifics":{{"classThreads":[1,3,2],"sizeCores":[8],"bills":true,"progressMs":500,"takesGrants":true}}}}"#
+    )
+}
+
+/// The whole scene.
+pub struct Scene {
+    node: Node,
+    fleet: Fleet,
+    clients: HashMap<String, platform::Client>,
+    flights: HashMap<String, flight::Client>,
+}
+
+/// Plays a script with so many engines that speak lines, or Flight SQL.
+pub fn play(engines: usize, speech: Speech, script: &str) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("runtime");
+    runtime.block_on(async {
+        let mut scene = Scene::new(engines, speech).await;
+        for step in script.lines().map(str::trim).filter(|l| !l.is_empty()) {
+            scene.step(step).await;
+        }
+        soon("end of the scene", scene.node.finish()).await;
+        scene.fleet.finish();
+    });
+}
+
+impl Scene {
+    pub async fn new(engines: usize, speech: Speech) -> Scene {
+        let fleet = Fleet::new(engines, speech).await;
+        let text = format!(
+            r#"{{"name":"n1","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964","limits":{{"sockets":1024}},
+            "feed":"{}","known":{{"n":1,"events":[{}]}},"settings":{}}}"#,
+            fleet.feed.address,
+            fleet.known(),
+            settings()
+        );
+        let config = Config::parse(text.as_bytes()).expect("configuration");
+        let front = FlightFront { listen: "127.0.0.1:0".to_owned(), engines: speech };
+        let fronts = Fronts { flight: Some(front), snmp: None };
+        let node = Node::start(config, fronts).await.expect("node");
+        Scene { node, fleet, clients: HashMap::new(), flights: HashMap::new() }
+    }
+
+    pub async fn step(&mut self, step: &str) {
+        let words: Vec<&str> = step.split_whitespace().collect();
+        let (who, verb, rest) = (words[0], words[1], &words[2..]);
+        match (&who[..1], verb) {
+            ("w", _) => {
+                let (name, value) = verb.split_once('=').expect("wait NAME=VALUE");
+                let reached = async {
+                    while !self.node.counters.all().iter().any(|(n, v)| *n == name && v.to_string() == value)
+                    {
+                        tokio::time::sleep(Duration::from_millis(1)).await;
+                    }
+                };
+                soon(step, reached).await;
+            }
+            ("c", _) => {
+                if !self.clients.contains_key(who) {
+                    let client = platform::Client::new(who, self.node.listen).await;
+                    self.clients.insert(who.to_owned(), client);
+                }
+                let client = self.clients.get_mut(who).expect("client");
+                soon(step, client.step(verb, rest)).await;
+                if verb == "close" {
+                    self.clients.remove(who);
+                }
+            }
+            ("f", _) if who != "feed" => {
+                if !self.flights.contains_key(who) {
+                    let client = flight::Client::new(who, self.node.flight.expect("flight front")).await;
+                    self.flights.insert(who.to_owned(), client);
+                }
+                let client = self.flights.get_mut(who).expect("client");
+                soon(step, client.step(verb, rest)).await;
+            }
+            _ => soon(step, self.fleet.step(who, verb, rest)).await,
+        }
+    }
+}
+
+/// The statement of a request; its comment names it to the engines.
+pub fn statement(class: &str, label: &str) -> String {
+    match class {
+        "log-load" => format!("INSERT INTO lic_7.log SELECT * FROM staging.rows -- {label}"),
+        _ => format!("SELECT a FROM lic_7.log WHERE b <> 'lic_8.x' -- {label}"),
+    }
+}
+
+/// Text of a script, with its escapes.
+pub fn unescape(text: &str) -> String {
+    text.replace("\\t", "\t").replace("\\n", "\n")
+}
+
+pub fn hex(text: &str) -> Vec<u8> {
+    let digits = |i: usize| u8::from_str_radix(&text[i..i + 2], 16).expect("hex");
+    (0..text.len()).step_by(2).map(digits).collect()
+}
--- /dev/null
+++ b/tests/scene/platform.rs
@@ -0,0 +1,145 @@
+//! A stand-in client of the platform.
+
+use super::{hex, statement, unescape};
+use rmp::decode::{self, RmpRead};
+use rmp::encode;
+use std::collections::HashMap;
+use std::io::Cursor;
+use std::net::SocketAddr;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+pub struct Client {
+    name: String,
+    stream: TcpStream,
+    input: Vec<u8>,
+    answers: HashMap<u64, String>,
+    seen: Vec<u64>,
+    closed: bool,
+}
+
+impl Client {
+    pub async fn new(name: &str, at: SocketAddr) -> Client {
+        let stream = TcpStream::connect(at).await.expect("connect");
+        let (input, answers) = (Vec::new(), HashMap::new());
+        Client { name: name.to_owned(), stream, input, answers, seen: Vec::new(), closed: false }
+    }
+
+    pub async fn step(&mut self, verb: &str, rest: &[&str]) {
+        match (verb, rest) {
+            ("send", ["raw", bytes]) => self.stream.write_all(&hex(bytes)).await.expect("write"),
+            ("send", ["cancel", id]) => {
+                let mut text = vec![0x93, 2];
+                encode::write_str(&mut text, "cancel").expect("text");
+                text.push(0x91);
+                encode::write_uint(&mut text, id.parse().expect("id")).expect("id");
+                self.stream.write_all(&text).await.expect("write");
+            }
+            ("send", [word, id]) if *word == "health" => {
+                let text = self.call(id.parse().expect("id"), "health", &[("deep", "0")], None);
+                self.stream.write_all(&text).await.expect("write");
+            }
+            ("send", [id, class, fields @ ..]) => {
+                let id: u64 = id.parse().expect("id");
+                let name =
+                    format!("{:08x}{id:08x}", self.name.bytes().fold(0u32, |n, b| n * 31 + u32::from(b)));
+                let mut all: Vec<(&str, &str)> =
+                    vec![("ref", &name), ("allow", "9000"), ("project", "member-north"), ("effort", "50.0")];
+                for (field, value) in fields.iter().filter_map(|f| f.split_once('=')) {
+                    all.retain(|(f, _)| *f != field);
+                    if !value.is_empty() {
+                        all.push((field, value));
+                    }
+                }
+                let body = statement(class, &format!("{}.{id}", self.name));
+                let text = self.call(id, class, &all, Some(body.as_bytes()));
+                self.stream.write_all(&text).await.expect("write");
+            }
+            ("expect", ["closed"]) => {
+                while !self.closed {
+                    self.read().await;
+                }
+            }
+            ("expect", [id, wanted @ ..]) => {
+                let id: u64 = id.parse().expect("id");
+                while !self.answers.contains_key(&id) {
+                    assert!(!self.closed, "{}: closed before the answer to {id}", self.name);
+                    self.read().await;
+                }
+                assert_eq!(self.answers[&id], unescape(&wanted.join(" ")), "{}.{id}", self.name);
+            }
+            ("close", _) => {}
+            other => panic!("client: {other:?}"),
+        }
+    }
+
+    fn call(&self, id: u64, method: &str, fields: &[(&str, &str)], body: Option<&[u8]>) -> Vec<u8> {
+        let mut text = vec![0x94, 0];
+        encode::write_uint(&mut text, id).expect("id");
+        encode::write_str(&mut text, method).expect("text");
+        encode::write_array_len(&mut text, 1 + body.iter().len() as u32).expect("length");
+        encode::write_map_len(&mut text, fields.len() as u32).expect("length");
+        for (name, value) in fields {
+            encode::write_str(&mut text, name).expect("text");
+            encode::write_str(&mut text, value).expect("text");
+        }
+        if let Some(body) = body {
+            encode::write_bin(&mut text, body).expect("body");
+        }
+        text
+    }
+
+    async fn read(&mut self) {
+        if !matches!(self.stream.read_buf(&mut self.input).await, Ok(n) if n > 0) {
+            self.closed = true;
+        }
+        while let Some((id, answer, len)) = read_answer(&self.input) {
+            self.input.drain(..len);
+            // The rule: one final answer.
+            assert!(!self.seen.contains(&id), "{}: a second answer to {id}", self.name);
+            self.seen.push(id);
+            self.answers.insert(id, answer);
+        }
+    }
+}
+
+/// One answer as a script writes it, and its length; none while it is not whole.
+fn read_answer(bytes: &[u8]) -> Option<(u64, String, usize)> {
+    let mut at = Cursor::new(bytes);
+    let text = |at: &mut Cursor<&[u8]>| {
+        let len = decode::read_str_len(at).ok()? as usize;
+        let mut text = vec![0; len];
+        at.read_exact_buf(&mut text).ok()?;
+        String::from_utf8(text).ok()
+    };
+    let head = (decode::read_array_len(&mut at).ok()?, decode::read_int::<u8, _>(&mut at).ok()?);
+    assert_eq!(head, (4, 1), "the head of an answer");
+    let id: u64 = decode::read_int(&mut at).ok()?;
+    let marker = *bytes.get(at.position() as usize)?;
+    let answer = if marker == 0xc0 {
+        decode::read_nil(&mut at).ok()?;
+        decode::read_array_len(&mut at).ok()?;
+        match *bytes.get(at.position() as usize)? {
+            0xc2 | 0xc3 => decode::read_bool(&mut at).ok()?.to_string(),
+            _ => {
+                let mut body = vec![0; decode::read_bin_len(&mut at).ok()? as usize];
+                at.read_exact_buf(&mut body).ok()?;
+                format!("served {}", String::from_utf8(body).expect("text"))
+            }
+        }
+    } else {
+        decode::read_array_len(&mut at).ok()?;
+        text(&mut at)?
+    };
+    let mut answer = answer;
+    for _ in 0..decode::read_map_len(&mut at).ok()? {
+        let (name, value) = (text(&mut at)?, text(&mut at)?);
+        // When to come back depends on the backlog; that it is told does not.
+        assert!(value.parse::<u32>().is_ok_and(|ms| ms <= 1000), "{name}={value}");
+        answer = format!("{answer} {name}");
+    }
+    if marker != 0xc0 {
+        decode::read_nil(&mut at).ok()?;
+    }
+    Some((id, answer, at.position() as usize))
+}
