--- a/tests/scene/mod.rs
+++ b/tests/scene/mod.rs
@@ -8,6 +8,8 @@
 //!   engine that has it: `e expect ASK c1.7`, `e send c1.7 served batches=2 TEXT`, `e expect QUIT c1.7`,
 //!   `e expect none ASK c1.7`, `e close c1.7` (its connection breaks), `e1 close` (it refuses connections).
 //! - `feed expect 1` (a connection that has event 1), `feed send draining e1`, `feed send raw HEX`, `feed close`.
+//! - `s` asks the SNMP agent; `$` stands for the project's objects: `s send get $.1.0`, `s send next $`,
+//!   `s send bulk 0 3 $`, `s send get@other $.1.0` (another community), `s expect $.1.0=2`.
 //! - `wait taken=3` waits until a counter has that value.
 //!
 //! Nothing waits for a time: every step waits for its event, and fails once none has come for long. Whatever the
@@ -17,9 +19,10 @@
 mod engines;
 mod flight;
 mod platform;
+mod snmp;
 
 use engines::Fleet;
-use magpiechute::config::{Config, FlightFront, Fronts, Speech};
+use magpiechute::config::{Agent, Config, FlightFront, Fronts, Speech};
 use magpiechute::node::Node;
 use std::collections::HashMap;
 use std::future::Future;
@@ -58,6 +61,7 @@
     fleet: Fleet,
     clients: HashMap<String, platform::Client>,
     flights: HashMap<String, flight::Client>,
+    manager: snmp::Manager,
 }
 
 /// Plays a script with so many engines that speak lines, or Flight SQL.
@@ -85,9 +89,11 @@
         );
         let config = Config::parse(text.as_bytes()).expect("configuration");
         let front = FlightFront { listen: "127.0.0.1:0".to_owned(), engines: speech };
-        let fronts = Fronts { flight: Some(front), snmp: None };
+        let agent = Agent { listen: "127.0.0.1:0".to_owned(), community: "public".to_owned() };
+        let fronts = Fronts { flight: Some(front), snmp: Some(agent) };
         let node = Node::start(config, fronts).await.expect("node");
-        Scene { node, fleet, clients: HashMap::new(), flights: HashMap::new() }
+        let manager = snmp::Manager::new(node.snmp.expect("agent")).await;
+        Scene { node, fleet, clients: HashMap::new(), flights: HashMap::new(), manager }
     }
 
     pub async fn step(&mut self, step: &str) {
@@ -104,6 +110,7 @@
                 };
                 soon(step, reached).await;
             }
+            ("s", _) => soon(step, self.manager.step(verb, rest)).await,
             ("c", _) => {
                 if !self.clients.contains_key(who) {
                     let client = platform::Client::new(who, self.node.listen).await;
--- /dev/null
+++ b/tests/scene/snmp.rs
@@ -0,0 +1,94 @@
+//! A stand-in SNMP manager.
+
+use super::hex;
+use rasn::types::ObjectIdentifier;
+use rasn_smi::v2::{ApplicationSyntax, ObjectSyntax, SimpleSyntax};
+use rasn_snmp::v2::{
+    BulkPdu, GetBulkRequest, GetNextRequest, GetRequest, Pdu, Pdus, Response, SetRequest, VarBind,
+    VarBindValue,
+};
+use rasn_snmp::v2c::Message;
+use std::net::SocketAddr;
+use tokio::net::UdpSocket;
+
+const ROOT: &str = "1.3.6.1.4.1.8072.9999.9999.62";
+
+pub struct Manager {
+    socket: UdpSocket,
+}
+
+impl Manager {
+    pub async fn new(agent: SocketAddr) -> Manager {
+        let socket = UdpSocket::bind("127.0.0.1:0").await.expect("bind");
+        socket.connect(agent).await.expect("connect");
+        Manager { socket }
+    }
+
+    pub async fn step(&mut self, verb: &str, rest: &[&str]) {
+        match (verb, rest) {
+            ("send", ["raw", bytes]) => drop(self.socket.send(&hex(bytes)).await.expect("send")),
+            ("send", ["bulk", non_repeaters, max_repetitions, names @ ..]) => {
+                let (non_repeaters, max_repetitions) =
+                    (non_repeaters.parse().expect("count"), max_repetitions.parse().expect("count"));
+                let variable_bindings = bindings(names);
+                let pdu = BulkPdu { request_id: 7, non_repeaters, max_repetitions, variable_bindings };
+                self.send("public", 1, Pdus::GetBulkRequest(GetBulkRequest(pdu))).await;
+            }
+            ("send", [what, names @ ..]) => {
+                let variable_bindings = bindings(names);
+                let pdu = Pdu { request_id: 7, error_status: 0, error_index: 0, variable_bindings };
+                let (what, community) = what.split_once('@').unwrap_or((what, "public"));
+                let version = if what == "v1" { 0 } else { 1 };
+                let data = match what {
+                    "get" | "v1" => Pdus::GetRequest(GetRequest(pdu)),
+                    "next" => Pdus::GetNextRequest(GetNextRequest(pdu)),
+                    _ => Pdus::SetRequest(SetRequest(pdu)),
+                };
+                self.send(community, version, data).await;
+            }
+            ("expect", wanted) => {
+                let mut buffer = [0; 2000];
+                let len = self.socket.recv(&mut buffer).await.expect("an answer");
+                let answer: Message<Response> = rasn::ber::decode(&buffer[..len]).expect("an answer");
+                let pdu = answer.data.0;
+                assert_eq!(pdu.request_id, 7);
+                let said = match pdu.error_status {
+                    0 => pdu.variable_bindings.iter().map(say).collect::<Vec<_>>().join(" "),
+                    status => format!("error {status}"),
+                };
+                assert_eq!(said, wanted.join(" "));
+            }
+            other => panic!("manager: {other:?}"),
+        }
+    }
+
+    async fn send(&self, community: &str, version: i32, data: Pdus) {
+        let community = community.as_bytes().to_vec().into();
+        let message = Message { version: version.into(), community, data };
+        let bytes = rasn::ber::encode(&message).expect("message");
+        self.socket.send(&bytes).await.expect("send");
+    }
+}
+
+fn bindings(names: &[&str]) -> Vec<VarBind> {
+    let name = |text: &&str| {
+        let arcs: Vec<u32> = text.replace('$', ROOT).split('.').map(|a| a.parse().expect("arc")).collect();
+        VarBind { name: ObjectIdentifier::new_unchecked(arcs.into()), value: VarBindValue::Unspecified }
+    };
+    names.iter().map(name).collect()
+}
+
+fn say(binding: &VarBind) -> String {
+    let name = binding.name.iter().map(u32::to_string).collect::<Vec<_>>().join(".").replace(ROOT, "$");
+    let value = match &binding.value {
+        VarBindValue::Value(ObjectSyntax::ApplicationWide(ApplicationSyntax::BigCounter(n))) => {
+            n.0.to_string()
+        }
+        VarBindValue::Value(ObjectSyntax::ApplicationWide(ApplicationSyntax::Unsigned(n))) => n.0.to_string(),
+        VarBindValue::Value(ObjectSyntax::Simple(SimpleSyntax::String(text))) => {
+            String::from_utf8_lossy(text).into_owned()
+        }
+        other => format!("{other:?}"),
+    };
+    format!("{name}={value}")
+}
