--- a/src/snmp.rs
+++ b/src/snmp.rs
@@ -176,7 +176,7 @@
     fn the_mib_file_tells_what_the_agent_has() {
         let mib = include_str!("../mibs/MAGPIECHUTE-MIB.txt");
         let mut objects = Vec::new();
-        for part in mib.split(" OBJECT-TYPE").skip(1) {
+        for part in mib.split(" OBJECT-TYPE\n").skip(1) {
             let word = |after: &str| part.split(after).nth(1).and_then(|t| t.split_whitespace().next());
             objects.push((word("SYNTAX"), word("::= { magpiechute")));
         }
