Guard against a closed mailbox, a name open twice and too many statement bytes

Read off the code after the rounds, each with a scenario: a connection whose engine's actor had ended would have looked at nothing but its closed mailbox (lines.rs, serve), a client's name open twice would have let two attempts share one line of answers (core, take), and statements were bounded by count only.

--- a/src/clients/flight.rs
+++ b/src/clients/flight.rs
@@ -162,7 +162,10 @@
         self.front.counters.client_conns_owing.down();
         if !self.over && !self.front.core.try_tell(Input::Left(self.id)) {
             let (core, id) = (self.front.core.clone(), self.id);
-            tokio::spawn(async move { core.tell(Input::Left(id)).await });
+            // While the program ends there is nobody left to tell.
+            if let Ok(runtime) = tokio::runtime::Handle::try_current() {
+                runtime.spawn(async move { core.tell(Input::Left(id)).await });
+            }
         }
     }
 }
--- a/src/clients/platform.rs
+++ b/src/clients/platform.rs
@@ -118,7 +118,7 @@
             }
             let idle = self.idle_since + self.front.limits.client_idle;
             // A slow reader holds at most a few answers here: then nothing more is read from it.
-            let held = self.out.waiting() > 4 * self.front.limits.answer_bytes as u64;
+            let held = self.out.waiting() > 2 * self.front.limits.answer_bytes as u64;
             tokio::select! {
                 biased;
                 Some((id, answer)) = self.answers.recv() => self.answer(id, answer),
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -15,7 +15,7 @@
 use crate::limits::Limits;
 use bytes::Bytes;
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet};
 use std::sync::Arc;
 use tokio::sync::mpsc;
 
@@ -249,6 +249,10 @@
     effects: Vec<Effect>,
     cap: u32,
     requests: HashMap<RequestId, Open>,
+    /// Clients' names of the requests that are open.
+    names: HashSet<Bytes>,
+    /// Bytes of their statements.
+    held_bytes: usize,
     ready: BTreeMap<EngineId, bool>,
     alarms: BinaryHeap<Reverse<(At, u64, Alarm)>>,
     armed: u64,
@@ -276,6 +280,8 @@
             effects,
             cap,
             requests: HashMap::new(),
+            names: HashSet::new(),
+            held_bytes: 0,
             ready: BTreeMap::new(),
             alarms: BinaryHeap::new(),
             armed: 0,
@@ -347,7 +353,14 @@
     fn take(&mut self, now: Millis, taken: Taken) {
         self.counters.taken.up();
         let id = taken.id;
-        if self.requests.len() >= self.limits.open || self.requests.contains_key(&id) {
+        // Guard: engines tell attempts apart by this name, so one that is open already may not come again.
+        if self.names.contains(&taken.name) {
+            self.counters.client_bad_calls.up();
+            self.counters.failed.up();
+            return taken.client.answer(id, Answer::Failed(Why::Lost));
+        }
+        let bytes = self.held_bytes + taken.statement.len();
+        if self.requests.len() >= self.limits.open || bytes > self.limits.open_bytes {
             self.counters.client_over_limit.up();
             self.counters.refused.up();
             return taken.client.answer(id, Answer::Refused { hold_off_ms: 0.0 });
@@ -373,6 +386,8 @@
             priority: 1,
         };
         self.counters.open.up();
+        self.held_bytes = bytes;
+        self.names.insert(open.taken.name.clone());
         self.requests.insert(id, open);
         self.tell(now, Event::Request(request));
     }
@@ -658,6 +673,8 @@
 
     fn remove(&mut self, id: RequestId) -> Option<Open> {
         let open = self.requests.remove(&id)?;
+        self.names.remove(&open.taken.name);
+        self.held_bytes -= open.taken.statement.len();
         self.counters.open.down();
         Some(open)
     }
--- a/src/engines/lines.rs
+++ b/src/engines/lines.rs
@@ -100,6 +100,8 @@
     /// When a gone engine's connections are cut.
     cut: Option<Instant>,
     drained: bool,
+    /// The engine's actor has ended: no more orders come.
+    orphaned: bool,
 }
 
 impl Connection {
@@ -121,6 +123,7 @@
             idle_since: Instant::now(),
             cut: None,
             drained: false,
+            orphaned: false,
         }
     }
 
@@ -190,10 +193,13 @@
             let alarm_at = alarm.unwrap_or_else(|| Instant::now() + self.house.limits.engine_idle);
             tokio::select! {
                 biased;
-                order = self.orders.recv() => match order {
+                // Guard: a closed mailbox is ready at once and for ever, and would be all that is looked at.
+                order = self.orders.recv(), if !self.orphaned => match order {
                     Some(order) => self.order(order, unsent),
-                    None if idle => return Ok(()),
-                    None => self.gone(),
+                    None => {
+                        self.orphaned = true;
+                        self.gone();
+                    }
                 },
                 ready = stream.readable() => {
                     ready?;
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -19,6 +19,8 @@
     pub client_conns: usize,
     /// Requests open at once.
     pub open: usize,
+    /// Bytes of the statements of all open requests.
+    pub open_bytes: usize,
     /// Bytes of a whole result.
     pub answer_bytes: usize,
     /// Bytes of one line of an engine, without its payload.
@@ -85,12 +87,13 @@
         let clients = (sockets / 2).max(8);
         let engines = 64;
         Limits {
-            message_bytes: 128 * 1024,
+            message_bytes: 64 * 1024,
             message_depth: 8,
             message_fields: 64,
             open_per_client: 32,
             client_conns: clients,
-            open: parsed.max_open.min(8192),
+            open: parsed.max_open.min(4096),
+            open_bytes: 32 << 20,
             answer_bytes: 48_000,
             line_bytes: 4096,
             page_bytes: 64 * 1024,
--- a/src/node.rs
+++ b/src/node.rs
@@ -89,9 +89,14 @@
         Ok(Node { listen, flight, snmp, counters, limits, stop })
     }
 
+    /// Asks for the end: from now on it says that it is not fit.
+    pub fn stop(&self) {
+        self.stop.send_replace(true);
+    }
+
     /// Ends as planned: goes on accepting and answering until the late arrivals are in and nothing is open.
     pub async fn finish(self) {
-        self.stop.send_replace(true);
+        self.stop();
         let late = Instant::now() + self.limits.late_arrivals;
         loop {
             sleep(Duration::from_millis(20)).await;
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -2,9 +2,12 @@
 
 mod scene;
 
-use magpiechute::config::Speech;
+use magpiechute::config::{Fronts, Speech};
 use rstest::rstest;
-use scene::play;
+use scene::{configuration, play};
+use std::io::{BufRead, BufReader, Read};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
 
 /// The platform's clients and line engines.
 #[rstest]
@@ -238,6 +241,80 @@
     c1 expect 1 true
 "
 )]
+#[case::a_planned_end_loses_nothing(
+    "
+    c1 send 1 usage-report
+    e expect ASK c1.1
+    n close
+    c1 send health 2
+    c1 expect 2 false
+    c2 send 1 seat-check
+    e expect ASK c2.1
+    c1 send 3 log-load
+    e expect ASK c1.3
+    e send c2.1 served batches=1 b\\n
+    c2 expect 1 served b\\n
+    e send c1.3 served batches=1 c\\n
+    c1 expect 3 served c\\n
+    e send c1.1 served batches=1 a\\n
+    c1 expect 1 served a\\n
+    n expect closed
+"
+)]
+#[case::a_silent_engine_is_left_where_a_repeat_is_allowed(
+    "
+    c1 send 1 log-load
+    c1 send 2 usage-report
+    e expect ASK c1.1
+    e expect ASK c1.2
+    e expect QUIT c1.2
+    e expect ASK c1.2
+    e expect none QUIT c1.1
+    e send c1.2 served batches=1 a\\n
+    c1 expect 2 served a\\n
+    e send c1.1 served batches=1 b\\n
+    c1 expect 1 served b\\n
+"
+)]
+#[case::what_is_gone_ends_though_nothing_is_reset(
+    "
+    feed expect 1
+    c1 send 1 log-load
+    c1 send 2 usage-report
+    e expect ASK c1.1
+    e expect ASK c1.2
+    feed send gone e1
+    feed send gone e2
+    c1 expect 1 Internal
+    feed send active e1
+    e expect ASK c1.2
+    e send c1.2 served batches=1 a\\n
+    c1 expect 2 served a\\n
+"
+)]
+#[case::a_name_that_is_open_already(
+    "
+    c1 send 1 seat-check ref=00000000000000ab
+    e expect ASK c1.1
+    c2 send 1 log-load ref=00000000000000ab
+    c2 expect 1 Internal
+    e expect none ASK c2.1
+    e send c1.1 served batches=1 a\\n
+    c1 expect 1 served a\\n
+"
+)]
+#[case::a_page_that_does_not_come(
+    "
+    c1 send 1 seat-check
+    e expect ASK c1.1
+    e send c1.1 served batches=2 a\\n
+    e expect NEXT c1.1 1
+    e expect FREE c1.1
+    e expect ASK c1.1
+    e send c1.1 served batches=1 b\\n
+    c1 expect 1 served b\\n
+"
+)]
 fn platform(#[case] script: &str) {
     play(2, Speech::Lines, script);
 }
@@ -501,16 +578,20 @@
     };
     let load = if speech == Speech::Lines { "batches=1 7\\t\\t\\n" } else { "7" };
     let mut script = String::new();
-    for round in 0..20 {
-        let numbers: Vec<u32> = (1..=4).map(|n| round * 10 + n).collect();
+    for round in 0..12 {
+        // Eight open on each protocol at once, in two groups of four.
+        let groups: Vec<Vec<u32>> =
+            (0..2).map(|g| (1..=4).map(|n| round * 8 + g * 4 + n).collect()).collect();
         let mut line = |text: String| script += &format!("{text}\n");
-        for (n, class) in numbers.iter().zip(["seat-check", "usage-report", "log-load", "log-load"]) {
-            line(format!("c1 send {n} {class}"));
-            line(format!("f1 send {n} {class}"));
+        for numbers in &groups {
+            for (n, class) in numbers.iter().zip(["seat-check", "usage-report", "log-load", "log-load"]) {
+                line(format!("c1 send {n} {class}"));
+                line(format!("f1 send {n} {class}"));
+            }
         }
-        for who in ["c1", "f1"] {
+        for (who, numbers) in ["c1", "f1"].iter().flat_map(|who| groups.iter().map(move |g| (*who, g))) {
             numbers.iter().for_each(|n| line(format!("e expect ASK {who}.{n}")));
-            // The report's connection breaks with whatever it carries; the second load is turned away first.
+            // One load is turned away and goes again; the other fails and does not.
             line(format!("e send {who}.{} overload", numbers[3]));
             line(format!("e expect ASK {who}.{}", numbers[3]));
             for n in &numbers[..2] {
@@ -524,5 +605,73 @@
             line(format!("{who} expect {} served {served}", numbers[3]));
         }
     }
-    play(4, speech, &format!("{script}wait open=0\nwait taken=160\nwait served=120\nwait failed=40\n"));
+    play(8, speech, &format!("{script}wait open=0\nwait taken=192\nwait served=144\nwait failed=48\n"));
+}
+
+/// The program itself, with these files.
+fn program(name: &str, config: &str, fronts: &str) -> Child {
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+    let file = |kind: &str, text: &str| {
+        let path = folder.join(format!("{name}.{kind}"));
+        std::fs::write(&path, text).expect("file");
+        path
+    };
+    Command::new(env!("CARGO_BIN_EXE_magpiechute"))
+        .env("NODE_CONFIG", file("json", config))
+        .env("MAGPIECHUTE_FRONTS", file("toml", fronts))
+        .env_remove("NODE_LISTEN")
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("program")
+}
+
+fn good() -> String {
+    configuration("127.0.0.1:1".parse().expect("address"), r#"{"n":1,"members":{"reset":true}}"#)
+}
+
+/// What cannot be used is a plain message and a code that is not zero.
+#[rstest]
+#[case::not_json("not_json", "{", "", "configuration: EOF")]
+#[case::no_class("no_class", &good().replace("\"classes\":[", "\"classes\":[],\"was\":["), "", "no request class")]
+#[case::bad_figure("bad_figure", &good().replace("\"coldMs\":15000", "\"coldMs\":-1"), "", "impossible figure")]
+#[case::bad_seed("bad_seed", &good().replace("8c1f30d27a5be964", "xyz"), "", "seed")]
+#[case::bad_listen("bad_listen", &good().replace("127.0.0.1:0", "here"), "", "configuration: invalid socket")]
+#[case::not_loopback("not_loopback", &good(), "[flight]\nlisten = \"192.0.2.1:1\"", "not a loopback address")]
+#[case::unknown_key("unknown_key", &good(), "[flght]\nlisten = \"127.0.0.1:0\"", "unknown field")]
+#[case::bad_speech("bad_speech", &good(), "[flight]\nlisten = \"127.0.0.1:0\"\nengines = \"x\"", "unknown variant")]
+fn bad_configuration(#[case] name: &str, #[case] config: &str, #[case] fronts: &str, #[case] says: &str) {
+    let done = program(name, config, fronts).wait_with_output().expect("end");
+    let said = String::from_utf8_lossy(&done.stderr);
+    assert!(!done.status.success() && said.contains(says), "{said}");
+    assert!(said.starts_with("magpiechute: ") && !said.contains("panicked"), "{said}");
+}
+
+/// A planned end of the program prints the counters and exits 0; so does SIGUSR1 in between.
+#[test]
+fn signals() {
+    let mut child = program("signals", &good(), "");
+    let mut said = BufReader::new(child.stderr.take().expect("stderr"));
+    let mut line = String::new();
+    let signal = |name: &str| {
+        let sent = Command::new("kill").args(["-s", name, &child.id().to_string()]).status();
+        assert!(sent.expect("kill").success());
+    };
+    said.read_line(&mut line).expect("line");
+    assert!(line.contains("n1 serves on 127.0.0.1:"), "{line}");
+    signal("USR1");
+    said.read_line(&mut line).expect("line");
+    assert!(line.contains("counters taken=0"), "{line}");
+    signal("TERM");
+    let mut rest = String::new();
+    said.read_to_string(&mut rest).expect("rest");
+    assert!(rest.contains("counters taken=0"), "{rest}");
+    assert!(child.wait().expect("end").success());
+}
+
+/// The file that shows how to turn the further fronts on can be used as it is.
+#[test]
+fn the_example_of_further_fronts() {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("deploy/fronts.example.toml");
+    let fronts = Fronts::load(&path).expect("file");
+    assert!(fronts.flight.is_some() && fronts.snmp.is_some());
 }
--- a/tests/scene/mod.rs
+++ b/tests/scene/mod.rs
@@ -10,6 +10,7 @@
 //! - `feed expect 1` (a connection that has event 1), `feed send draining e1`, `feed send raw HEX`, `feed close`.
 //! - `s` asks the SNMP agent; `$` stands for the project's objects: `s send get $.1.0`, `s send next $`,
 //!   `s send bulk 0 3 $`, `s send get@other $.1.0` (another community), `s expect $.1.0=2`.
+//! - `n close` asks the workload manager to stop, `n expect closed` waits until it has.
 //! - `wait taken=3` waits until a counter has that value.
 //!
 //! Nothing waits for a time: every step waits for its event, and fails once none has come for long. Whatever the
@@ -55,9 +56,22 @@
     )
 }
 
+/// The text of a configuration.
+pub fn configuration(feed: std::net::SocketAddr, known: &str) -> String {
+    format!(
+        r#"{{"name":"n1","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964","limits":{{"sockets":1024}},
+        "feed":"{feed}","known":{{"n":1,"events":[{known}]}},"settings":{}}}"#,
+        settings()
+    )
+}
+
 /// The whole scene.
 pub struct Scene {
-    node: Node,
+    node: Option<Node>,
+    /// Its end, once it was asked to stop.
+    ending: Option<tokio::task::JoinHandle<()>>,
+    counters: std::sync::Arc<magpiechute::counters::Counters>,
+    listen: (std::net::SocketAddr, Option<std::net::SocketAddr>),
     fleet: Fleet,
     clients: HashMap<String, platform::Client>,
     flights: HashMap<String, flight::Client>,
@@ -72,48 +86,55 @@
         for step in script.lines().map(str::trim).filter(|l| !l.is_empty()) {
             scene.step(step).await;
         }
-        soon("end of the scene", scene.node.finish()).await;
+        scene.step("n close").await;
+        scene.step("n expect closed").await;
         scene.fleet.finish();
     });
 }
 
 impl Scene {
-    pub async fn new(engines: usize, speech: Speech) -> Scene {
+    async fn new(engines: usize, speech: Speech) -> Scene {
         let fleet = Fleet::new(engines, speech).await;
-        let text = format!(
-            r#"{{"name":"n1","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964","limits":{{"sockets":1024}},
-            "feed":"{}","known":{{"n":1,"events":[{}]}},"settings":{}}}"#,
-            fleet.feed.address,
-            fleet.known(),
-            settings()
-        );
+        let text = configuration(fleet.feed.address, &fleet.known());
         let config = Config::parse(text.as_bytes()).expect("configuration");
         let front = FlightFront { listen: "127.0.0.1:0".to_owned(), engines: speech };
         let agent = Agent { listen: "127.0.0.1:0".to_owned(), community: "public".to_owned() };
         let fronts = Fronts { flight: Some(front), snmp: Some(agent) };
         let node = Node::start(config, fronts).await.expect("node");
         let manager = snmp::Manager::new(node.snmp.expect("agent")).await;
-        Scene { node, fleet, clients: HashMap::new(), flights: HashMap::new(), manager }
+        let (counters, listen) = (node.counters.clone(), (node.listen, node.flight));
+        let (clients, flights) = Default::default();
+        Scene { node: Some(node), ending: None, counters, listen, fleet, clients, flights, manager }
     }
 
-    pub async fn step(&mut self, step: &str) {
+    async fn step(&mut self, step: &str) {
         let words: Vec<&str> = step.split_whitespace().collect();
         let (who, verb, rest) = (words[0], words[1], &words[2..]);
         match (&who[..1], verb) {
             ("w", _) => {
                 let (name, value) = verb.split_once('=').expect("wait NAME=VALUE");
                 let reached = async {
-                    while !self.node.counters.all().iter().any(|(n, v)| *n == name && v.to_string() == value)
-                    {
+                    while !self.counters.all().iter().any(|(n, v)| *n == name && v.to_string() == value) {
                         tokio::time::sleep(Duration::from_millis(1)).await;
                     }
                 };
                 soon(step, reached).await;
             }
+            ("n", "close") => {
+                if let Some(node) = self.node.take() {
+                    node.stop();
+                    self.ending = Some(tokio::spawn(node.finish()));
+                }
+            }
+            ("n", _) => {
+                if let Some(ending) = self.ending.take() {
+                    soon(step, ending).await.expect("the end");
+                }
+            }
             ("s", _) => soon(step, self.manager.step(verb, rest)).await,
             ("c", _) => {
                 if !self.clients.contains_key(who) {
-                    let client = platform::Client::new(who, self.node.listen).await;
+                    let client = platform::Client::new(who, self.listen.0).await;
                     self.clients.insert(who.to_owned(), client);
                 }
                 let client = self.clients.get_mut(who).expect("client");
@@ -124,7 +145,7 @@
             }
             ("f", _) if who != "feed" => {
                 if !self.flights.contains_key(who) {
-                    let client = flight::Client::new(who, self.node.flight.expect("flight front")).await;
+                    let client = flight::Client::new(who, self.listen.1.expect("flight front")).await;
                     self.flights.insert(who.to_owned(), client);
                 }
                 let client = self.flights.get_mut(who).expect("client");
