--- a/src/engines/lines.rs
+++ b/src/engines/lines.rs
@@ -444,17 +444,6 @@
     }
 }
 
-impl Clone for Order {
-    fn clone(&self) -> Order {
-        match self {
-            Order::Ask(ask) => Order::Ask(ask.clone()),
-            Order::Quit(id, attempt) => Order::Quit(*id, *attempt),
-            Order::Priority(id, attempt, n) => Order::Priority(*id, *attempt, *n),
-            Order::Listed(state) => Order::Listed(*state),
-        }
-    }
-}
-
 /// The connection cannot go on.
 #[derive(Debug, PartialEq, Eq)]
 pub(crate) struct Broken;
--- a/src/engines/mod.rs
+++ b/src/engines/mod.rs
@@ -26,7 +26,7 @@
 }
 
 /// What an engine's actor is told.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) enum Order {
     Ask(Ask),
     Quit(RequestId, u16),
