--- a/src/clients/flight.rs
+++ b/src/clients/flight.rs
@@ -412,7 +412,7 @@
 fn refused(hold_off_ms: f64) -> Status {
     let wait = Duration::from_secs_f64(hold_off_ms.max(0.0) / 1000.0);
     let details = ErrorDetails::with_retry_info(Some(wait));
-    Status::with_error_details(Code::ResourceExhausted, "refused: it never ran", details)
+    Status::with_error_details(Code::ResourceExhausted, "refused: trying again is harmless", details)
 }
 
 #[tonic::async_trait]
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -173,6 +173,24 @@
     wait feed_events=2
 "
 )]
+#[case::silence_of_the_feed_is_a_fault(
+    "
+    feed expect 1
+    feed expect 1
+    wait feed_silences=1
+    feed send draining e1
+    wait feed_events=1
+"
+)]
+#[case::what_was_over_already_never_ran(
+    "
+    c1 send 1 log-load
+    e expect ASK c1.1
+    e send c1.1 nobody
+    c1 expect 1 Overloaded cooldown
+    e expect none ASK c1.1
+"
+)]
 #[case::a_bad_frame_is_a_fault(
     "
     feed expect 1
@@ -427,6 +445,17 @@
     wait left=1
 "
 )]
+#[case::what_is_gone_ends_though_nothing_is_reset(
+    "
+    feed expect 1
+    f1 send 1 log-load
+    e expect ASK f1.1
+    feed send gone e1
+    feed send gone e2
+    f1 expect 1 Internal
+    e expect none ASK f1.1
+"
+)]
 #[case::drain_and_refusal(
     "
     feed expect 1
