Wait for a stand-in's listener to be gone before the scenario goes on

Seen: with one core for 16 test threads, refused_connections got Internal once. Its engine's listener was still being dropped, so the connection was accepted and then reset, which rightly counts as one that may have run. The stand-in was at fault and not the program.

--- a/tests/scene/engines.rs
+++ b/tests/scene/engines.rs
@@ -148,7 +148,14 @@
                 self.ran.insert((*label).to_owned());
                 (self.asked[*label].cut)();
             }
-            (engine, "close", []) => self.engines[number(engine)].task.abort(),
+            (engine, "close", []) => {
+                // Until its listener is gone a connection could still be accepted, and then be reset.
+                let task = &self.engines[number(engine)].task;
+                task.abort();
+                while !task.is_finished() {
+                    tokio::task::yield_now().await;
+                }
+            }
             other => panic!("engines: {other:?}"),
         }
     }
