Hear SIGHUP: read the configuration anew and move to its control feed

Checked: main.rs installed no handler for SIGHUP, so its default ended the process; the feed's address was handed to list::follow once and could not change. Ruled out: a panic (nothing in the log, code 129 is the signal's). At fault: main.rs run() and list.rs follow(). Now a file that was read anew is validated whole; the list's actor leaves its session at once for the new address and resumes by the last event applied, which counts only once the core has it. A bad file is said and counted. The scenario of the moved feed and the signals test fail without the change (seen: the program ends on HUP).

--- a/src/counters.rs
+++ b/src/counters.rs
@@ -119,6 +119,10 @@
     snmp_answered,
     /// SNMP messages dropped: bad community or malformed.
     snmp_dropped,
+    /// Configurations read anew and used.
+    reloads,
+    /// Configurations read anew that cannot be used; the old one stays.
+    reloads_bad,
 }
 
 impl fmt::Display for Counters {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -46,7 +46,7 @@
 }
 
 /// A class of requests.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Class {
     /// Worth of one request.
     pub worth: f64,
@@ -77,7 +77,7 @@
 }
 
 /// A budget of attempts beyond each request's first.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ExtraBudget {
     /// Attempts free in any window.
     pub free: f64,
@@ -100,7 +100,7 @@
 }
 
 /// What a gateway is told when it starts.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Settings {
     /// Gateways in this tier.
     pub instances: u32,
--- a/src/list.rs
+++ b/src/list.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
 const RECORD: usize = 27;
@@ -34,9 +35,9 @@
     }
 }
 
-/// Follows the feed from event `last` on.
+/// Follows the feed from event `last` on, at whatever address it has by now: the numbers continue there.
 pub(crate) async fn follow(
-    feed: SocketAddr,
+    mut feed: watch::Receiver<SocketAddr>,
     mut last: u64,
     core: Handle,
     limits: Arc<Limits>,
@@ -45,14 +46,30 @@
     let (first, longest) = limits.feed_retry;
     let mut wait = first;
     loop {
-        let before = last;
-        match session(feed, &mut last, &core, &limits, &counters).await {
-            Ok(()) | Err(Fault::Lost) => {}
-            Err(Fault::Silent) => counters.feed_silences.up(),
-            Err(Fault::Malformed) => counters.feed_malformed.up(),
+        let (before, at) = (last, *feed.borrow_and_update());
+        // Guard: a feed that has moved tells nothing further where it was, though the connection stays open for
+        // a while; it is left at once. The session can be dropped at any point, as `last` counts applied events.
+        let moved = tokio::select! {
+            biased;
+            moved = feed.changed() => Some(moved),
+            done = session(at, &mut last, &core, &limits, &counters) => {
+                match done {
+                    Ok(()) | Err(Fault::Lost) => {}
+                    Err(Fault::Silent) => counters.feed_silences.up(),
+                    Err(Fault::Malformed) => counters.feed_malformed.up(),
+                }
+                wait = if last > before { first } else { (wait * 2).min(longest) };
+                tokio::select! {
+                    moved = feed.changed() => Some(moved),
+                    () = sleep(wait) => None,
+                }
+            }
+        };
+        match moved {
+            Some(Ok(())) => wait = first,
+            Some(Err(_)) => return, // the program has ended
+            None => {}
         }
-        wait = if last > before { first } else { (wait * 2).min(longest) };
-        sleep(wait).await;
     }
 }
 
@@ -81,9 +98,10 @@
         if event.number <= *last {
             continue; // told already, over an earlier connection
         }
-        *last = event.number;
-        counters.feed_events.up();
+        let number = event.number;
         core.tell(Input::List(event)).await;
+        *last = number; // only now: where this was dropped before, the event is asked for again
+        counters.feed_events.up();
     }
 }
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -25,14 +25,12 @@
 async fn run() -> Result<(), ConfigError> {
     let path = std::env::var_os("NODE_CONFIG")
         .ok_or_else(|| ConfigError("NODE_CONFIG does not name a configuration".to_owned()))?;
-    let mut config = Config::load(Path::new(&path))?;
-    if let Ok(listen) = std::env::var("NODE_LISTEN") {
-        config.listen =
-            listen.parse().map_err(|_| ConfigError(format!("NODE_LISTEN {listen:?} is not an address")))?;
-    }
+    let hear = |kind| signal(kind).map_err(|e| ConfigError(format!("cannot hear signals: {e}")));
+    // Guard: heard from the first moment on, as SIGHUP would end a program that does not hear it.
+    let mut hup = hear(SignalKind::hangup())?;
+    let config = load(Path::new(&path))?;
     let fronts = std::env::var_os("MAGPIECHUTE_FRONTS").unwrap_or_else(|| "deploy/fronts.toml".into());
     let fronts = Fronts::load(Path::new(&fronts))?;
-    let hear = |kind| signal(kind).map_err(|e| ConfigError(format!("cannot hear signals: {e}")));
     let (mut term, mut int) = (hear(SignalKind::terminate())?, hear(SignalKind::interrupt())?);
     let mut print = hear(SignalKind::user_defined1())?;
     let name = config.name.clone();
@@ -42,11 +40,29 @@
         tokio::select! {
             _ = term.recv() => break,
             _ = int.recv() => break,
+            _ = hup.recv() => node.reload(load(Path::new(&path))),
             _ = print.recv() => eprintln!("magpiechute: {}", node.counters),
         }
     }
     let counters = node.counters.clone();
-    node.finish().await;
+    let mut end = std::pin::pin!(node.finish());
+    loop {
+        tokio::select! {
+            () = &mut end => break,
+            // While it ends there is nothing left to change.
+            _ = hup.recv() => {}
+        }
+    }
     eprintln!("magpiechute: {counters}");
     Ok(())
 }
+
+/// The configuration, whole and checked, as a start or SIGHUP finds it.
+fn load(path: &Path) -> Result<Config, ConfigError> {
+    let mut config = Config::load(path)?;
+    if let Ok(listen) = std::env::var("NODE_LISTEN") {
+        config.listen =
+            listen.parse().map_err(|_| ConfigError(format!("NODE_LISTEN {listen:?} is not an address")))?;
+    }
+    Ok(config)
+}
--- a/src/node.rs
+++ b/src/node.rs
@@ -7,6 +7,7 @@
 use crate::engines::{Fleet, House};
 use crate::limits::Limits;
 use crate::list;
+use crate::settings::Parsed;
 use crate::snmp;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -26,6 +27,9 @@
     /// Its counters.
     pub counters: Arc<Counters>,
     limits: Arc<Limits>,
+    /// What only a start can change.
+    fixed: (SocketAddr, usize, Arc<Parsed>),
+    feed: watch::Sender<SocketAddr>,
     stop: watch::Sender<bool>,
 }
 
@@ -36,6 +40,7 @@
         let speech = fronts.flight.as_ref().map(|f| f.engines).unwrap_or_default();
         let limits = Arc::new(Limits::new(config.sockets, speech == Speech::Lines, &parsed));
         let counters = Arc::new(Counters::default());
+        let fixed = (config.listen, config.sockets, parsed.clone());
         let (listener, listen) = bind(config.listen).await?;
         let flight_listener = match &fronts.flight {
             Some(f) => Some(bind(loopback(&f.listen, "flight")?).await?),
@@ -74,7 +79,8 @@
             last = last.max(event.number);
             core.tell(Input::List(event)).await;
         }
-        tokio::spawn(list::follow(config.feed, last, core.clone(), limits.clone(), counters.clone()));
+        let (feed, address) = watch::channel(config.feed);
+        tokio::spawn(list::follow(address, last, core.clone(), limits.clone(), counters.clone()));
         let front = Front { core, parsed, limits: limits.clone(), counters: counters.clone(), stopping };
         let flight = flight_listener.map(|(listener, at)| {
             tokio::spawn(flight::listen(listener, front.clone()));
@@ -86,7 +92,32 @@
             tokio::spawn(agent.listen(socket));
             at
         });
-        Ok(Node { listen, flight, snmp, counters, limits, stop })
+        Ok(Node { listen, flight, snmp, counters, limits, fixed, feed, stop })
+    }
+
+    /// Goes over to a configuration that was read anew, or stays with the old one where that cannot be used.
+    /// Connections, requests and engines stay: of all that it holds only the control feed's address may change
+    /// while the program runs, and `known` is of the start. The feed tells what is new under its own numbers.
+    pub fn reload(&self, config: Result<Config, ConfigError>) {
+        let config = match config {
+            Ok(config) => config,
+            Err(problem) => {
+                self.counters.reloads_bad.up();
+                return eprintln!("magpiechute: goes on with the old configuration: {problem}");
+            }
+        };
+        let (listen, sockets, parsed) = &self.fixed;
+        let kept = [
+            ("listen", config.listen != *listen),
+            ("limits", config.sockets != *sockets),
+            ("settings", config.parsed != **parsed),
+        ];
+        for (name, _) in kept.iter().filter(|(_, differs)| *differs) {
+            eprintln!("magpiechute: {name} in the new configuration waits for the next start");
+        }
+        self.feed.send_if_modified(|at| std::mem::replace(at, config.feed) != config.feed);
+        self.counters.reloads.up();
+        eprintln!("magpiechute: follows the control feed at {}", config.feed);
     }
 
     /// Asks for the end: from now on it says that it is not fit.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -154,7 +154,7 @@
 }
 
 /// Settings for the library, and what its hosts need besides.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Parsed {
     /// What the module is told.
     pub settings: Settings,
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -173,6 +173,24 @@
     wait feed_events=2
 "
 )]
+#[case::a_new_configuration_moves_the_feed_and_nothing_else(
+    "
+    feed expect 1
+    c1 send 1 seat-check
+    e expect ASK c1.1
+    feed send draining e1
+    wait feed_events=1
+    n send moved
+    feed expect 2
+    n send {
+    wait reloads_bad=1
+    feed send draining e2
+    wait feed_events=2
+    e send c1.1 served batches=1 a\\n
+    c1 expect 1 served a\\n
+    wait reloads=1
+"
+)]
 #[case::silence_of_the_feed_is_a_fault(
     "
     feed expect 1
@@ -523,18 +541,18 @@
     s expect $.1.0=0
     s send next $.1.0
     s expect $.2.0=0
-    s send next $.35.0
-    s expect $.35.0=EndOfMibView
+    s send next $.37.0
+    s expect $.37.0=EndOfMibView
 "
 )]
 #[case::bulk(
     "
     s send bulk 1 2 $ $.3
     s expect $.1.0=0 $.3.0=0 $.4.0=0
-    s send bulk 0 9 $.33
-    s expect $.33.0=0 $.34.0=1 $.35.0=0 $.35.0=EndOfMibView
-    s send bulk 0 4000000000 $.34.0 $.35.0
-    s expect $.35.0=0 $.35.0=EndOfMibView $.35.0=EndOfMibView $.35.0=EndOfMibView
+    s send bulk 0 9 $.35
+    s expect $.35.0=0 $.36.0=0 $.37.0=0 $.37.0=EndOfMibView
+    s send bulk 0 4000000000 $.36.0 $.37.0
+    s expect $.37.0=0 $.37.0=EndOfMibView $.37.0=EndOfMibView $.37.0=EndOfMibView
 "
 )]
 #[case::read_only(
@@ -690,6 +708,18 @@
     signal("USR1");
     said.read_line(&mut line).expect("line");
     assert!(line.contains("counters taken=0"), "{line}");
+    // SIGHUP reads the file anew: one that cannot be used changes nothing, and ends nothing.
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("signals.json");
+    for (text, says) in [
+        ("{".to_owned(), "goes on with the old configuration: configuration: EOF"),
+        (good().replace("127.0.0.1:1", "127.0.0.1:2"), "follows the control feed at 127.0.0.1:2"),
+    ] {
+        std::fs::write(&path, text).expect("file");
+        signal("HUP");
+        line.clear();
+        said.read_line(&mut line).expect("line");
+        assert!(line.contains(says), "{line}");
+    }
     signal("TERM");
     let mut rest = String::new();
     said.read_to_string(&mut rest).expect("rest");
--- a/tests/scene/engines.rs
+++ b/tests/scene/engines.rs
@@ -95,6 +95,13 @@
         format!(r#"{{"n":1,"members":{{"generation":1,"reset":true,"instances":[{}]}}}}"#, members.join(","))
     }
 
+    /// The feed goes to another address; connections to the old one stay open and tell nothing.
+    pub async fn move_feed(&mut self) -> SocketAddr {
+        self.feed.listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+        self.feed.address = self.feed.listener.local_addr().expect("address");
+        self.feed.address
+    }
+
     pub async fn step(&mut self, who: &str, verb: &str, rest: &[&str]) {
         match (who, verb, rest) {
             ("feed", ..) => self.feed_step(verb, rest).await,
--- a/tests/scene/mod.rs
+++ b/tests/scene/mod.rs
@@ -11,6 +11,7 @@
 //! - `s` asks the SNMP agent; `$` stands for the project's objects: `s send get $.1.0`, `s send next $`,
 //!   `s send bulk 0 3 $`, `s send get@other $.1.0` (another community), `s expect $.1.0=2`.
 //! - `n close` asks the workload manager to stop, `n expect closed` waits until it has.
+//! - `n send moved` gives it a configuration with the feed at another address, `n send {` one that says `{`.
 //! - `wait taken=3` waits until a counter has that value.
 //!
 //! Nothing waits for a time: every step waits for its event, and fails once none has come for long. Whatever the
@@ -120,6 +121,15 @@
                 };
                 soon(step, reached).await;
             }
+            ("n", "send") => {
+                let node = self.node.as_ref().expect("node");
+                if rest == ["moved"] {
+                    let at = self.fleet.move_feed().await;
+                    node.reload(Config::parse(configuration(at, &self.fleet.known()).as_bytes()));
+                } else {
+                    node.reload(Config::parse(rest[0].as_bytes()));
+                }
+            }
             ("n", "close") => {
                 if let Some(node) = self.node.take() {
                     node.stop();
