--- a/src/choice.rs
+++ b/src/choice.rs
@@ -46,6 +46,10 @@
 const ASK_MS: f64 = 40.0; // ms that a request waits for the probes sent for it
 const NEWS_MS: f64 = 2000.0; // ms; time constant with which a report fades into the fleet's mean
 const PLAN_SPREADS: f64 = 2.5; // half-spreads of the estimate's error: beyond it, its time tells a bad plan
+const ERROR_GAIN: f64 = 0.2; // an outcome; an engine's share of errors is followed over some five
+const ERROR_PRICE: f64 = 4.0; // of the price, at errors only: who fails at once looks free
+const ERROR_PROOFS: u32 = 2; // proven errors in a row from which an engine is in doubt
+const ERROR_ENGINES: usize = 3; // engines that fail a query until it is held to be at fault itself
 const GRANT_SPREADS: f64 = 1.3; // half-spreads over the usual need: four in five queries do not spill
 const PLAN_TIMES: (f64, f64) = (1.5, 4.0); // times its usual time: neither sooner nor with worse estimates
 const SCATTER_FIRST: f64 = 0.5; // log ratio; spread of an estimate until some are seen: e-fold at twice that
@@ -83,6 +87,7 @@
     done: bool,                     // answered or left; kept until its attempt's outcome is in
     ran: Option<(u8, u16, Millis)>, // zone, cell, time of the first send that may have run
     aside: bool,
+    erred: Vec<EngineId>, // engines that answered it with an error
     asked: Vec<EngineId>, // engines probed for it
     ask_until: Millis,    // and how long it waits for them
 }
@@ -120,6 +125,8 @@
     shut_until: Millis,
     stalls: u32, // pauses since it last served
     stalled_until: Millis,
+    errors: f64, // share of its ends that are errors
+    proofs: u32, // errors on what another engine then served, since it last served
     heard: Millis,
     probed_at: Millis,
     cold_sends: Vec<(Millis, f64)>,
@@ -286,7 +293,6 @@
         // (id20f69). Its aim runs from there. Harms where a class's clients differ in patience.
         s.window = s.window.max((due - now).min(c.give_up_ms));
         let arrived = now.min(due - s.window);
-        est.into_iter().for_each(|w| s.see(w));
         let r = Req { seq, class, key, arrived, due, est, dataset: q.dataset, memory, ..Req::default() };
         self.line.insert(seq, id);
         self.reqs.insert(id, r);
@@ -328,7 +334,22 @@
                 self.learn(class, &t, hinted, took, billed, crowd);
                 self.answers(t.engine, actions);
                 let served = self.engines.get_mut(&t.engine).into_iter();
-                served.for_each(|e| (e.stalls, e.stalled_until) = (0, 0.0));
+                served.for_each(|e| {
+                    (e.stalls, e.stalled_until, e.proofs) = (0, 0.0, 0);
+                    e.errors -= ERROR_GAIN * e.errors;
+                });
+                self.convict(id, actions);
+            }
+            Outcome::Error => {
+                let doubted = self.engines.get_mut(&t.engine).into_iter();
+                doubted.for_each(|e| {
+                    e.errors += ERROR_GAIN * (1.0 - e.errors);
+                    if e.doubted() {
+                        e.stall(now);
+                    }
+                });
+                let r = self.reqs.get_mut(&id).expect("ended");
+                r.erred.push(t.engine);
             }
             Outcome::Full => {
                 self.engines.get_mut(&t.engine).into_iter().for_each(|e| e.stall(now));
@@ -347,6 +368,20 @@
         self.ask(id, actions);
     }
 
+    /// Engines that failed what another serves are at fault. Guard: an error alone proves nothing, as engines
+    /// answer so to what clients send and nobody can use; yet one that fails everything at once looks free.
+    fn convict(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+        let erred = self.reqs.get_mut(&id).map_or(Vec::new(), |r| std::mem::take(&mut r.erred));
+        for at in erred {
+            let Some(e) = self.engines.get_mut(&at) else { continue };
+            e.proofs = e.proofs.saturating_add(1);
+            if e.proofs == ERROR_PROOFS {
+                e.stall(self.now);
+                actions.push(Action::Log { line: format!("engine={at} state=doubted why=errors") });
+            }
+        }
+    }
+
     /// What a served attempt teaches: the class's work, the engine's latency, the interval's output.
     fn learn(&mut self, class: usize, t: &Try, hinted: bool, took: f64, bill: Option<f64>, crowd: f64) {
         let threads = self.threads(class);
@@ -354,7 +389,10 @@
         let bill = bill.filter(|w| w.is_finite() && *w > 0.0);
         self.bills |= bill.is_some();
         let s = &mut self.stats[class];
-        if !hinted {
+        // Guard: an estimate counts once its query is served: anyone may send one, engines serve no nonsense.
+        if hinted {
+            s.see(t.est);
+        } else {
             s.see(bill.unwrap_or(took * threads / crowd)); // unbilled: latency less the crowding
         }
         let work = bill.unwrap_or(t.work);
@@ -589,7 +627,9 @@
             (Effect::Keyed(DedupScope::Cell), Some((_, cell, _))) => e.line.cell == cell,
             _ => true,
         };
-        e.usable() && placed && group && self.now >= e.shut_until.max(e.stalled_until)
+        // One in doubt is tried with one query at a time that may be sent again.
+        let doubt = e.doubted() && !(e.running.is_empty() && c.effect == Effect::Repeatable);
+        e.usable() && placed && group && !doubt && self.now >= e.shut_until.max(e.stalled_until)
     }
 
     fn price(&self, r: &Req, e: &Engine, homes: &[EngineId]) -> f64 {
@@ -605,8 +645,11 @@
         let home = if homeless { 1.0 } else { WARM_PRICE + (1.0 - WARM_PRICE) * rank };
         let away = self.set.crossing_price > 0.0 && e.line.zone != self.set.zone;
         let crossing = if away { CROSS_PRICE } else { 1.0 };
+        // It goes elsewhere after an error, where there is another engine.
+        let again = if r.erred.contains(&e.line.engine) { ERROR_PRICE } else { 0.0 };
+        let errors = 1.0 + ERROR_PRICE * e.errors + again;
         let tie = 1.0 + TIE_PRICE * (mix(e.hash ^ self.seed ^ r.seq) >> 11) as f64 / 2f64.powi(53);
-        (IDLE_PRICE + after / self.cores(e)) * self.slowness(e) * home * tie * apart * crossing
+        (IDLE_PRICE + after / self.cores(e)) * self.slowness(e) * home * tie * apart * crossing * errors
     }
 
     /// How much an engine's last report still tells; the rest is the fleet's mean.
@@ -786,7 +829,9 @@
     fn may_repeat(&self, id: RequestId) -> bool {
         let r = &self.reqs[&id];
         let rule = r.ran.is_none() || self.repeatable(r);
-        rule && r.attempts < self.set.attempts_cap && self.now + END_MARGIN_MS < r.due
+        rule && r.erred.len() < ERROR_ENGINES
+            && r.attempts < self.set.attempts_cap
+            && self.now + END_MARGIN_MS < r.due
     }
 
     /// Whether a waiter earns no place any more: in line once it would miss its aim, aside its client.
@@ -842,7 +887,9 @@
     fn end(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let Some(r) = self.reqs.get(&id) else { return };
         let alive = self.now < r.due;
-        if self.refusable(r) && alive {
+        // What several engines failed would only come back as it is.
+        let useless = r.erred.len() >= ERROR_ENGINES;
+        if self.refusable(r) && alive && !useless {
             let work: f64 = self.line.values().map(|i| self.work_of(&self.reqs[i])).sum();
             let wait = (2.0 * work / self.service_rate()).max(HOLD_OFF_MS).min(self.set.max_hold_off_ms);
             actions.push(Action::Refuse { id, hold_off_ms: wait });
@@ -900,6 +947,7 @@
         self.fit = Fit::new(start, now);
         (self.samples, self.slow, self.others, self.busy) = (0, 0.0, 0.0, 0.0);
         (self.fails, self.shut_until) = (0, 0.0);
+        (self.errors, self.proofs) = (0.0, 0);
     }
 
     /// A pause for new work, longer each time until it serves again.
@@ -908,6 +956,10 @@
         self.stalled_until = now + DOWN_MS.0 * f64::from(1 << self.stalls);
     }
 
+    fn doubted(&self) -> bool {
+        self.proofs >= ERROR_PROOFS
+    }
+
     fn usable(&self) -> bool {
         self.line.state == ListState::Ready
     }
--- a/src/clients/flight.rs
+++ b/src/clients/flight.rs
@@ -1,7 +1,8 @@
 //! Clients that speak Arrow Flight SQL. A query's GetFlightInfo only plans: it checks the call and hands out a
 //! ticket. The request counts as taken when DoGet brings the ticket, or DoPut an update.
 
-use super::{Front, figure};
+use super::Front;
+use super::seats::{Seat, Seats};
 use crate::core::{Answer, Body, ClientPort, Flow, Input, Kind, Taken, Why};
 use crate::interface::{Effect, RequestId};
 use crate::{rows, sql};
@@ -22,7 +23,8 @@
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore, oneshot};
+use tokio::sync::oneshot;
+use tokio::time::{sleep, timeout};
 use tonic::metadata::MetadataMap;
 use tonic::transport::Server;
 use tonic::transport::server::Connected;
@@ -38,21 +40,51 @@
 
 /// Serves the front until the program ends.
 pub(crate) async fn listen(listener: TcpListener, front: Front) {
-    let places = Arc::new(Semaphore::new(front.limits.flight_conns));
+    let seats = Seats::new(front.limits.flight_conns, front.counters.clone());
+    let (silence, ping) = (front.limits.client_silence, front.limits.keep_alive);
+    let counters = front.counters.clone();
     let streams = front.limits.open_per_client as u32;
     let message = front.limits.message_bytes;
     let service = FlightServiceServer::new(Flight { tickets: Arc::default(), front })
         .max_decoding_message_size(message);
-    let incoming = stream::unfold((listener, places), |(listener, places)| async move {
-        // As on the platform's front, what finds no place waits in the backlog.
-        let place = places.clone().acquire_owned().await.ok()?;
-        let item = listener.accept().await.map(|(stream, _)| {
-            let _ = stream.set_nodelay(true);
-            Held { stream, _place: place }
+    let incoming =
+        stream::unfold((listener, seats, counters), move |(listener, seats, counters)| async move {
+            let item = listener.accept().await;
+            let item = match item {
+                Ok((stream, _)) => {
+                    // As on the platform's front: an idle connection makes room, or this one waits.
+                    seats.room().await;
+                    let _ = stream.set_nodelay(true);
+                    let seat = Arc::new(seats.take());
+                    let (leaving, counters) = (seat.clone(), counters.clone());
+                    let leave = Box::pin(async move {
+                        tokio::select! {
+                            () = leaving.asked_to_leave() => {}
+                            // Guard: who connects and brings no call is closed in time.
+                            () = sleep(silence) => {
+                                if leaving.heard() {
+                                    leaving.asked_to_leave().await;
+                                } else {
+                                    counters.client_silent.up();
+                                }
+                            }
+                        }
+                    });
+                    Ok(Held { stream, seat, leave, left: false })
+                }
+                Err(e) => {
+                    seats.squeeze();
+                    sleep(Duration::from_millis(10)).await;
+                    Err(e)
+                }
+            };
+            Some((item, (listener, seats, counters)))
         });
-        Some((item, (listener, places)))
-    });
-    let server = Server::builder().max_concurrent_streams(streams).add_service(service);
+    let server = Server::builder()
+        .max_concurrent_streams(streams)
+        .http2_keepalive_interval(Some(ping.0))
+        .http2_keepalive_timeout(Some(ping.1))
+        .add_service(service);
     if let Err(e) = server.serve_with_incoming(incoming).await {
         eprintln!("magpiechute: the Flight SQL front ended: {e}");
     }
@@ -61,12 +93,17 @@
 /// A connection with its place among those allowed.
 struct Held {
     stream: TcpStream,
-    _place: OwnedSemaphorePermit,
+    seat: Arc<Seat>,
+    /// Resolves once the connection is to be closed.
+    leave: Pin<Box<dyn Future<Output = ()> + Send>>,
+    left: bool,
 }
 
 impl Connected for Held {
-    type ConnectInfo = ();
-    fn connect_info(&self) {}
+    type ConnectInfo = Arc<Seat>;
+    fn connect_info(&self) -> Arc<Seat> {
+        self.seat.clone()
+    }
 }
 
 impl AsyncRead for Held {
@@ -75,6 +112,11 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<std::io::Result<()>> {
+        // Its end, as if the client had closed: no call is open then.
+        if self.left || self.leave.as_mut().poll(cx).is_ready() {
+            self.left = true;
+            return Poll::Ready(Ok(()));
+        }
         Pin::new(&mut self.stream).poll_read(cx, buf)
     }
 }
@@ -148,6 +190,7 @@
     front: Front,
     id: RequestId,
     over: bool,
+    seat: Option<Arc<Seat>>,
 }
 
 impl Owed {
@@ -160,6 +203,7 @@
 impl Drop for Owed {
     fn drop(&mut self) {
         self.front.counters.client_conns_owing.down();
+        self.seat.iter().for_each(|seat| seat.closed());
         if !self.over && !self.front.core.try_tell(Input::Left(self.id)) {
             let (core, id) = (self.front.core.clone(), self.id);
             // While the program ends there is nobody left to tell.
@@ -233,7 +277,9 @@
         }
         let estimate = |key: &str| match text(key) {
             None => Ok(None),
-            Some(value) => figure(value).map(Some).ok_or_else(|| invalid(format!("{key} is no figure"))),
+            Some(value) => {
+                self.front.estimate(value).map(Some).ok_or_else(|| invalid(format!("{key} is no figure")))
+            }
         };
         if statement.trim().is_empty() {
             return Err(invalid("an empty statement"));
@@ -254,6 +300,9 @@
     }
 
     fn plan(&self, request: Request<FlightDescriptor>) -> Result<FlightInfo, Status> {
+        if let Some(seat) = request.extensions().get::<Arc<Seat>>() {
+            seat.speaks();
+        }
         let (metadata, _, descriptor) = request.into_parts();
         let any = any(&descriptor.cmd)?;
         let Some(query) = command::<CommandStatementQuery>(&any)? else {
@@ -307,7 +356,13 @@
     }
 
     /// Hands a request to the core and waits for its one final answer.
-    async fn serve(&self, call: Call, kind: Kind, metadata: &MetadataMap) -> Result<(Body, Owed), Status> {
+    async fn serve(
+        &self,
+        call: Call,
+        kind: Kind,
+        metadata: &MetadataMap,
+        seat: Option<Arc<Seat>>,
+    ) -> Result<(Body, Owed), Status> {
         let now = self.front.core.now();
         let timeout = match metadata.get("grpc-timeout") {
             None => None,
@@ -318,12 +373,13 @@
         let id = self.front.core.next_id();
         let (port, answer) = oneshot::channel();
         self.front.counters.client_conns_owing.up();
-        let mut owed = Owed { front: self.front.clone(), id, over: false };
+        seat.iter().for_each(|seat| seat.opened());
+        let mut owed = Owed { front: self.front.clone(), id, over: false, seat };
         let taken = Taken {
             id,
             name: call.name,
             class: call.class,
-            due_ms: now + left,
+            due_ms: self.front.due(now, call.class, left),
             cost_ms: call.cost_ms,
             memory_mb: call.memory_mb,
             dataset: sql::dataset(&call.statement).unwrap_or(0),
@@ -337,6 +393,7 @@
         match answer {
             Ok(Answer::Served(body)) => {
                 owed.over = body.rest.is_none();
+                owed.seat.iter().for_each(|seat| seat.known());
                 Ok((body, owed))
             }
             Ok(Answer::Refused { hold_off_ms }) => Err(refused(hold_off_ms)),
@@ -353,9 +410,10 @@
         &self,
         request: Request<Ticket>,
     ) -> Result<BoxStream<'static, Result<FlightData, Status>>, Status> {
+        let seat = request.extensions().get::<Arc<Seat>>().cloned();
         let (metadata, _, ticket) = request.into_parts();
         let (handle, call) = self.redeem(&ticket)?;
-        let (mut body, owed) = match self.serve(call.clone(), Kind::Query, &metadata).await {
+        let (mut body, owed) = match self.serve(call.clone(), Kind::Query, &metadata, seat).await {
             Ok(served) => served,
             Err(status) => {
                 // A refusal says that it never ran, so its ticket is good once more.
@@ -391,8 +449,12 @@
     }
 
     async fn put(&self, request: Request<Streaming<FlightData>>) -> Result<PutResult, Status> {
+        let seat = request.extensions().get::<Arc<Seat>>().cloned();
         let (metadata, _, mut input) = request.into_parts();
-        let first = input.message().await?.ok_or_else(|| invalid("no command"))?;
+        // Guard: a call that is opened and brings no command would be held for good.
+        let first = timeout(self.front.limits.client_silence, input.message()).await;
+        let first =
+            first.map_err(|_| invalid("no command in time"))??.ok_or_else(|| invalid("no command"))?;
         let descriptor = first.flight_descriptor.ok_or_else(|| invalid("no descriptor"))?;
         let any = any(&descriptor.cmd)?;
         let Some(update) = command::<CommandStatementUpdate>(&any)? else {
@@ -402,7 +464,7 @@
             return Err(Status::unimplemented("transactions are not offered"));
         }
         let call = self.call(&metadata, update.query)?;
-        let (body, _owed) = self.serve(call, Kind::Update, &metadata).await?;
+        let (body, _owed) = self.serve(call, Kind::Update, &metadata, seat).await?;
         let result = DoPutUpdateResult { record_count: rows::count(&body) };
         Ok(PutResult { app_metadata: result.encode_to_vec().into() })
     }
--- a/src/clients/mod.rs
+++ b/src/clients/mod.rs
@@ -3,6 +3,7 @@
 pub(crate) mod flight;
 pub(crate) mod msgpack;
 pub(crate) mod platform;
+pub(crate) mod seats;
 
 use crate::core::Handle;
 use crate::counters::Counters;
@@ -28,6 +29,17 @@
         self.parsed.classes.iter().position(|c| c.as_bytes() == name)
     }
 
+    /// When a client gives up. Guard: none waits for longer than its class does, whatever it says.
+    pub(crate) fn due(&self, now: f64, class: usize, allow: f64) -> f64 {
+        let usual = self.parsed.settings.classes.get(class).map_or(0.0, |c| c.give_up_ms);
+        now + allow.min(usual)
+    }
+
+    /// An estimate sent as text. Guard: one that no query has would reach engines and the module's means.
+    pub(crate) fn estimate(&self, text: &[u8]) -> Option<f64> {
+        figure(text).filter(|value| *value <= self.limits.estimate)
+    }
+
     /// A tenant by its name; where there are no tenants any name will do.
     pub(crate) fn knows_tenant(&self, name: &[u8]) -> bool {
         self.parsed.tenants.is_empty() || self.parsed.tenants.iter().any(|t| t.as_bytes() == name)
--- a/src/clients/platform.rs
+++ b/src/clients/platform.rs
@@ -1,6 +1,7 @@
 //! The platform's clients: MessagePack-RPC over TCP, one actor a connection.
 
 use super::msgpack::{self, Message};
+use super::seats::{Seat, Seats};
 use super::{Front, figure, is_ref};
 use crate::core::{Answer, Body, ClientPort, Input, Kind, Taken, Why};
 use crate::interface::RequestId;
@@ -10,29 +11,33 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, mpsc};
+use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep_until};
 
 /// Accepts clients for as long as the program runs, also while it stops.
 pub(crate) async fn listen(listener: TcpListener, front: Front) {
-    let places = Arc::new(Semaphore::new(front.limits.client_conns));
+    let seats = Seats::new(front.limits.client_conns, front.counters.clone());
     loop {
-        // A request counts once it is written to a connection that the machine accepted, so what finds no place
-        // waits in the backlog until idle connections have closed.
-        let Ok(place) = places.clone().acquire_owned().await else { return };
         match listener.accept().await {
             Ok((stream, _)) => {
-                let front = front.clone();
+                // Guard: some clients ask once and keep their connection for good. A request counts once it is
+                // written to a connection that the machine accepted, so one that idles makes room for it.
+                seats.room().await;
+                let (seat, front) = (seats.take(), front.clone());
                 tokio::spawn(async move {
                     front.counters.client_conns.up();
                     front.counters.client_conns_open.up();
-                    Connection::new(stream, front.clone()).run().await;
+                    Connection::new(stream, seat, front.clone()).run().await;
                     front.counters.client_conns_open.down();
-                    drop(place);
                 });
+                // What it sent along is read before a next one could ask it to leave.
+                tokio::task::yield_now().await;
             }
             // Out of descriptors, or a client that left at once: neither ends the program.
-            Err(_) => tokio::time::sleep(std::time::Duration::from_millis(10)).await,
+            Err(_) => {
+                seats.squeeze();
+                tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+            }
         }
     }
 }
@@ -58,6 +63,11 @@
     open: HashMap<RequestId, u64>,
     last: u64,
     idle_since: Instant,
+    /// Since when what is read is no whole message; from the start, as it is to begin with one.
+    half_since: Option<Instant>,
+    seat: Seat,
+    /// Calls that are no use, and calls over the limit.
+    faults: usize,
     /// Whether it is counted as owing an answer; the exit waits for those.
     owing: bool,
 }
@@ -66,6 +76,8 @@
 enum End {
     Closed,
     Malformed,
+    /// Silent or half-sent for too long.
+    Silent,
 }
 
 impl From<std::io::Error> for End {
@@ -75,7 +87,7 @@
 }
 
 impl Connection {
-    fn new(stream: TcpStream, front: Front) -> Connection {
+    fn new(stream: TcpStream, seat: Seat, front: Front) -> Connection {
         // One answer for each open request, and as many again for refusals on the spot.
         let (port, answers) = mpsc::channel(front.limits.open_per_client * 2);
         let _ = stream.set_nodelay(true);
@@ -88,15 +100,22 @@
             open: HashMap::new(),
             last: 0,
             idle_since: Instant::now(),
+            half_since: Some(Instant::now()),
+            seat,
+            faults: 0,
             owing: false,
             front,
         }
     }
 
     async fn run(mut self) {
-        if let Err(End::Malformed) = self.serve().await {
-            self.front.counters.client_malformed.up();
-            let _ = self.out.flush(&self.stream);
+        match self.serve().await {
+            Err(End::Malformed) => {
+                self.front.counters.client_malformed.up();
+                let _ = self.out.flush(&self.stream);
+            }
+            Err(End::Silent) => self.front.counters.client_silent.up(),
+            Ok(()) | Err(End::Closed) => {}
         }
         self.answers.close();
         if self.owing {
@@ -117,6 +136,8 @@
                 return Ok(());
             }
             let idle = self.idle_since + self.front.limits.client_idle;
+            let silent = self.half_since.map(|since| since + self.front.limits.client_silence);
+            let until = silent.map_or(idle, |at| at.min(idle));
             // A slow reader holds at most a few answers here: then nothing more is read from it.
             let held = self.out.waiting() > 2 * self.front.limits.answer_bytes as u64;
             tokio::select! {
@@ -128,12 +149,24 @@
                     ended = !net::read(&self.stream, &mut self.input, self.front.limits.message_bytes)?;
                     self.read().await?;
                 }
-                () = sleep_until(idle), if done => return Ok(()),
+                // Guard: a client that says nothing, or stops halfway through a message, is owed a close in time
+                // and holds bytes and a place until then. One that was answered may idle for longer.
+                () = sleep_until(until), if done => return if until < idle { Err(End::Silent) } else { Ok(()) },
+                () = self.seat.asked_to_leave(), if done => {
+                    // Not where a request has come in meanwhile.
+                    net::read(&self.stream, &mut self.input, self.front.limits.message_bytes)?;
+                    self.read().await?;
+                    if self.open.is_empty() && self.out.is_empty() {
+                        return Ok(());
+                    }
+                    self.seat.stays();
+                }
             }
         }
     }
 
     fn owe(&mut self) {
+        self.seat.busy(self.open.len() + usize::from(!self.out.is_empty()));
         let owes = !self.open.is_empty() || !self.out.is_empty();
         let gauge = &self.front.counters.client_conns_owing;
         match (std::mem::replace(&mut self.owing, owes), owes) {
@@ -157,8 +190,10 @@
                     }
                     self.last = id;
                     self.idle_since = Instant::now();
+                    self.half_since = None;
                     if method.as_ref() == b"health" {
                         let fit = !*self.front.stopping.borrow();
+                        self.seat.known();
                         self.out.push(msgpack::health(id, fit));
                         continue;
                     }
@@ -171,10 +206,12 @@
                         Ok(_) => {
                             self.front.counters.client_over_limit.up();
                             self.out.push(msgpack::error(id, "Overloaded", None));
+                            self.fault()?;
                         }
                         Err(error) => {
                             self.front.counters.client_bad_calls.up();
                             self.out.push(msgpack::error(id, error, None));
+                            self.fault()?;
                         }
                     }
                 }
@@ -185,12 +222,27 @@
                         self.front.core.tell(Input::Left(request)).await;
                     }
                 }
-                Message::Notice => self.front.counters.client_bad_calls.up(),
+                Message::Notice => {
+                    self.front.counters.client_bad_calls.up();
+                    self.fault()?;
+                }
             }
         }
+        // What stays in the buffer is half a message. Before the first call all counts as that, notices too.
+        if !self.input.is_empty() {
+            self.half_since.get_or_insert_with(Instant::now);
+        } else if self.last > 0 {
+            self.half_since = None;
+        }
         Ok(())
     }
 
+    /// Guard: a client that sends what is no use as fast as it is turned away would take the whole core.
+    fn fault(&mut self) -> Result<(), End> {
+        self.faults += 1;
+        if self.faults > self.front.limits.client_faults { Err(End::Malformed) } else { Ok(()) }
+    }
+
     /// What a call asks for, or the error that answers it.
     fn taken(
         &self,
@@ -203,18 +255,19 @@
         let (Some(fields), Some(statement)) = (fields, body) else { return Err("ArgumentError") };
         let name = fields.get("ref").filter(|r| is_ref(r)).ok_or("ArgumentError")?;
         let allow = fields.get("allow").and_then(|a| figure(a)).ok_or("ArgumentError")?;
+        let due_ms = self.front.due(now, class, allow);
         if !fields.get("project").is_some_and(|p| self.front.knows_tenant(p)) {
             return Err("ArgumentError");
         }
         let estimate = |field: &str| match fields.get(field) {
             None => Ok(None),
-            Some(text) => figure(text).map(Some).ok_or("ArgumentError"),
+            Some(text) => self.front.estimate(text).map(Some).ok_or("ArgumentError"),
         };
         Ok(Taken {
             id: self.front.core.next_id(),
             name: name.clone(),
             class,
-            due_ms: now + allow,
+            due_ms,
             cost_ms: estimate("effort")?,
             memory_mb: estimate("need_mb")?,
             dataset: sql::dataset(&statement).unwrap_or(0),
@@ -229,7 +282,10 @@
         let Some(message) = self.open.remove(&id) else { return };
         self.idle_since = Instant::now();
         match answer {
-            Answer::Served(body) => self.result(message, &body),
+            Answer::Served(body) => {
+                self.seat.known();
+                self.result(message, &body);
+            }
             Answer::Refused { hold_off_ms } => {
                 let wait = format!("{hold_off_ms:.0}");
                 let field = (hold_off_ms >= 1.0).then_some(("cooldown", wait.as_str()));
--- /dev/null
+++ b/src/clients/seats.rs
@@ -0,0 +1,174 @@
+//! Places for client connections. A newcomer finds one as long as any connection idles: the one that is least
+//! likely to be missed is asked to leave for it. So neither clients that keep a connection for good nor those
+//! that connect and say nothing keep others out.
+
+use crate::counters::Counters;
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// The places of one front.
+pub(crate) struct Seats {
+    places: usize,
+    /// Of these, for connections that have not been served yet.
+    strangers: usize,
+    held: Mutex<Held>,
+    freed: Notify,
+    counters: Arc<Counters>,
+}
+
+#[derive(Default)]
+struct Held {
+    next: u64,
+    seats: HashMap<u64, State>,
+}
+
+struct State {
+    /// An answer `served` went over it, or it was told that this program is fit.
+    known: bool,
+    /// It has brought a call.
+    heard: bool,
+    /// Requests open.
+    busy: u32,
+    since: Instant,
+    asked: bool,
+    leave: Arc<Notify>,
+}
+
+/// One connection's place, free again once this is dropped.
+pub(crate) struct Seat {
+    seats: Arc<Seats>,
+    id: u64,
+    leave: Arc<Notify>,
+}
+
+impl Seats {
+    pub(crate) fn new(places: usize, counters: Arc<Counters>) -> Arc<Seats> {
+        let (held, freed) = (Mutex::default(), Notify::new());
+        Arc::new(Seats { places, strangers: places.div_ceil(2), held, freed, counters })
+    }
+
+    fn held(&self) -> MutexGuard<'_, Held> {
+        self.held.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Waits until a newcomer may be let in: at once, unless every place has a request open.
+    pub(crate) async fn room(&self) {
+        loop {
+            let freed = self.freed.notified();
+            if self.make_room() {
+                return;
+            }
+            freed.await;
+        }
+    }
+
+    /// Guard: strangers make room for strangers first, so that a flood of them costs the clients that are served
+    /// here nothing. Those with a request open are never asked.
+    fn make_room(&self) -> bool {
+        let mut held = self.held();
+        let strangers = held.seats.values().filter(|s| !s.known && !s.asked).count();
+        let all = held.seats.values().filter(|s| !s.asked).count();
+        if strangers < self.strangers && all < self.places {
+            return true;
+        }
+        let idle = held.seats.values_mut().filter(|s| s.busy == 0 && !s.asked);
+        // Above their part a stranger goes, else whoever idles longest; a stranger before the others.
+        let only_strangers = strangers >= self.strangers;
+        let victim = idle.filter(|s| !(only_strangers && s.known)).min_by_key(|s| (s.known, s.since));
+        let Some(victim) = victim else { return all < self.places };
+        victim.asked = true;
+        victim.leave.notify_one();
+        self.counters.client_evicted.up();
+        true
+    }
+
+    /// Asks one idle connection to leave though there is a place: descriptors ran out first.
+    pub(crate) fn squeeze(&self) {
+        let mut held = self.held();
+        let idle = held.seats.values_mut().filter(|s| s.busy == 0 && !s.asked);
+        if let Some(victim) = idle.min_by_key(|s| (s.known, s.since)) {
+            victim.asked = true;
+            victim.leave.notify_one();
+            self.counters.client_evicted.up();
+        }
+    }
+
+    /// Takes a place for a connection that has been accepted.
+    pub(crate) fn take(self: &Arc<Seats>) -> Seat {
+        let mut held = self.held();
+        let (id, leave) = (held.next, Arc::new(Notify::new()));
+        held.next += 1;
+        let state = State {
+            known: false,
+            heard: false,
+            busy: 0,
+            since: Instant::now(),
+            asked: false,
+            leave: leave.clone(),
+        };
+        held.seats.insert(id, state);
+        Seat { seats: self.clone(), id, leave }
+    }
+}
+
+impl Seat {
+    fn with(&self, change: impl FnOnce(&mut State)) {
+        if let Some(state) = self.seats.held().seats.get_mut(&self.id) {
+            state.since = Instant::now();
+            change(state);
+        }
+    }
+
+    /// So many requests are open now.
+    pub(crate) fn busy(&self, open: usize) {
+        self.with(|s| s.busy = open as u32);
+        if open == 0 {
+            self.seats.freed.notify_one();
+        }
+    }
+
+    /// One more request is open, or one less.
+    pub(crate) fn opened(&self) {
+        self.with(|s| (s.busy, s.heard) = (s.busy + 1, true));
+    }
+
+    /// See `opened`.
+    pub(crate) fn closed(&self) {
+        self.with(|s| s.busy = s.busy.saturating_sub(1));
+        self.seats.freed.notify_one();
+    }
+
+    /// It has brought a call that opens no request.
+    pub(crate) fn speaks(&self) {
+        self.with(|s| s.heard = true);
+    }
+
+    /// Whether it has brought a call.
+    pub(crate) fn heard(&self) -> bool {
+        self.seats.held().seats.get(&self.id).is_some_and(|s| s.heard)
+    }
+
+    /// It has been served: no stranger any more.
+    pub(crate) fn known(&self) {
+        self.with(|s| s.known = true);
+    }
+
+    /// Resolves once another needs the place.
+    pub(crate) async fn asked_to_leave(&self) {
+        self.leave.notified().await;
+    }
+
+    /// It was asked, and goes on as a request came in: it may be asked again.
+    pub(crate) fn stays(&self) {
+        self.with(|s| s.asked = false);
+    }
+}
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        self.seats.held().seats.remove(&self.id);
+        self.seats.freed.notify_one();
+    }
+}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -637,7 +637,7 @@
 
     fn terms(&mut self, id: RequestId, memory_mb: f64, priority: u8) {
         let Some(open) = self.requests.get_mut(&id) else { return };
-        open.memory_mb = memory_mb;
+        open.memory_mb = memory_mb.clamp(0.0, self.limits.grant_mb);
         let before = std::mem::replace(&mut open.priority, priority.min(3));
         if let Some(out) = open.out.as_ref().filter(|_| before != open.priority) {
             self.engines.priority(out.engine, id, out.number, open.priority);
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -123,6 +123,12 @@
     reloads,
     /// Configurations read anew that cannot be used; the old one stays.
     reloads_bad,
+    /// Client connections that idled and made room for another.
+    client_evicted,
+    /// Client connections closed as they said nothing, or stopped halfway through a message.
+    client_silent,
+    /// Answers of engines to what was not asked, or is over: late, second or unknown.
+    engine_unasked,
 }
 
 impl fmt::Display for Counters {
--- a/src/engines/lines.rs
+++ b/src/engines/lines.rs
@@ -3,7 +3,7 @@
 
 use super::{House, Order};
 use crate::core::{Ask, Body, EngineNews, Form, Input};
-use crate::interface::{EngineId, ListState, LoadReport, Note, Outcome, RequestId};
+use crate::interface::{Effect, EngineId, ListState, LoadReport, Note, Outcome, RequestId};
 use crate::net::{self, Outbox};
 use bytes::{Bytes, BytesMut};
 use std::collections::{HashMap, VecDeque};
@@ -21,47 +21,109 @@
     mut orders: mpsc::Receiver<Order>,
     house: House,
 ) {
-    let mut conns: Vec<(mpsc::Sender<Order>, Arc<AtomicUsize>)> = Vec::new();
-    while let Some(order) = orders.recv().await {
-        conns.retain(|(conn, _)| !conn.is_closed());
+    let mut conns: Vec<Conn> = Vec::new();
+    // Holds no more than the core's attempts on this engine.
+    let (asks, mut returned) = mpsc::unbounded_channel();
+    let back = Back { asks, broken: Arc::default() };
+    loop {
+        let order = tokio::select! {
+            biased;
+            // First: what a closed connection gave back is placed before an order that could take it back.
+            Some(ask) = returned.recv() => Order::Ask(ask),
+            order = orders.recv() => match order {
+                Some(order) => order,
+                None => return,
+            },
+        };
+        conns.retain(|c| !c.orders.is_closed());
         let Order::Ask(ask) = order else {
             // Each connection knows its own attempts.
-            for (conn, _) in &conns {
-                let _ = conn.try_send(order.clone());
+            for conn in &conns {
+                let _ = conn.orders.try_send(order.clone());
             }
             continue;
         };
-        let room = |load: &Arc<AtomicUsize>| load.load(Ordering::Relaxed) < house.limits.streams_per_conn;
-        let mut order = Order::Ask(ask);
-        for (conn, load) in conns.iter().filter(|(_, load)| room(load)) {
-            load.fetch_add(1, Ordering::Relaxed);
-            match conn.try_send(order) {
-                Ok(()) => {
-                    order = Order::Listed(ListState::Ready);
-                    break;
-                }
-                Err(back) => {
-                    load.fetch_sub(1, Ordering::Relaxed);
-                    order = back.into_inner();
-                }
+        let once = house.parsed.settings.classes.get(ask.class).is_some_and(|c| c.effect == Effect::Once);
+        let place = place(&conns, once, &house);
+        let conn = match place {
+            Some(conn) => conn,
+            None => {
+                let (orders, mailbox) = mpsc::channel(house.limits.mailbox);
+                let load = Arc::new(Load::default());
+                let connection = Connection::new(engine, mailbox, back.clone(), load.clone(), house.clone());
+                house.counters.engine_conns_open.up();
+                tokio::spawn(connection.run(address));
+                conns.push(Conn { orders, load });
+                conns.len() - 1
+            }
+        };
+        conns[conn].load.add(once);
+        if let Err(refused) = conns[conn].orders.try_send(Order::Ask(ask)) {
+            conns[conn].load.take_off(once);
+            if let Order::Ask(ask) = refused.into_inner() {
+                ended(&house, engine, &ask, Outcome::NoConnection).await;
             }
         }
-        let Order::Ask(ask) = order else { continue };
-        if conns.len() >= house.limits.conns_per_engine {
-            // All connections carry what they may: it was not sent.
-            ended(&house, engine, &ask, Outcome::NoConnection).await;
-            continue;
-        }
-        let (conn, mailbox) = mpsc::channel(house.limits.mailbox);
-        let load = Arc::new(AtomicUsize::new(1));
-        if conn.try_send(Order::Ask(ask)).is_ok() {
-            let connection = Connection::new(engine, mailbox, load.clone(), house.clone());
-            tokio::spawn(connection.run(address));
-            conns.push((conn, load));
-        }
     }
 }
 
+/// The way back for attempts that a broken connection was never sent.
+#[derive(Clone)]
+struct Back {
+    asks: mpsc::UnboundedSender<Ask>,
+    /// Connections that ended since the engine last answered: where there are several, it is the engine's fault.
+    broken: Arc<AtomicUsize>,
+}
+
+/// One connection, as its engine's actor sees it.
+struct Conn {
+    orders: mpsc::Sender<Order>,
+    load: Arc<Load>,
+}
+
+/// Attempts that a connection carries: all, and those that may run once only.
+#[derive(Default)]
+struct Load {
+    all: AtomicUsize,
+    once: AtomicUsize,
+}
+
+impl Load {
+    fn add(&self, once: bool) {
+        self.all.fetch_add(1, Ordering::Relaxed);
+        self.once.fetch_add(usize::from(once), Ordering::Relaxed);
+    }
+
+    fn take_off(&self, once: bool) {
+        self.all.fetch_sub(1, Ordering::Relaxed);
+        self.once.fetch_sub(usize::from(once), Ordering::Relaxed);
+    }
+
+    fn now(&self) -> (usize, usize) {
+        (self.all.load(Ordering::Relaxed), self.once.load(Ordering::Relaxed))
+    }
+}
+
+/// Which connection carries one more attempt; none where a new one is to. Guard: one answer that cannot be read
+/// ends its connection and all that is on it, so what may run once only has one of its own, and others share one
+/// in small groups, as far as descriptors go.
+fn place(conns: &[Conn], once: bool, house: &House) -> Option<usize> {
+    let limits = &house.limits;
+    let loads = || conns.iter().map(|c| c.load.now()).enumerate();
+    let fits = |(all, loads): (usize, usize)| {
+        if once { all == 0 } else { loads == 0 && all < limits.streams_shared }
+    };
+    // The fullest of those that fit, so that the others idle out.
+    if let Some((i, _)) = loads().filter(|(_, load)| fits(*load)).max_by_key(|(i, load)| (load.0, *i)) {
+        return Some(i);
+    }
+    let open = house.counters.engine_conns_open.get() as usize;
+    if conns.is_empty() || conns.len() < limits.conns_per_engine && open < limits.engine_conns {
+        return None;
+    }
+    loads().min_by_key(|(_, (all, loads))| (*loads, *all)).map(|(i, _)| i)
+}
+
 async fn ended(house: &House, engine: EngineId, ask: &Ask, outcome: Outcome) {
     let news = EngineNews::Ended { outcome, billed_ms: None, billed_mb: None, body: None };
     let report = LoadReport::default();
@@ -89,7 +151,9 @@
 struct Connection {
     engine: EngineId,
     orders: mpsc::Receiver<Order>,
-    load: Arc<AtomicUsize>,
+    /// Where attempts go back to that it was never sent.
+    back: Back,
+    load: Arc<Load>,
     house: House,
     /// Attempts of which nothing is written yet.
     waiting: VecDeque<Ask>,
@@ -97,6 +161,8 @@
     input: BytesMut,
     out: Outbox,
     idle_since: Instant,
+    /// Since when what is read is no whole answer.
+    half_since: Option<Instant>,
     /// When a gone engine's connections are cut.
     cut: Option<Instant>,
     drained: bool,
@@ -108,12 +174,14 @@
     fn new(
         engine: EngineId,
         orders: mpsc::Receiver<Order>,
-        load: Arc<AtomicUsize>,
+        back: Back,
+        load: Arc<Load>,
         house: House,
     ) -> Connection {
         Connection {
             engine,
             orders,
+            back,
             load,
             house,
             waiting: VecDeque::new(),
@@ -121,6 +189,7 @@
             input: BytesMut::new(),
             out: Outbox::default(),
             idle_since: Instant::now(),
+            half_since: None,
             cut: None,
             drained: false,
             orphaned: false,
@@ -142,17 +211,30 @@
                 break None;
             }
         };
+        let up = stream.is_some();
         if let Some(stream) = stream {
             let _ = stream.set_nodelay(true);
             self.house.counters.engine_conns.up();
-            self.house.counters.engine_conns_open.up();
             let _ = self.serve(&stream, &mut ended).await;
-            self.house.counters.engine_conns_open.down();
         }
         self.orders.close();
         while let Ok(order) = self.orders.try_recv() {
             self.order(order, &mut ended);
         }
+        // Guard: a connection that was up and broke says nothing of attempts that it was never sent; they go over
+        // another one. All of this is done before anything waits, so that no order can miss them in between.
+        let broken = self.back.broken.fetch_add(1, Ordering::Relaxed);
+        if up && !self.drained && broken < self.house.limits.give_backs {
+            for ask in std::mem::take(&mut self.waiting) {
+                self.load.take_off(self.once(&ask));
+                if let Err(mpsc::error::SendError(ask)) = self.back.asks.send(ask) {
+                    // The engine's actor has ended.
+                    self.load.add(self.once(&ask));
+                    self.waiting.push_back(ask);
+                }
+            }
+        }
+        self.house.counters.engine_conns_open.down();
         self.report(&mut ended).await;
         for ask in std::mem::take(&mut self.waiting) {
             self.end(&ask, Outcome::NoConnection).await;
@@ -166,10 +248,14 @@
     }
 
     async fn end(&self, ask: &Ask, outcome: Outcome) {
-        self.load.fetch_sub(1, Ordering::Relaxed);
+        self.load.take_off(self.once(ask));
         ended(&self.house, self.engine, ask, outcome).await;
     }
 
+    fn once(&self, ask: &Ask) -> bool {
+        self.house.parsed.settings.classes.get(ask.class).is_some_and(|c| c.effect == Effect::Once)
+    }
+
     async fn report(&self, asks: &mut Vec<Ask>) {
         for ask in asks.drain(..) {
             self.end(&ask, Outcome::NoConnection).await;
@@ -189,10 +275,21 @@
             }
             let pages = self.attempts.values().filter_map(|a| a.pages.as_ref().map(|p| p.until)).min();
             let until = self.idle_since + self.house.limits.engine_idle;
-            let alarm = [pages, self.cut, idle.then_some(until)].into_iter().flatten().min();
+            let half = self.half_since.map(|since| since + self.house.limits.answer_stall);
+            let alarm = [pages, self.cut, half, idle.then_some(until)].into_iter().flatten().min();
             let alarm_at = alarm.unwrap_or_else(|| Instant::now() + self.house.limits.engine_idle);
             tokio::select! {
                 biased;
+                // First: a connection that broke while it idled is seen before anything is written to it.
+                ready = stream.readable() => {
+                    ready?;
+                    let open = net::read(stream, &mut self.input, self.house.limits.page_bytes * 2);
+                    // What came whole before the break counts.
+                    self.read().await?;
+                    if !open? {
+                        return Ok(());
+                    }
+                }
                 // Guard: a closed mailbox is ready at once and for ever, and would be all that is looked at.
                 order = self.orders.recv(), if !self.orphaned => match order {
                     Some(order) => self.order(order, unsent),
@@ -201,20 +298,16 @@
                         self.gone();
                     }
                 },
-                ready = stream.readable() => {
-                    ready?;
-                    let open = net::read(stream, &mut self.input, self.house.limits.page_bytes * 2)?;
-                    self.read().await?;
-                    if !open {
-                        return Ok(());
-                    }
-                }
                 ready = stream.writable(), if !self.out.is_empty() => ready?,
                 () = sleep_until(alarm_at) => {
                     let now = Instant::now();
                     if self.cut.is_some_and(|c| c <= now) || idle && until <= now {
                         return Ok(());
                     }
+                    // Guard: an answer that stops short leaves nothing behind it that could be read.
+                    if half.is_some_and(|h| h <= now) {
+                        return Err(self.malformed());
+                    }
                     self.late_pages(now).await;
                 }
             }
@@ -283,17 +376,18 @@
     }
 
     fn quit(&mut self, id: RequestId, attempt: u16) {
-        let before = self.waiting.len();
-        self.waiting.retain(|a| a.id != id || a.attempt != attempt);
-        let unsent = before - self.waiting.len();
+        if let Some(i) = self.waiting.iter().position(|a| a.id == id && a.attempt == attempt) {
+            let once = self.waiting.remove(i).is_some_and(|ask| self.once(&ask));
+            self.load.take_off(once);
+        }
         if let Some(name) = self.name_of(id, attempt) {
             // A query that has ended holds pages, one that has not runs on: each needs its own word.
-            let paged = self.attempts.remove(&name).is_some_and(|a| a.pages.is_some());
-            self.line(if paged { "FREE" } else { "QUIT" }, &name, None);
-            self.load.fetch_sub(1, Ordering::Relaxed);
-            self.idle_since = Instant::now();
+            if let Some(attempt) = self.attempts.remove(&name) {
+                self.line(if attempt.pages.is_some() { "FREE" } else { "QUIT" }, &name, None);
+                self.load.take_off(self.once(&attempt.ask));
+                self.idle_since = Instant::now();
+            }
         }
-        self.load.fetch_sub(unsent, Ordering::Relaxed);
     }
 
     fn line(&mut self, word: &str, name: &Bytes, number: Option<usize>) {
@@ -311,8 +405,18 @@
     async fn read(&mut self) -> Result<(), Broken> {
         loop {
             match take(&mut self.input, self.house.limits.line_bytes, self.house.limits.page_bytes) {
-                Ok(Some(reply)) => self.reply(reply).await?,
-                Ok(None) => return Ok(()),
+                Ok(Some(reply)) => {
+                    self.half_since = None;
+                    self.reply(reply).await?;
+                }
+                Ok(None) if self.input.is_empty() => {
+                    self.half_since = None;
+                    return Ok(());
+                }
+                Ok(None) => {
+                    self.half_since.get_or_insert_with(Instant::now);
+                    return Ok(());
+                }
                 Err(broken) => {
                     self.house.counters.engine_malformed.up();
                     return Err(broken);
@@ -323,15 +427,23 @@
 
     async fn reply(&mut self, reply: Reply) -> Result<(), Broken> {
         self.idle_since = Instant::now();
+        self.back.broken.store(0, Ordering::Relaxed);
         let report = self.load_report(reply.field("l"));
         let Some(attempt) = self.attempts.get_mut(&reply.name) else {
-            return Ok(()); // given up meanwhile
+            // Given up meanwhile, or never asked: the connection is good all the same.
+            self.house.counters.engine_unasked.up();
+            return Ok(());
         };
         let (id, number) = (attempt.ask.id, attempt.ask.attempt);
         let outcome = match reply.word.as_ref() {
+            // Guard: a good answer may come twice. The copy says nothing, and what else is open goes on.
+            b"served" if attempt.pages.is_some() => {
+                self.house.counters.engine_unasked.up();
+                return Ok(());
+            }
             b"served" => {
-                let all = reply.field("batches").and_then(number_of).unwrap_or(1) as usize;
-                if attempt.pages.is_some() || all == 0 || all > self.house.limits.pages {
+                let all = reply.field("batches").and_then(number_of).unwrap_or(0) as usize;
+                if all == 0 || all > self.house.limits.pages || !rows_of(&reply.body) {
                     return Err(self.malformed());
                 }
                 let mut got = vec![None; all];
@@ -349,10 +461,24 @@
             b"rows" => {
                 let page = reply.field("batch").and_then(number_of).map(|n| n as usize);
                 let place = page.and_then(|n| attempt.pages.as_mut().and_then(|p| p.got.get_mut(n)));
-                let Some(place) = place.filter(|p| p.is_none()) else { return Err(self.malformed()) };
+                let Some(place) = place.filter(|p| p.is_none()) else {
+                    self.house.counters.engine_unasked.up();
+                    return Ok(());
+                };
+                if !rows_of(&reply.body) {
+                    return Err(self.malformed());
+                }
                 *place = Some(reply.body.clone());
                 if let Some(pages) = &mut attempt.pages {
                     pages.until = Instant::now() + self.house.limits.page_wait;
+                    // Guard: a result that outgrew what a client takes is not collected to its end.
+                    let size: usize = pages.got.iter().flatten().map(Bytes::len).sum();
+                    if size > self.house.limits.answer_bytes {
+                        let Some(attempt) = self.attempts.remove(&reply.name) else { return Ok(()) };
+                        self.line("FREE", &reply.name, None);
+                        self.end(&attempt.ask, Outcome::Error).await;
+                        return Ok(());
+                    }
                 }
                 return self.whole(&reply.name).await;
             }
@@ -380,8 +506,9 @@
             b"nobody" => Outcome::Moot,
             _ => return Err(self.malformed()),
         };
-        self.attempts.remove(&reply.name);
-        self.load.fetch_sub(1, Ordering::Relaxed);
+        if let Some(attempt) = self.attempts.remove(&reply.name) {
+            self.load.take_off(self.once(&attempt.ask));
+        }
         let news = EngineNews::Ended { outcome, billed_ms: None, billed_mb: None, body: None };
         self.house.core.tell(Input::Engine { engine: self.engine, id, attempt: number, report, news }).await;
         Ok(())
@@ -399,7 +526,7 @@
             return Ok(());
         }
         let Some(Attempt { ask, pages: Some(pages), .. }) = self.attempts.remove(name) else { return Ok(()) };
-        self.load.fetch_sub(1, Ordering::Relaxed);
+        self.load.take_off(self.once(&ask));
         let pieces: Vec<Bytes> = pages.got.into_iter().flatten().collect();
         let fits = pages.all == pieces.len()
             && pieces.iter().map(Bytes::len).sum::<usize>() <= self.house.limits.answer_bytes;
@@ -470,6 +597,13 @@
     }
 }
 
+/// Whether a page can be one: whole rows of text. What looks like noise is not passed on.
+fn rows_of(page: &[u8]) -> bool {
+    let fine = |c: char| !c.is_control() || c == '\t' || c == '\n';
+    page.last().is_none_or(|b| *b == b'\n')
+        && std::str::from_utf8(page).is_ok_and(|text| text.chars().all(fine))
+}
+
 fn number_of(text: &[u8]) -> Option<u32> {
     std::str::from_utf8(text).ok()?.parse().ok()
 }
@@ -495,6 +629,11 @@
     let name = at(name, 0);
     let word = at(word, name.end + 1);
     let fields = at(fields, word.end + 1);
+    // A name, a word and FIELDS: what is none of these was not meant as an answer.
+    let pairs = |f: &[u8]| f == b"-" || f.split(|b| *b == b',').all(|p| p.contains(&b'='));
+    if !crate::clients::is_ref(&line[name.clone()]) || !pairs(&line[fields.clone()]) {
+        return Err(Broken);
+    }
     let body = end + 1..end + 1 + length;
     if buffer.len() < body.end + 2 {
         return Ok(None);
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -13,9 +13,13 @@
     pub message_depth: usize,
     /// Fields read of one map.
     pub message_fields: usize,
+    /// Largest estimate of work in ms or memory in MB that a client may name.
+    pub estimate: f64,
+    /// Most memory granted to one query, in MB.
+    pub grant_mb: f64,
     /// Open requests on one client connection.
     pub open_per_client: usize,
-    /// Client connections; more wait in the listener's backlog.
+    /// Client connections; for more an idle one makes room, or they wait in the listener's backlog.
     pub client_conns: usize,
     /// Requests open at once.
     pub open: usize,
@@ -31,6 +35,12 @@
     pub pages: usize,
     /// Attempts on one engine connection.
     pub streams_per_conn: usize,
+    /// Attempts that share a connection while there are descriptors for more of them.
+    pub streams_shared: usize,
+    /// Connections to all engines, past which one more each is all there is.
+    pub engine_conns: usize,
+    /// Connections in a row that may break before they had an answer, and give back what they were never sent.
+    pub give_backs: usize,
     /// Connections to one engine.
     pub conns_per_engine: usize,
     /// Engines held from the list.
@@ -59,8 +69,14 @@
     pub connect: Duration,
     /// Own close of an idle engine connection, well before the engine's: a request never crosses one.
     pub engine_idle: Duration,
+    /// Own close of a client connection that has not begun with a call, or stops halfway through one.
+    pub client_silence: Duration,
+    /// Calls that are no use on one connection until it is closed.
+    pub client_faults: usize,
     /// Own close of an idle client connection; clients close theirs sooner.
     pub client_idle: Duration,
+    /// Wait for the rest of an answer of an engine that has begun.
+    pub answer_stall: Duration,
     /// Wait for a page of a result: an engine that fell silent between pages is given up.
     pub page_wait: Duration,
     /// An engine told gone is given this long to reset its connections before they are cut.
@@ -90,16 +106,21 @@
             message_bytes: 64 * 1024,
             message_depth: 8,
             message_fields: 64,
+            estimate: 1e8,
+            grant_mb: parsed.grant_mb,
             open_per_client: 32,
             client_conns: clients,
             open: parsed.max_open.min(4096),
             open_bytes: 32 << 20,
             answer_bytes: 48_000,
             line_bytes: 4096,
-            page_bytes: 64 * 1024,
+            page_bytes: 6_000,
             pages: 256,
             streams_per_conn: parsed.streams_per_conn,
-            conns_per_engine: (sockets / 4 / engines).clamp(1, 4),
+            streams_shared: 4,
+            give_backs: 3,
+            engine_conns: sockets / 4,
+            conns_per_engine: (sockets / 12).clamp(1, 24),
             engines,
             mailbox: 1024,
             flight_conns: (sockets / 8).max(4),
@@ -113,7 +134,10 @@
             frame_bytes: 1 << 20,
             connect: millis(parsed.connect_timeout_ms),
             engine_idle: millis(parsed.conn_idle_ms * 0.6),
+            client_silence: Duration::from_millis(2000),
+            client_faults: 64,
             client_idle: Duration::from_secs(30),
+            answer_stall: Duration::from_millis(1500),
             page_wait: Duration::from_millis(2000),
             gone_grace: Duration::from_millis(500),
             feed_silence: Duration::from_millis(2500),
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -150,6 +150,10 @@
     #[serde(default)]
     takes_grants: bool,
     #[serde(default)]
+    kind_memory_mb: Vec<f64>,
+    #[serde(default = "one")]
+    max_grant_share: f64,
+    #[serde(default)]
     progress_ms: f64,
 }
 
@@ -176,6 +180,8 @@
     pub conn_idle_ms: f64,
     /// Attempts that one connection carries at once.
     pub streams_per_conn: usize,
+    /// Most memory that any engine grants one query, in MB.
+    pub grant_mb: f64,
     /// Requests that may be open at once.
     pub max_open: usize,
 }
@@ -224,6 +230,8 @@
         "on_probe" => ReportMode::OnProbe,
         _ => ReportMode::Off,
     };
+    let largest = s.specifics.kind_memory_mb.iter().copied().fold(0.0, f64::max);
+    let grant_mb = largest * s.specifics.max_grant_share.clamp(0.0, 1.0);
     let classes_named = s.classes.iter().map(|c| c.name.clone()).collect();
     let settings = Settings {
         instances: s.n_instances,
@@ -259,6 +267,7 @@
         connect_timeout_ms: s.limits.connect_timeout_ms,
         conn_idle_ms: s.limits.conn_idle_ms,
         streams_per_conn: s.limits.streams_per_conn.max(1),
+        grant_mb: if grant_mb >= 1.0 { grant_mb } else { 1e6 },
         max_open: s.limits.max_open.max(1),
     })
 }
--- a/tests/scene/engines.rs
+++ b/tests/scene/engines.rs
@@ -269,6 +269,13 @@
                     read.read_exact(&mut body).await.expect("statement");
                     let body = String::from_utf8(body).expect("text");
                     assert!(body.ends_with("\r\n") && words[2].contains("patience="), "{line}");
+                    // Whatever a client wrote, an engine gets figures that it can use.
+                    let figures =
+                        words[2].split(',').filter(|f| !f.starts_with("sort=")).map(|f| f.split_once('='));
+                    let fine = |f: Option<(&str, &str)>| {
+                        f.is_some_and(|(_, n)| n.parse().is_ok_and(|n: u32| n < 10_000_000))
+                    };
+                    assert!(figures.into_iter().all(fine), "{line}");
                     labels.insert(id.clone(), label(body.trim_end()));
                 }
                 let (label, once) = labels.get(&id).cloned().expect("an id that was asked");
