Send loads over proven connections; fit all bounds to the machine; forget what has gone

Checked by a trace of each request's connection: of requests on connections idle for 100 ms to 1 s, 115 of 330 were reset as they came, of those on connections idle for under 50 ms none of 289 at once, on new ones 18 of 570, on busy ones 12 of 4224. Ruled out: a close of the engine seen too late (the reset answers the request), engine health. At fault: place() in lines.rs, which gave a load the idle connection of its engine. Now a load takes a connection that answered in the last 40 ms, else a new one; others take the one heard last. Limits now follow memory_mb and sockets, and a test sums them up. Fleet kept the actors of engines that a whole list left out, the core the alarms of requests long over: both go, shown by count over 3000 replacements. A feed frame dripping byte by byte could take 5 s; it is due whole in 2.5 s. Conclusion: the age of a connection's last answer is what tells whether it can be relied on.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -238,6 +238,11 @@
         self.pump(actions);
     }
 
+    /// How many requests, waiters, keys and engines it holds.
+    pub fn held(&self) -> [usize; 4] {
+        [self.reqs.len(), self.line.len(), self.keys.len(), self.engines.len()]
+    }
+
     fn on_list(&mut self, kind: ListKind, entries: Vec<EngineEntry>) {
         if kind == ListKind::Failed {
             self.asked = false;
--- a/src/clients/flight.rs
+++ b/src/clients/flight.rs
@@ -166,6 +166,7 @@
 struct Tickets {
     held: HashMap<Bytes, Call>,
     order: VecDeque<Bytes>,
+    bytes: usize,
 }
 
 #[derive(Clone)]
@@ -327,9 +328,12 @@
         if tickets.held.insert(handle.clone(), call).is_none() {
             tickets.order.push_back(handle);
         }
-        while tickets.order.len() > self.front.limits.tickets {
+        tickets.bytes = tickets.held.values().map(|c| c.statement.len()).sum();
+        let limits = &self.front.limits;
+        while tickets.order.len() > limits.tickets || tickets.bytes > limits.ticket_bytes {
             let Some(oldest) = tickets.order.pop_front() else { break };
-            tickets.held.remove(&oldest);
+            let forgotten = tickets.held.remove(&oldest).map_or(0, |c| c.statement.len());
+            tickets.bytes -= forgotten;
         }
     }
 
--- a/src/clients/mod.rs
+++ b/src/clients/mod.rs
@@ -7,7 +7,7 @@
 
 use crate::core::Handle;
 use crate::counters::Counters;
-use crate::limits::Limits;
+use crate::limits::{Limits, Stock};
 use crate::settings::Parsed;
 use std::sync::Arc;
 use tokio::sync::watch;
@@ -21,6 +21,14 @@
     pub(crate) counters: Arc<Counters>,
     /// True once the program was asked to stop.
     pub(crate) stopping: watch::Receiver<bool>,
+    pub(crate) stocks: Arc<Stocks>,
+}
+
+/// Bytes that all connections hold together.
+#[derive(Default)]
+pub(crate) struct Stocks {
+    pub(crate) input: Arc<Stock>,
+    pub(crate) output: Arc<Stock>,
 }
 
 impl Front {
--- a/src/clients/platform.rs
+++ b/src/clients/platform.rs
@@ -5,6 +5,7 @@
 use super::{Front, figure, is_ref};
 use crate::core::{Answer, Body, ClientPort, Input, Kind, Taken, Why};
 use crate::interface::RequestId;
+use crate::limits::Hold;
 use crate::net::{self, Outbox};
 use crate::{rows, sql};
 use bytes::{Bytes, BytesMut};
@@ -66,6 +67,8 @@
     /// Since when what is read is no whole message; from the start, as it is to begin with one.
     half_since: Option<Instant>,
     seat: Seat,
+    /// Bytes held in `input` and `out`.
+    held: (Hold, Hold),
     /// Calls that are no use, and calls over the limit.
     faults: usize,
     /// Whether it is counted as owing an answer; the exit waits for those.
@@ -102,6 +105,7 @@
             idle_since: Instant::now(),
             half_since: Some(Instant::now()),
             seat,
+            held: (Hold::new(&front.stocks.input), Hold::new(&front.stocks.output)),
             faults: 0,
             owing: false,
             front,
@@ -148,6 +152,10 @@
                     ready?;
                     ended = !net::read(&self.stream, &mut self.input, self.front.limits.message_bytes)?;
                     self.read().await?;
+                    // Guard: half messages of many clients could fill the memory together.
+                    if !self.held.0.set(self.input.len(), self.front.limits.input_bytes) {
+                        return Err(End::Malformed);
+                    }
                 }
                 // Guard: a client that says nothing, or stops halfway through a message, is owed a close in time
                 // and holds bytes and a place until then. One that was answered may idle for longer.
@@ -166,7 +174,9 @@
     }
 
     fn owe(&mut self) {
-        self.seat.busy(self.open.len() + usize::from(!self.out.is_empty()));
+        let waiting = self.out.waiting() as usize;
+        self.held.1.set(waiting, self.front.limits.output_bytes);
+        self.seat.busy(self.open.len() + usize::from(waiting > 0));
         let owes = !self.open.is_empty() || !self.out.is_empty();
         let gauge = &self.front.counters.client_conns_owing;
         match (std::mem::replace(&mut self.owing, owes), owes) {
@@ -306,6 +316,13 @@
             self.out.push(msgpack::error(message, "Internal", None));
             return;
         };
+        // Guard: answers that nobody takes could fill the memory; this one fails and says so.
+        let waiting = self.out.waiting() as usize + size(&pieces);
+        if !self.held.1.set(waiting, self.front.limits.output_bytes) {
+            self.front.counters.client_over_limit.up();
+            self.out.push(msgpack::error(message, "Internal", None));
+            return;
+        }
         self.out.push(msgpack::result_head(message, size(&pieces)));
         for piece in pieces {
             self.out.push(piece);
--- a/src/config.rs
+++ b/src/config.rs
@@ -52,6 +52,8 @@
     pub seed: u64,
     /// Descriptors it may hold.
     pub sockets: usize,
+    /// Memory that it may use, in MB.
+    pub memory_mb: usize,
     /// Where the control feed listens.
     pub feed: SocketAddr,
     /// Number of the last event known.
@@ -82,11 +84,13 @@
 struct Machine {
     #[serde(default = "sockets")]
     sockets: usize,
+    #[serde(default = "memory")]
+    memory_mb: f64,
 }
 
 impl Default for Machine {
     fn default() -> Self {
-        Machine { sockets: sockets() }
+        Machine { sockets: sockets(), memory_mb: memory() }
     }
 }
 
@@ -94,6 +98,10 @@
     1024
 }
 
+fn memory() -> f64 {
+    192.0
+}
+
 #[derive(Default, Deserialize)]
 struct Known {
     #[serde(default)]
@@ -201,6 +209,7 @@
             listen: file.listen,
             seed,
             sockets: file.limits.sockets.max(64),
+            memory_mb: (file.limits.memory_mb as usize).max(32),
             feed: file.feed,
             known: file.known.n,
             events,
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -15,7 +15,7 @@
 use crate::limits::Limits;
 use bytes::Bytes;
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, HashSet};
 use std::sync::Arc;
 use tokio::sync::mpsc;
 
@@ -150,6 +150,8 @@
     fn priority(&mut self, engine: EngineId, id: RequestId, attempt: u16, priority: u8);
     /// The list's word on an engine: nothing new may go where it is not ready.
     fn listed(&mut self, line: &Listed);
+    /// The list names it no longer.
+    fn dropped(&mut self, engine: EngineId);
 }
 
 /// News from an engine's side of the house.
@@ -222,6 +224,10 @@
     Silence(RequestId, u16),
 }
 
+/// Alarms kept at most, for each request that is open and besides.
+const ALARMS_EACH: usize = 8;
+const ALARMS_SPARE: usize = 1024;
+
 /// A point in time with a total order.
 #[derive(Clone, Copy, PartialEq)]
 struct At(Millis);
@@ -254,6 +260,8 @@
     /// Bytes of their statements.
     held_bytes: usize,
     ready: BTreeMap<EngineId, bool>,
+    /// Engines that the list names, ready or not.
+    known: BTreeSet<EngineId>,
     alarms: BinaryHeap<Reverse<(At, u64, Alarm)>>,
     armed: u64,
     actions: Vec<Action>,
@@ -283,6 +291,7 @@
             names: HashSet::new(),
             held_bytes: 0,
             ready: BTreeMap::new(),
+            known: BTreeSet::new(),
             alarms: BinaryHeap::new(),
             armed: 0,
             actions: Vec::new(),
@@ -299,6 +308,13 @@
         self.requests.len()
     }
 
+    /// How many entries are held for requests, engines and alarms: here, and in the module.
+    pub fn held(&self) -> ([usize; 4], [usize; 4]) {
+        let core =
+            [self.requests.len(), self.names.len(), self.ready.len() + self.known.len(), self.alarms.len()];
+        (core, self.gateway.held())
+    }
+
     /// When the next alarm is due.
     pub fn next_alarm(&self) -> Option<Millis> {
         self.alarms.peek().map(|Reverse((at, ..))| at.0)
@@ -406,11 +422,22 @@
     fn list(&mut self, now: Millis, event: ListEvent) {
         if event.kind == ListKind::Full {
             let named: Vec<EngineId> = event.entries.iter().map(|l| l.entry.engine).collect();
-            self.ready.iter_mut().filter(|(id, _)| !named.contains(id)).for_each(|(_, ready)| *ready = false);
+            // Guard: an engine that a whole list leaves out is gone for good; nothing of it stays.
+            let dropped: Vec<EngineId> =
+                self.known.iter().copied().filter(|id| !named.contains(id)).collect();
+            for id in dropped {
+                self.known.remove(&id);
+                self.ready.remove(&id);
+                self.engines.dropped(id);
+            }
         }
         for line in &event.entries {
             // Guard: sends to what drains or is gone end here, whatever the module holds.
             self.ready.insert(line.entry.engine, line.entry.state == ListState::Ready);
+            match line.entry.state {
+                ListState::Gone => self.known.remove(&line.entry.engine),
+                _ => self.known.insert(line.entry.engine),
+            };
             self.engines.listed(line);
         }
         self.ready.retain(|_, ready| *ready);
@@ -536,6 +563,18 @@
     fn arm(&mut self, at: Millis, alarm: Alarm) {
         self.armed += 1;
         self.alarms.push(Reverse((At(at), self.armed, alarm)));
+        // Guard: alarms of requests that are over wait for a time that may be far; many short requests would pile
+        // them up. Each request has its deadline, and for the attempt that is out two more.
+        if self.alarms.len() > ALARMS_SPARE + ALARMS_EACH * self.requests.len() {
+            let requests = &self.requests;
+            self.alarms.retain(|Reverse((.., alarm))| match alarm {
+                Alarm::Module(_) => true,
+                Alarm::Deadline(id) => requests.contains_key(id),
+                Alarm::Quit(id, n) | Alarm::Silence(id, n) => {
+                    requests.get(id).and_then(|r| r.out.as_ref()).is_some_and(|out| out.number == *n)
+                }
+            });
+        }
     }
 
     /// Hands the module one event, carries out what it wants, and what follows from that at once.
@@ -684,3 +723,99 @@
 pub fn never_ran(outcome: Outcome) -> bool {
     matches!(outcome, Outcome::Full | Outcome::NoConnection | Outcome::Moot)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::config::engine_id;
+    use crate::settings;
+
+    /// Engines that take attempts and say nothing.
+    #[derive(Default)]
+    struct Silent(Vec<EngineId>);
+
+    impl EnginePort for Silent {
+        fn ask(&mut self, engine: EngineId, _: Ask) -> bool {
+            self.0.push(engine);
+            true
+        }
+        fn quit(&mut self, _: EngineId, _: RequestId, _: u16) {}
+        fn priority(&mut self, _: EngineId, _: RequestId, _: u16, _: u8) {}
+        fn listed(&mut self, _: &Listed) {}
+        fn dropped(&mut self, _: EngineId) {}
+    }
+
+    struct Nobody;
+
+    impl ClientPort for Nobody {
+        fn answer(&self, _: RequestId, _: Answer) {}
+    }
+
+    /// Guard: nothing grows with what was ever seen. A long day in which engines are replaced, some left out of a
+    /// whole list and never told gone, and clients leave, time out or are served.
+    #[test]
+    fn nothing_grows_with_a_long_day() {
+        let text = r#"{"nInstances":1,"classes":[{"name":"a","effect":"once","promiseMs":500,"giveUpMs":20000},
+            {"name":"b","effect":"repeatable","promiseMs":500,"giveUpMs":20000}],
+            "guarantees":{"coldMs":1000,"coldShare":0.3,"overloadForMs":1500,"tipMultiple":3},
+            "limits":{"attemptsCap":6,"cancel":true},"shapes":["std-8c"],"specifics":{"sizeCores":[8],"progressMs":500}}"#;
+        let parsed = settings::parse(text.as_bytes()).expect("settings");
+        let limits = Arc::new(Limits::new(256, 32, true, &parsed));
+        let mut core =
+            Core::new(parsed.settings, 7, Silent::default(), limits, Arc::default()).expect("core");
+        core.begin(0.0);
+        let line = |n: u32, state| Listed {
+            entry: EngineEntry { engine: engine_id(n), state, nominal: 1.0, ..EngineEntry::default() },
+            address: ([127, 0, 0, 1], 1).into(),
+        };
+        let (mut now, mut most) = (0.0, ([0; 4], [0; 4]));
+        for round in 0..3000 {
+            now += 20.0;
+            core.alarms(now);
+            let next = round / 10 + 1;
+            let (kind, entries) = match round % 10 {
+                0 if next % 2 == 0 => (ListKind::Full, vec![line(next, ListState::Ready)]),
+                0 => (ListKind::Delta, vec![line(next, ListState::Ready), line(next - 1, ListState::Gone)]),
+                _ => (ListKind::Delta, Vec::new()),
+            };
+            core.handle(now, Input::List(ListEvent { number: 0, kind, entries }));
+            for n in 0..20 {
+                let id = round * 20 + n;
+                core.handle(
+                    now,
+                    Input::Take(Taken {
+                        id,
+                        name: id.to_be_bytes().to_vec().into(),
+                        class: (n % 2) as usize,
+                        due_ms: now + if n < 5 { 300.0 } else { 20_000.0 },
+                        cost_ms: Some(50.0),
+                        memory_mb: None,
+                        dataset: id,
+                        statement: Bytes::new(),
+                        kind: Kind::Query,
+                        client: Arc::new(Nobody),
+                    }),
+                );
+                if n >= 10 {
+                    core.handle(now, Input::Left(id));
+                } else if let (5.., Some(engine)) = (n, core.engines.0.last().copied()) {
+                    let body = Some(Body::whole(Form::Text, Vec::new()));
+                    let news =
+                        EngineNews::Ended { outcome: Outcome::Ok, billed_ms: None, billed_mb: None, body };
+                    let report = LoadReport::default();
+                    core.handle(now, Input::Engine { engine, id, attempt: 0, report, news });
+                    core.handle(now, Input::Left(id));
+                }
+            }
+            let held = core.held();
+            if round == 999 {
+                most = held;
+            }
+        }
+        let end = core.held();
+        for (end, most) in end.0.iter().chain(&end.1).zip(most.0.iter().chain(&most.1)) {
+            assert!(*end <= most + most / 2 + 8, "{:?} grew from {most:?}", core.held());
+        }
+        assert!(end.0[3] < 2500 && end.0[2] < 10 && end.1[3] < 10, "{end:?}");
+    }
+}
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -20,7 +20,7 @@
 }
 
 /// Those that also go down.
-const GAUGES: [&str; 4] = ["client_conns_open", "client_conns_owing", "engine_conns_open", "open"];
+const GAUGES: [&str; 5] = ["engines", "client_conns_open", "client_conns_owing", "engine_conns_open", "open"];
 
 /// Whether a name is a gauge's and not a counter's.
 pub fn is_gauge(name: &str) -> bool {
@@ -42,6 +42,11 @@
         self.0.fetch_sub(1, Ordering::Relaxed);
     }
 
+    /// Sets it: for gauges.
+    pub fn set(&self, value: usize) {
+        self.0.store(value as u64, Ordering::Relaxed);
+    }
+
     /// The value.
     pub fn get(&self) -> u64 {
         self.0.load(Ordering::Relaxed)
@@ -129,6 +134,8 @@
     client_silent,
     /// Answers of engines to what was not asked, or is over: late, second or unknown.
     engine_unasked,
+    /// Engines known from the list.
+    engines,
 }
 
 impl fmt::Display for Counters {
--- a/src/engines/flight.rs
+++ b/src/engines/flight.rs
@@ -5,6 +5,7 @@
 use crate::clients::flight::{CLASS, REF};
 use crate::core::{Ask, Body, EngineNews, Flow, Form, Input, Kind};
 use crate::interface::{EngineId, ListState, LoadReport, Outcome, RequestId};
+use crate::limits::Hold;
 use crate::rows;
 use arrow_flight::flight_service_client::FlightServiceClient;
 use arrow_flight::sql::{CommandStatementQuery, CommandStatementUpdate, DoPutUpdateResult, ProstMessageExt};
@@ -224,6 +225,7 @@
     let info = client.get_flight_info(dress(link, ask, descriptor)).await?.into_inner();
     let mut held: Vec<Bytes> = Vec::new();
     let (mut size, mut flow) = (0, None::<mpsc::Sender<Flow>>);
+    let mut hold = Hold::new(&link.house.held);
     for (part, endpoint) in info.endpoint.into_iter().enumerate() {
         let ticket = endpoint.ticket.ok_or(Lost(Outcome::Error))?;
         let response = client.do_get(dress(link, ask, ticket)).await?;
@@ -243,6 +245,10 @@
                 continue;
             }
             held.push(piece);
+            // Guard: results that are not whole yet could fill the memory together.
+            if !hold.set(size, limits.held_bytes) {
+                return Err(Lost(Outcome::Error));
+            }
             if size > limits.flight_held_bytes {
                 let (to, rest) = mpsc::channel(limits.flight_pieces);
                 let body = Body { form: Form::Arrow, pieces: std::mem::take(&mut held), rest: Some(rest) };
@@ -251,6 +257,7 @@
                 let (id, attempt) = (ask.id, ask.attempt);
                 link.house.core.tell(Input::Engine { engine: link.engine, id, attempt, report, news }).await;
                 flow = Some(to);
+                hold.set(0, limits.held_bytes);
             }
         }
         if let Some(trailers) = data.trailers().await? {
--- a/src/engines/lines.rs
+++ b/src/engines/lines.rs
@@ -4,12 +4,13 @@
 use super::{House, Order};
 use crate::core::{Ask, Body, EngineNews, Form, Input};
 use crate::interface::{Effect, EngineId, ListState, LoadReport, Note, Outcome, RequestId};
+use crate::limits::{Hold, Limits};
 use crate::net::{self, Outbox};
 use bytes::{Bytes, BytesMut};
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep_until, timeout};
@@ -86,6 +87,8 @@
 struct Load {
     all: AtomicUsize,
     once: AtomicUsize,
+    /// Unix time in ms of its last answer; 0 before the first.
+    heard: AtomicU64,
 }
 
 impl Load {
@@ -102,19 +105,28 @@
     fn now(&self) -> (usize, usize) {
         (self.all.load(Ordering::Relaxed), self.once.load(Ordering::Relaxed))
     }
+
+    /// Whether it answered so lately that it can be relied on.
+    fn proven(&self, now: f64, limits: &Limits) -> bool {
+        now - self.heard.load(Ordering::Relaxed) as f64 <= limits.conn_proven_ms
+    }
 }
 
 /// Which connection carries one more attempt; none where a new one is to. Guard: one answer that cannot be read
 /// ends its connection and all that is on it, so what may run once only has one of its own, and others share one
-/// in small groups, as far as descriptors go.
+/// in small groups, as far as descriptors go. Guard: a connection that idles may be reset by the request that ends
+/// that, unread or not; what may run once only is then lost, so it takes a new one unless this one just answered.
 fn place(conns: &[Conn], once: bool, house: &House) -> Option<usize> {
     let limits = &house.limits;
+    let now = house.core.now();
     let loads = || conns.iter().map(|c| c.load.now()).enumerate();
-    let fits = |(all, loads): (usize, usize)| {
-        if once { all == 0 } else { loads == 0 && all < limits.streams_shared }
+    let fits = |(i, (all, loads)): (usize, (usize, usize))| match once {
+        true => all == 0 && conns[i].load.proven(now, limits),
+        false => loads == 0 && all < limits.streams_shared,
     };
-    // The fullest of those that fit, so that the others idle out.
-    if let Some((i, _)) = loads().filter(|(_, load)| fits(*load)).max_by_key(|(i, load)| (load.0, *i)) {
+    // The fullest of those that fit, then the one heard last, so that the others idle out.
+    let rank = |(i, load): &(usize, (usize, usize))| (load.0, conns[*i].load.heard.load(Ordering::Relaxed));
+    if let Some((i, _)) = loads().filter(|at| fits(*at)).max_by_key(rank) {
         return Some(i);
     }
     let open = house.counters.engine_conns_open.get() as usize;
@@ -146,6 +158,7 @@
     billed_mb: Option<f64>,
     report: LoadReport,
     until: Instant,
+    hold: Hold,
 }
 
 struct Connection {
@@ -428,6 +441,7 @@
     async fn reply(&mut self, reply: Reply) -> Result<(), Broken> {
         self.idle_since = Instant::now();
         self.back.broken.store(0, Ordering::Relaxed);
+        self.load.heard.store(self.house.core.now() as u64, Ordering::Relaxed);
         let report = self.load_report(reply.field("l"));
         let Some(attempt) = self.attempts.get_mut(&reply.name) else {
             // Given up meanwhile, or never asked: the connection is good all the same.
@@ -451,7 +465,9 @@
                 let until = Instant::now() + self.house.limits.page_wait;
                 let figure = |name| reply.field(name).and_then(crate::clients::figure);
                 let (billed_ms, billed_mb) = (figure("cpu"), figure("used"));
-                attempt.pages = Some(Pages { all, got, billed_ms, billed_mb, report, until });
+                let mut hold = Hold::new(&self.house.held);
+                hold.set(reply.body.len(), self.house.limits.held_bytes);
+                attempt.pages = Some(Pages { all, got, billed_ms, billed_mb, report, until, hold });
                 for n in 1..all {
                     self.house.counters.pages.up();
                     self.line("NEXT", &reply.name, Some(n));
@@ -473,7 +489,9 @@
                     pages.until = Instant::now() + self.house.limits.page_wait;
                     // Guard: a result that outgrew what a client takes is not collected to its end.
                     let size: usize = pages.got.iter().flatten().map(Bytes::len).sum();
-                    if size > self.house.limits.answer_bytes {
+                    // Nor where all results together outgrow the memory.
+                    let fits = pages.hold.set(size, self.house.limits.held_bytes);
+                    if size > self.house.limits.answer_bytes || !fits {
                         let Some(attempt) = self.attempts.remove(&reply.name) else { return Ok(()) };
                         self.line("FREE", &reply.name, None);
                         self.end(&attempt.ask, Outcome::Error).await;
--- a/src/engines/mod.rs
+++ b/src/engines/mod.rs
@@ -7,7 +7,7 @@
 use crate::core::{Ask, EnginePort, Handle};
 use crate::counters::Counters;
 use crate::interface::{EngineId, ListState, RequestId};
-use crate::limits::Limits;
+use crate::limits::{Limits, Stock};
 use crate::settings::Parsed;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -23,6 +23,8 @@
     pub(crate) counters: Arc<Counters>,
     /// Whether the engines speak Flight SQL and not lines.
     pub(crate) flight: bool,
+    /// Bytes of results that are not whole yet.
+    pub(crate) held: Arc<Stock>,
 }
 
 /// What an engine's actor is told.
@@ -83,7 +85,14 @@
         }
         self.tell(engine, Order::Listed(state));
         if state == ListState::Gone {
-            self.peers.remove(&engine); // its actor ends with its mailbox, once its attempts are over
+            self.dropped(engine);
         }
+        self.house.counters.engines.set(self.peers.len());
+    }
+
+    /// Its actor ends with its mailbox, once its attempts are over.
+    fn dropped(&mut self, engine: EngineId) {
+        self.peers.remove(&engine);
+        self.house.counters.engines.set(self.peers.len());
     }
 }
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -2,6 +2,8 @@
 //! connections are bounded by it, so that what the program may hold can be read off in one place.
 
 use crate::settings::Parsed;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 /// The limits of one running workload manager.
@@ -23,6 +25,12 @@
     pub client_conns: usize,
     /// Requests open at once.
     pub open: usize,
+    /// Bytes of half-read messages of all clients.
+    pub input_bytes: usize,
+    /// Bytes of answers that all clients have yet to take.
+    pub output_bytes: usize,
+    /// Bytes of results that are not whole yet, of all engines.
+    pub held_bytes: usize,
     /// Bytes of the statements of all open requests.
     pub open_bytes: usize,
     /// Bytes of a whole result.
@@ -37,6 +45,8 @@
     pub streams_per_conn: usize,
     /// Attempts that share a connection while there are descriptors for more of them.
     pub streams_shared: usize,
+    /// An answer this recent, in ms, proves that its connection is good for what may run once only.
+    pub conn_proven_ms: f64,
     /// Connections to all engines, past which one more each is all there is.
     pub engine_conns: usize,
     /// Connections in a row that may break before they had an answer, and give back what they were never sent.
@@ -49,8 +59,10 @@
     pub mailbox: usize,
     /// Connections to the Flight SQL front; more wait in the backlog.
     pub flight_conns: usize,
-    /// Tickets that the Flight SQL front keeps; past that the oldest are forgotten.
+    /// Tickets that the Flight SQL front keeps, and bytes of their statements; past that the oldest are forgotten.
     pub tickets: usize,
+    /// See `tickets`.
+    pub ticket_bytes: usize,
     /// Bytes of one Flight message of an engine.
     pub flight_message_bytes: usize,
     /// Bytes of a Flight result that are held back to answer it whole; a larger one streams.
@@ -83,6 +95,8 @@
     pub gone_grace: Duration,
     /// Silence of the control feed that counts as a fault; it speaks each second.
     pub feed_silence: Duration,
+    /// A feed that accepts no connection by then is tried anew.
+    pub feed_connect: Duration,
     /// First and longest wait before connecting to the feed anew.
     pub feed_retry: (Duration, Duration),
     /// After SIGTERM new requests keep coming for this long at most.
@@ -96,12 +110,13 @@
 }
 
 impl Limits {
-    /// The limits for a machine with so many descriptors, under these settings. Where engines send no notes,
+    /// The limits for a machine with so many descriptors and so much memory, under these settings. All that holds
+    /// bytes fits the memory together, and all that holds a descriptor the descriptors: see the test below. Where engines send no notes,
     /// silence tells nothing.
-    pub fn new(sockets: usize, notes: bool, parsed: &Parsed) -> Limits {
+    pub fn new(sockets: usize, memory_mb: usize, notes: bool, parsed: &Parsed) -> Limits {
         let millis = |ms: f64| Duration::from_micros((ms.clamp(0.0, 3_600_000.0) * 1000.0) as u64);
-        let clients = (sockets / 2).max(8);
-        let engines = 64;
+        let part = |of: usize| (memory_mb << 20) / of;
+        let engines = (sockets / 8).min(64);
         Limits {
             message_bytes: 64 * 1024,
             message_depth: 8,
@@ -109,9 +124,12 @@
             estimate: 1e8,
             grant_mb: parsed.grant_mb,
             open_per_client: 32,
-            client_conns: clients,
+            client_conns: sockets / 2 - 8,
             open: parsed.max_open.min(4096),
-            open_bytes: 32 << 20,
+            input_bytes: part(10),
+            output_bytes: part(10),
+            held_bytes: part(10),
+            open_bytes: part(10),
             answer_bytes: 48_000,
             line_bytes: 4096,
             page_bytes: 6_000,
@@ -119,19 +137,21 @@
             streams_per_conn: parsed.streams_per_conn,
             streams_shared: 4,
             give_backs: 3,
+            conn_proven_ms: 40.0,
             engine_conns: sockets / 4,
             conns_per_engine: (sockets / 12).clamp(1, 24),
             engines,
             mailbox: 1024,
-            flight_conns: (sockets / 8).max(4),
+            flight_conns: sockets / 16,
             tickets: 1024,
-            flight_message_bytes: 4 << 20,
+            ticket_bytes: part(16),
+            flight_message_bytes: part(16).min(4 << 20),
             flight_held_bytes: 64 * 1024,
             flight_pieces: 8,
             keep_alive: (Duration::from_secs(2), Duration::from_secs(2)),
             snmp_bytes: 1472,
             snmp_variables: 24,
-            frame_bytes: 1 << 20,
+            frame_bytes: 256 << 10,
             connect: millis(parsed.connect_timeout_ms),
             engine_idle: millis(parsed.conn_idle_ms * 0.6),
             client_silence: Duration::from_millis(2000),
@@ -141,6 +161,7 @@
             page_wait: Duration::from_millis(2000),
             gone_grace: Duration::from_millis(500),
             feed_silence: Duration::from_millis(2500),
+            feed_connect: Duration::from_millis(500),
             feed_retry: (Duration::from_millis(50), Duration::from_millis(500)),
             late_arrivals: Duration::from_millis(1000),
             answer_margin_ms: 10.0,
@@ -153,3 +174,63 @@
         }
     }
 }
+
+/// A stock that many actors draw on, as the sum of what they hold is what counts.
+#[derive(Debug, Default)]
+pub(crate) struct Stock(AtomicUsize);
+
+/// What one of them holds; it goes back once this is dropped.
+#[derive(Debug)]
+pub(crate) struct Hold {
+    stock: Arc<Stock>,
+    bytes: usize,
+}
+
+impl Hold {
+    pub(crate) fn new(stock: &Arc<Stock>) -> Hold {
+        Hold { stock: stock.clone(), bytes: 0 }
+    }
+
+    /// Holds so many bytes from now on; false where all together hold more than `most`.
+    pub(crate) fn set(&mut self, bytes: usize, most: usize) -> bool {
+        let before = std::mem::replace(&mut self.bytes, bytes);
+        let all = self.stock.0.fetch_add(bytes, Ordering::Relaxed) + bytes - before;
+        self.stock.0.fetch_sub(before, Ordering::Relaxed);
+        all <= most || bytes <= before
+    }
+}
+
+impl Drop for Hold {
+    fn drop(&mut self) {
+        self.stock.0.fetch_sub(self.bytes, Ordering::Relaxed);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::Limits;
+    use crate::settings;
+    use rstest::rstest;
+
+    /// Guard: the smallest machine holds everything at its bound at once, and so does the smallest table of
+    /// descriptors, with the feed's second connection while it moves.
+    #[rstest]
+    fn all_bounds_fit_together(
+        #[values(64, 256, 384, 1024)] sockets: usize,
+        #[values(32, 192)] memory: usize,
+    ) {
+        let text = r#"{"nInstances":1,"classes":[{"name":"a","effect":"once","promiseMs":1,"giveUpMs":9}],
+            "guarantees":{"coldMs":1,"coldShare":0.3,"overloadForMs":1,"tipMultiple":3},
+            "limits":{"attemptsCap":6}}"#;
+        let l = Limits::new(sockets, memory, true, &settings::parse(text.as_bytes()).expect("settings"));
+        let shared = l.input_bytes + l.output_bytes + l.held_bytes + l.open_bytes + l.ticket_bytes;
+        let engine_conns = l.engine_conns + l.engines;
+        let buffers = engine_conns * (3 * l.page_bytes + 4096) + l.client_conns * 4096 + l.frame_bytes;
+        let program = 6 << 20;
+        let all = shared + buffers + l.flight_message_bytes + program;
+        assert!(all <= memory << 20, "{all} bytes of {memory} MB");
+        let program = 12; // standard ones, the runtime's, signals, listeners, the agent, the feed twice
+        let all = l.client_conns + l.flight_conns + engine_conns + program;
+        assert!(all <= sockets, "{all} descriptors of {sockets}");
+    }
+}
--- a/src/list.rs
+++ b/src/list.rs
@@ -82,18 +82,13 @@
 ) -> Result<(), Fault> {
     // A feed that accepts nothing, or says nothing, may have been cut off while engines drain: go elsewhere in
     // time, as what it has to tell counts as told.
-    let mut stream = timeout(limits.feed_silence, TcpStream::connect(feed)).await??;
+    let mut stream = timeout(limits.feed_connect, TcpStream::connect(feed)).await??;
     counters.feed_conns.up();
     stream.write_all(&last.to_be_bytes()).await?;
     let mut frame = Vec::new();
     loop {
-        let head = timeout(limits.feed_silence, stream.read_u32()).await??;
-        let length = head as usize;
-        if !(FRAME_HEAD..=limits.frame_bytes).contains(&length) {
-            return Err(Fault::Malformed);
-        }
-        frame.resize(length, 0);
-        timeout(limits.feed_silence, stream.read_exact(&mut frame)).await??;
+        // Guard: the whole frame is due in time; one that comes byte by byte is as good as none.
+        timeout(limits.feed_silence, receive(&mut stream, &mut frame, limits.frame_bytes)).await??;
         let Some(event) = read_frame(&frame).ok_or(Fault::Malformed)? else { continue };
         if event.number <= *last {
             continue; // told already, over an earlier connection
@@ -105,6 +100,16 @@
     }
 }
 
+async fn receive(stream: &mut TcpStream, frame: &mut Vec<u8>, most: usize) -> Result<(), Fault> {
+    let length = stream.read_u32().await? as usize;
+    if !(FRAME_HEAD..=most).contains(&length) {
+        return Err(Fault::Malformed);
+    }
+    frame.resize(length, 0);
+    stream.read_exact(frame).await?;
+    Ok(())
+}
+
 /// One frame behind its length; `Some(None)` where it tells nothing new, `None` where it cannot be read.
 fn read_frame(frame: &[u8]) -> Option<Option<ListEvent>> {
     let (head, payload) = frame.split_at_checked(FRAME_HEAD)?;
--- a/src/node.rs
+++ b/src/node.rs
@@ -28,7 +28,7 @@
     pub counters: Arc<Counters>,
     limits: Arc<Limits>,
     /// What only a start can change.
-    fixed: (SocketAddr, usize, Arc<Parsed>),
+    fixed: (SocketAddr, (usize, usize), Arc<Parsed>),
     feed: watch::Sender<SocketAddr>,
     stop: watch::Sender<bool>,
 }
@@ -38,9 +38,10 @@
     pub async fn start(config: Config, fronts: Fronts) -> Result<Node, ConfigError> {
         let parsed = Arc::new(config.parsed);
         let speech = fronts.flight.as_ref().map(|f| f.engines).unwrap_or_default();
-        let limits = Arc::new(Limits::new(config.sockets, speech == Speech::Lines, &parsed));
+        let limits =
+            Arc::new(Limits::new(config.sockets, config.memory_mb, speech == Speech::Lines, &parsed));
         let counters = Arc::new(Counters::default());
-        let fixed = (config.listen, config.sockets, parsed.clone());
+        let fixed = (config.listen, (config.sockets, config.memory_mb), parsed.clone());
         let (listener, listen) = bind(config.listen).await?;
         let flight_listener = match &fronts.flight {
             Some(f) => Some(bind(loopback(&f.listen, "flight")?).await?),
@@ -64,6 +65,7 @@
             limits: limits.clone(),
             counters: counters.clone(),
             flight: speech == Speech::Flight,
+            held: Arc::default(),
         };
         let (stop, stopping) = watch::channel(false);
         let made = Core::new(
@@ -81,7 +83,14 @@
         }
         let (feed, address) = watch::channel(config.feed);
         tokio::spawn(list::follow(address, last, core.clone(), limits.clone(), counters.clone()));
-        let front = Front { core, parsed, limits: limits.clone(), counters: counters.clone(), stopping };
+        let front = Front {
+            core,
+            parsed,
+            limits: limits.clone(),
+            counters: counters.clone(),
+            stopping,
+            stocks: Arc::default(),
+        };
         let flight = flight_listener.map(|(listener, at)| {
             tokio::spawn(flight::listen(listener, front.clone()));
             at
@@ -106,10 +115,10 @@
                 return eprintln!("magpiechute: goes on with the old configuration: {problem}");
             }
         };
-        let (listen, sockets, parsed) = &self.fixed;
+        let (listen, machine, parsed) = &self.fixed;
         let kept = [
             ("listen", config.listen != *listen),
-            ("limits", config.sockets != *sockets),
+            ("limits", (config.sockets, config.memory_mb) != *machine),
             ("settings", config.parsed != **parsed),
         ];
         for (name, _) in kept.iter().filter(|(_, differs)| *differs) {
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -191,6 +191,38 @@
     wait reloads=1
 "
 )]
+#[case::the_feed_breaks_off_inside_an_event_and_repeats_another(
+    "
+    feed expect 1
+    feed send active e1
+    feed send again e2
+    feed send half e2
+    feed close
+    feed expect 2
+    feed send again e2
+    feed send draining e1
+    wait feed_events=2
+    c1 send 1 seat-check
+    e expect ASK c1.1
+    e send c1.1 served batches=1 a\\n
+    c1 expect 1 served a\\n
+    feed send half e2
+    feed expect 3
+    wait feed_silences=1
+"
+)]
+#[case::a_whole_list_drops_what_it_leaves_out(
+    "
+    feed expect 1
+    wait engines=2
+    feed send only e2
+    wait engines=1
+    c1 send 1 log-load
+    e expect ASK c1.1
+    e send c1.1 served batches=1 a\\n
+    c1 expect 1 served a\\n
+"
+)]
 #[case::silence_of_the_feed_is_a_fault(
     "
     feed expect 1
@@ -493,6 +525,18 @@
     );
 }
 
+/// A connection that idles may be reset by what comes next, so a load takes a new one unless this one has just
+/// answered; a query that may be sent again does not. (What takes the time here is the close of a silent client.)
+#[test]
+fn a_load_takes_a_new_connection_where_the_old_one_idled() {
+    let served = |n: u32| {
+        format!("e expect ASK c1.{n}\ne send c1.{n} served batches=1 a\\n\nc1 expect {n} served a\\n\n")
+    };
+    let mut script = format!("c1 send 1 seat-check\n{}c2 expect closed\n", served(1));
+    script += &format!("c1 send 2 seat-check\n{}wait engine_conns=1\nc3 expect closed\n", served(2));
+    play(1, Speech::Lines, &format!("{script}c1 send 3 log-load\n{}wait engine_conns=2\n", served(3)));
+}
+
 /// Over 32 open on one connection: refused on the spot, while those open go on.
 #[test]
 fn the_thirty_third_open_request_is_refused() {
@@ -713,18 +757,18 @@
     s expect $.1.0=0
     s send next $.1.0
     s expect $.2.0=0
-    s send next $.40.0
-    s expect $.40.0=EndOfMibView
+    s send next $.41.0
+    s expect $.41.0=EndOfMibView
 "
 )]
 #[case::bulk(
     "
     s send bulk 1 2 $ $.3
     s expect $.1.0=0 $.3.0=0 $.4.0=0
-    s send bulk 0 9 $.38
-    s expect $.38.0=0 $.39.0=0 $.40.0=0 $.40.0=EndOfMibView
-    s send bulk 0 4000000000 $.39.0 $.40.0
-    s expect $.40.0=0 $.40.0=EndOfMibView $.40.0=EndOfMibView $.40.0=EndOfMibView
+    s send bulk 0 9 $.39
+    s expect $.39.0=0 $.40.0=0 $.41.0=1 $.41.0=EndOfMibView
+    s send bulk 0 4000000000 $.40.0 $.41.0
+    s expect $.41.0=1 $.41.0=EndOfMibView $.41.0=EndOfMibView $.41.0=EndOfMibView
 "
 )]
 #[case::read_only(
--- a/tests/scene/engines.rs
+++ b/tests/scene/engines.rs
@@ -209,21 +209,31 @@
             ("send", ["raw", bytes]) => {
                 feed.stream.as_mut().expect("feed").write_all(&hex(bytes)).await.expect("write");
             }
+            // A whole list that names no other engine.
+            ("send", ["only", engine]) => {
+                let (n, at) = (number(engine), self.engines[number(engine)].address);
+                feed.events += 1;
+                let frame = feed_frame(feed.events, 1, n, at, 0);
+                feed.stream.as_mut().expect("feed").write_all(&frame).await.expect("write");
+            }
+            // An event that was told already, and half of one before the feed breaks off.
+            ("send", ["again", engine]) => {
+                let (n, at) = (number(engine), self.engines[number(engine)].address);
+                let frame = feed_frame(feed.events, 2, n, at, 2);
+                feed.stream.as_mut().expect("feed").write_all(&frame).await.expect("write");
+            }
+            ("send", ["half", engine]) => {
+                let (n, at) = (number(engine), self.engines[number(engine)].address);
+                let frame = feed_frame(feed.events + 1, 2, n, at, 2);
+                feed.stream.as_mut().expect("feed").write_all(&frame[..20]).await.expect("write");
+            }
             ("send", [state, engine]) => {
                 let n = number(engine);
                 let state = ["active", "draining", "gone"].iter().position(|s| s == state).expect("state");
                 let address = self.engines[n].address;
                 *self.engines[n].drained.lock().expect("lock") = (state > 0).then(Instant::now);
                 feed.events += 1;
-                let mut frame = Vec::new();
-                frame.extend_from_slice(&(9 + 27u32).to_be_bytes());
-                frame.extend_from_slice(&feed.events.to_be_bytes());
-                frame.push(2);
-                frame.extend_from_slice(&(n as u32 + 1).to_be_bytes());
-                frame.extend_from_slice(&[127, 0, 0, 1]);
-                frame.extend_from_slice(&address.port().to_be_bytes());
-                frame.extend_from_slice(&[state as u8, 0, 0, 0, 0, 0, 0, 3, 232]);
-                frame.extend_from_slice(&0u64.to_be_bytes());
+                let frame = feed_frame(feed.events, 2, n, address, state as u8);
                 feed.stream.as_mut().expect("feed").write_all(&frame).await.expect("write");
             }
             other => panic!("feed: {other:?}"),
@@ -231,6 +241,20 @@
     }
 }
 
+/// A frame with one record.
+fn feed_frame(event: u64, kind: u8, n: usize, at: SocketAddr, state: u8) -> Vec<u8> {
+    let mut frame = Vec::new();
+    frame.extend_from_slice(&(9 + 27u32).to_be_bytes());
+    frame.extend_from_slice(&event.to_be_bytes());
+    frame.push(kind);
+    frame.extend_from_slice(&(n as u32 + 1).to_be_bytes());
+    frame.extend_from_slice(&[127, 0, 0, 1]);
+    frame.extend_from_slice(&at.port().to_be_bytes());
+    frame.extend_from_slice(&[state, 0, 0, 0, 0, 0, 0, 3, 232]);
+    frame.extend_from_slice(&0u64.to_be_bytes());
+    frame
+}
+
 fn number(engine: &str) -> usize {
     engine[1..].parse::<usize>().expect("engine") - 1
 }
