Send nothing new over an engine connection that fell silent

Checked: place() in lines.rs asked how full a connection was and never when it was last heard of, so every attempt on a machine that vanished joins a connection that stays open and silent; only a new one, which never comes up, proves that it has vanished, and nobody opened one. Not checked: that those seven loads were on one engine, as the trace named none; it is the guess that this was tried on. Now a connection that carries attempts and says nothing for three note intervals, notes coming with each, gets no new ones; what was given up unheard leaves that clock running, as a first try of the scenario failed over a query that was called off. The scenario failed until then (seen: no second connection is opened).

--- a/src/engines/lines.rs
+++ b/src/engines/lines.rs
@@ -58,7 +58,7 @@
                 conns.len() - 1
             }
         };
-        conns[conn].load.add(once);
+        conns[conn].load.add(once, house.core.now());
         if let Err(refused) = conns[conn].orders.try_send(Order::Ask(ask)) {
             conns[conn].load.take_off(once);
             if let Order::Ask(ask) = refused.into_inner() {
@@ -89,11 +89,17 @@
     once: AtomicUsize,
     /// Unix time in ms of its last answer; 0 before the first.
     heard: AtomicU64,
+    /// Unix time in ms since which it has carried any.
+    busy: AtomicU64,
 }
 
 impl Load {
-    fn add(&self, once: bool) {
-        self.all.fetch_add(1, Ordering::Relaxed);
+    fn add(&self, once: bool, now: f64) {
+        // What was given up unheard leaves the clock running: the next one would be as unheard.
+        let (heard, busy) = (self.heard.load(Ordering::Relaxed), self.busy.load(Ordering::Relaxed));
+        if self.all.fetch_add(1, Ordering::Relaxed) == 0 && (busy == 0 || heard >= busy) {
+            self.busy.store(now as u64, Ordering::Relaxed);
+        }
         self.once.fetch_add(usize::from(once), Ordering::Relaxed);
     }
 
@@ -106,6 +112,13 @@
         (self.all.load(Ordering::Relaxed), self.once.load(Ordering::Relaxed))
     }
 
+    /// Whether what it carries should have been heard of by now, if only by a note. Guard: a machine that vanished
+    /// leaves its connections open and silent; only a new one, which never comes up, tells that it has.
+    fn mute(&self, now: f64, limits: &Limits) -> bool {
+        let since = self.heard.load(Ordering::Relaxed).max(self.busy.load(Ordering::Relaxed));
+        self.now().0 > 0 && now - since as f64 > limits.conn_mute_ms
+    }
+
     /// Whether it answered so lately that it can be relied on.
     fn proven(&self, now: f64, limits: &Limits) -> bool {
         now - self.heard.load(Ordering::Relaxed) as f64 <= limits.conn_proven_ms
@@ -119,7 +132,8 @@
 fn place(conns: &[Conn], once: bool, house: &House) -> Option<usize> {
     let limits = &house.limits;
     let now = house.core.now();
-    let loads = || conns.iter().map(|c| c.load.now()).enumerate();
+    let heard = |i: usize| !conns[i].load.mute(now, limits);
+    let loads = || conns.iter().map(|c| c.load.now()).enumerate().filter(|(i, _)| heard(*i));
     let fits = |(i, (all, loads)): (usize, (usize, usize))| match once {
         true => all == 0 && conns[i].load.proven(now, limits),
         false => loads == 0 && all < limits.streams_shared,
@@ -130,10 +144,15 @@
         return Some(i);
     }
     let open = house.counters.engine_conns_open.get() as usize;
-    if conns.is_empty() || conns.len() < limits.conns_per_engine && open < limits.engine_conns {
+    // One that is heard of there is, or is tried for: past the bound no more than one beside the mute ones.
+    let none = loads().next().is_none();
+    if conns.len() < limits.conns_per_engine
+        && open < limits.engine_conns + if none { limits.engines } else { 0 }
+    {
         return None;
     }
-    loads().min_by_key(|(_, (all, loads))| (*loads, *all)).map(|(i, _)| i)
+    let all = conns.iter().map(|c| c.load.now()).enumerate();
+    all.min_by_key(|(i, (all, loads))| (!heard(*i), *loads, *all)).map(|(i, _)| i)
 }
 
 async fn ended(house: &House, engine: EngineId, ask: &Ask, outcome: Outcome) {
@@ -242,7 +261,7 @@
                 self.load.take_off(self.once(&ask));
                 if let Err(mpsc::error::SendError(ask)) = self.back.asks.send(ask) {
                     // The engine's actor has ended.
-                    self.load.add(self.once(&ask));
+                    self.load.add(self.once(&ask), self.house.core.now());
                     self.waiting.push_back(ask);
                 }
             }
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -47,6 +47,8 @@
     pub streams_shared: usize,
     /// An answer this recent, in ms, proves that its connection is good for what may run once only.
     pub conn_proven_ms: f64,
+    /// A connection that carries attempts and says nothing for this long, in ms, carries no new ones.
+    pub conn_mute_ms: f64,
     /// Connections to all engines, past which one more each is all there is.
     pub engine_conns: usize,
     /// Connections in a row that may break before they had an answer, and give back what they were never sent.
@@ -115,6 +117,7 @@
     /// silence tells nothing.
     pub fn new(sockets: usize, memory_mb: usize, notes: bool, parsed: &Parsed) -> Limits {
         let millis = |ms: f64| Duration::from_micros((ms.clamp(0.0, 3_600_000.0) * 1000.0) as u64);
+        let progress = parsed.settings.progress_ms;
         let part = |of: usize| (memory_mb << 20) / of;
         let engines = (sockets / 8).min(64);
         Limits {
@@ -138,6 +141,7 @@
             streams_shared: 4,
             give_backs: 3,
             conn_proven_ms: 40.0,
+            conn_mute_ms: if notes && progress > 0.0 { (progress * 3.0).max(1000.0) } else { f64::INFINITY },
             engine_conns: sockets / 4,
             conns_per_engine: (sockets / 12).clamp(1, 24),
             engines,
@@ -166,11 +170,7 @@
             late_arrivals: Duration::from_millis(1000),
             answer_margin_ms: 10.0,
             quit_settle_ms: 5.0,
-            silence_ms: if notes && parsed.settings.progress_ms > 0.0 {
-                (parsed.settings.progress_ms * 6.0).max(3000.0)
-            } else {
-                f64::INFINITY
-            },
+            silence_ms: if notes && progress > 0.0 { (progress * 6.0).max(3000.0) } else { f64::INFINITY },
         }
     }
 }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -537,6 +537,16 @@
     play(1, Speech::Lines, &format!("{script}c1 send 3 log-load\n{}wait engine_conns=2\n", served(3)));
 }
 
+/// A machine that vanished leaves its connections open and silent: what is new tries another one. (What takes the
+/// time here is the close of a silent client.)
+#[test]
+fn a_silent_connection_carries_nothing_new() {
+    let script = "c1 send 1 seat-check\ne expect ASK c1.1\nc2 expect closed\nc1 send 2 seat-check\n\
+                  e expect ASK c1.2\ne send c1.2 served batches=1 a\\n\nc1 expect 2 served a\\n\n\
+                  wait engine_conns=2\nc1 send cancel 1\ne expect QUIT c1.1\n";
+    play(1, Speech::Lines, script);
+}
+
 /// Over 32 open on one connection: refused on the spot, while those open go on.
 #[test]
 fn the_thirty_third_open_request_is_refused() {
