Add the operations address: READY, and STATS over one table of figures by class

Ruled out: answering from the core, whose mailbox is full just when staff look.

At fault: nothing counted by class, `written` was not told from `sent`, and the gauge of engines counted actors (`engines/mod.rs`) and not the list's lines.

Tests: `operations`, three scenarios, and the agent's table of classes.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -238,6 +238,11 @@
         self.pump(actions);
     }
 
+    /// Listed engines that it sends nothing at present, by choice.
+    pub fn avoided(&self) -> usize {
+        self.engines.values().filter(|e| e.usable() && self.shuns(e)).count()
+    }
+
     /// How many requests, waiters, keys and engines it holds.
     pub fn held(&self) -> [usize; 4] {
         [self.reqs.len(), self.line.len(), self.keys.len(), self.engines.len()]
@@ -624,6 +629,10 @@
         })
     }
 
+    fn shuns(&self, e: &Engine) -> bool {
+        self.now < e.shut_until.max(e.stalled_until)
+    }
+
     /// Whether the rules and the engine's health let this request go there.
     fn takes(&self, r: &Req, e: &Engine) -> bool {
         let c = &self.set.classes[r.class];
@@ -636,7 +645,7 @@
         };
         // One in doubt is tried with one query at a time that may be sent again.
         let doubt = e.doubted() && !(e.running.is_empty() && c.effect == Effect::Repeatable);
-        e.usable() && placed && group && !doubt && self.now >= e.shut_until.max(e.stalled_until)
+        e.usable() && placed && group && !doubt && !self.shuns(e)
     }
 
     fn price(&self, r: &Req, e: &Engine, homes: &[EngineId]) -> f64 {
--- a/src/clients/flight.rs
+++ b/src/clients/flight.rs
@@ -374,7 +374,7 @@
         };
         let usual = self.front.parsed.settings.classes.get(call.class).map_or(0.0, |c| c.give_up_ms);
         let left = timeout.map_or(usual, |t| t.as_secs_f64() * 1000.0);
-        let id = self.front.core.next_id();
+        let (id, class) = (self.front.core.next_id(), call.class);
         let (port, answer) = oneshot::channel();
         self.front.counters.client_conns_owing.up();
         seat.iter().for_each(|seat| seat.opened());
@@ -394,6 +394,8 @@
         self.front.core.tell(Input::Take(taken)).await;
         let answer = answer.await;
         owed.over = true;
+        let ends = self.front.parsed.classes.get(class).map(|name| self.front.counters.class(name));
+        ends.unwrap_or_default().count(answer.as_ref().ok());
         match answer {
             Ok(Answer::Served(body)) => {
                 owed.over = body.rest.is_none();
--- a/src/clients/mod.rs
+++ b/src/clients/mod.rs
@@ -6,11 +6,11 @@
 pub(crate) mod seats;
 
 use crate::core::Handle;
-use crate::counters::Counters;
+use crate::counters::{Counters, Ends};
+use crate::duty::Duty;
 use crate::limits::{Limits, Stock};
 use crate::settings::Parsed;
 use std::sync::Arc;
-use tokio::sync::watch;
 
 /// What every front holds.
 #[derive(Clone)]
@@ -19,8 +19,8 @@
     pub(crate) parsed: Arc<Parsed>,
     pub(crate) limits: Arc<Limits>,
     pub(crate) counters: Arc<Counters>,
-    /// True once the program was asked to stop.
-    pub(crate) stopping: watch::Receiver<bool>,
+    /// Whether clients are to come or go.
+    pub(crate) duty: Arc<Duty>,
     pub(crate) stocks: Arc<Stocks>,
 }
 
@@ -37,6 +37,12 @@
         self.parsed.classes.iter().position(|c| c.as_bytes() == name)
     }
 
+    /// Where the ends of a class's requests are counted; none where there is no such class.
+    pub(crate) fn ends(&self, class: &[u8]) -> Option<Arc<Ends>> {
+        let class = self.class(class).and_then(|i| self.parsed.classes.get(i))?;
+        Some(self.counters.class(class))
+    }
+
     /// When a client gives up. Guard: none waits for longer than its class does, whatever it says.
     pub(crate) fn due(&self, now: f64, class: usize, allow: f64) -> f64 {
         let usual = self.parsed.settings.classes.get(class).map_or(0.0, |c| c.give_up_ms);
--- a/src/clients/platform.rs
+++ b/src/clients/platform.rs
@@ -4,6 +4,7 @@
 use super::seats::{Seat, Seats};
 use super::{Front, figure, is_ref};
 use crate::core::{Answer, Body, ClientPort, Input, Kind, Taken, Why};
+use crate::counters::Ends;
 use crate::interface::RequestId;
 use crate::limits::Hold;
 use crate::net::{self, Outbox};
@@ -60,8 +61,8 @@
     answers: mpsc::Receiver<(RequestId, Answer)>,
     input: BytesMut,
     out: Outbox,
-    /// Message ids of open requests, by the core's id.
-    open: HashMap<RequestId, u64>,
+    /// Message ids of open requests, and where their ends are counted, by the core's id.
+    open: HashMap<RequestId, (u64, Arc<Ends>)>,
     last: u64,
     idle_since: Instant,
     /// Since when what is read is no whole message; from the start, as it is to begin with one.
@@ -202,31 +203,34 @@
                     self.idle_since = Instant::now();
                     self.half_since = None;
                     if method.as_ref() == b"health" {
-                        let fit = !*self.front.stopping.borrow();
+                        let fit = !self.front.duty.now().leaving();
                         self.seat.known();
                         self.out.push(msgpack::health(id, fit));
                         continue;
                     }
+                    let ends = self.front.ends(&method);
                     match self.taken(now, &method, fields, body) {
                         Ok(taken) if self.open.len() < self.front.limits.open_per_client => {
-                            self.open.insert(taken.id, id);
+                            self.open.insert(taken.id, (id, ends.unwrap_or_default()));
                             self.owe();
                             self.front.core.tell(Input::Take(taken)).await;
                         }
                         Ok(_) => {
                             self.front.counters.client_over_limit.up();
+                            ends.iter().for_each(|e| e.dropped.up());
                             self.out.push(msgpack::error(id, "Overloaded", None));
                             self.fault()?;
                         }
                         Err(error) => {
                             self.front.counters.client_bad_calls.up();
+                            ends.iter().for_each(|e| e.bad_gateway.up());
                             self.out.push(msgpack::error(id, error, None));
                             self.fault()?;
                         }
                     }
                 }
                 Message::Cancel { id } => {
-                    let found = self.open.iter().find(|(_, m)| **m == id).map(|(r, _)| *r);
+                    let found = self.open.iter().find(|(_, (m, _))| *m == id).map(|(r, _)| *r);
                     if let Some(request) = found {
                         self.open.remove(&request);
                         self.front.core.tell(Input::Left(request)).await;
@@ -289,44 +293,49 @@
 
     fn answer(&mut self, id: RequestId, answer: Answer) {
         // Gone where the client has cancelled: then no answer is owed.
-        let Some(message) = self.open.remove(&id) else { return };
+        let Some((message, ends)) = self.open.remove(&id) else { return };
         self.idle_since = Instant::now();
         match answer {
             Answer::Served(body) => {
                 self.seat.known();
-                self.result(message, &body);
+                // Counted as the client is told, which may be that its result cannot be passed on.
+                if self.result(message, &body) { &ends.passed } else { &ends.bad_gateway }.up();
             }
             Answer::Refused { hold_off_ms } => {
+                ends.dropped.up();
                 let wait = format!("{hold_off_ms:.0}");
                 let field = (hold_off_ms >= 1.0).then_some(("cooldown", wait.as_str()));
                 self.out.push(msgpack::error(message, "Overloaded", field));
             }
             Answer::Failed(why) => {
+                ends.bad_gateway.up();
                 let name = if why == Why::Deadline { "DeadlineExceeded" } else { "Internal" };
                 self.out.push(msgpack::error(message, name, None));
             }
         }
     }
 
-    /// Writes a result out in the pieces in which it came; one that this protocol cannot carry has failed.
-    fn result(&mut self, message: u64, body: &Body) {
+    /// Writes a result out in the pieces in which it came; one that this protocol cannot carry has failed, and
+    /// that is false.
+    fn result(&mut self, message: u64, body: &Body) -> bool {
         let pieces = rows::text(body).ok().filter(|_| body.rest.is_none());
         let size = |pieces: &Vec<Bytes>| pieces.iter().map(Bytes::len).sum::<usize>();
         let Some(pieces) = pieces.filter(|p| size(p) <= self.front.limits.answer_bytes) else {
             self.out.push(msgpack::error(message, "Internal", None));
-            return;
+            return false;
         };
         // Guard: answers that nobody takes could fill the memory; this one fails and says so.
         let waiting = self.out.waiting() as usize + size(&pieces);
         if !self.held.1.set(waiting, self.front.limits.output_bytes) {
             self.front.counters.client_over_limit.up();
             self.out.push(msgpack::error(message, "Internal", None));
-            return;
+            return false;
         }
         self.out.push(msgpack::result_head(message, size(&pieces)));
         for piece in pieces {
             self.out.push(piece);
         }
         self.out.push(msgpack::END);
+        true
     }
 }
--- a/src/config.rs
+++ b/src/config.rs
@@ -54,6 +54,8 @@
     pub sockets: usize,
     /// Memory that it may use, in MB.
     pub memory_mb: usize,
+    /// Where staff ask and tell, if anywhere.
+    pub ops: Option<SocketAddr>,
     /// Where the control feed listens.
     pub feed: SocketAddr,
     /// Number of the last event known.
@@ -73,6 +75,7 @@
     seed: String,
     #[serde(default)]
     limits: Machine,
+    ops: Option<SocketAddr>,
     feed: SocketAddr,
     #[serde(default)]
     known: Known,
@@ -210,6 +213,7 @@
             seed,
             sockets: file.limits.sockets.max(64),
             memory_mb: (file.limits.memory_mb as usize).max(32),
+            ops: file.ops,
             feed: file.feed,
             known: file.known.n,
             events,
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -334,6 +334,8 @@
                 }
                 Alarm::Silence(id, attempt) => self.silence(now, id, attempt, at.0),
             }
+            // The module's timer comes often enough to publish what it believes.
+            self.counters.engines_skipped.set(self.gateway.avoided());
         }
     }
 
@@ -441,6 +443,7 @@
             self.engines.listed(line);
         }
         self.ready.retain(|_, ready| *ready);
+        self.counters.engines.set(self.known.len());
         let entries = event.entries.into_iter().map(|l| l.entry).collect();
         self.tell(now, Event::List { kind: event.kind, entries });
     }
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -1,14 +1,16 @@
-//! What the program takes in, sends and answers, counted in one table: printed on SIGUSR1 and at exit, and
-//! read by the SNMP agent in the order that stands here.
+//! What the program takes in, sends and answers, counted in one table where it happens: printed on SIGUSR1 and at
+//! exit, told at the operations address, and read by the SNMP agent in the order that stands here.
 
-use std::fmt;
+use crate::core::Answer;
+use std::fmt::{self, Write};
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, PoisonError, RwLock};
 
 macro_rules! counters {
     ($($(#[$doc:meta])* $name:ident,)*) => {
         /// One table of counters, shared by all actors of a process.
         #[derive(Debug, Default)]
-        pub struct Counters { $($(#[$doc])* pub $name: Count,)* }
+        pub struct Counters { $($(#[$doc])* pub $name: Count,)* by_class: ByClass }
 
         impl Counters {
             /// All counters with their names, in the order of the MIB.
@@ -20,7 +22,8 @@
 }
 
 /// Those that also go down.
-const GAUGES: [&str; 5] = ["engines", "client_conns_open", "client_conns_owing", "engine_conns_open", "open"];
+const GAUGES: [&str; 6] =
+    ["engines", "client_conns_open", "client_conns_owing", "engine_conns_open", "open", "engines_skipped"];
 
 /// Whether a name is a gauge's and not a counter's.
 pub fn is_gauge(name: &str) -> bool {
@@ -136,11 +139,99 @@
     engine_unasked,
     /// Engines known from the list.
     engines,
+    /// Listed engines that the module avoids at present, by hand or by choice.
+    engines_skipped,
+    /// Attempts written whole to engines.
+    written,
+    /// Calls at the operations address that were carried out.
+    ops_calls,
+    /// Calls there that cannot be carried out, or did not come whole in time.
+    ops_bad_calls,
+}
+
+/// Ends of one class's requests, as their clients were told.
+#[derive(Debug, Default)]
+pub struct Ends {
+    /// Served.
+    pub passed: Count,
+    /// Refused.
+    pub dropped: Count,
+    /// Failed.
+    pub bad_gateway: Count,
+}
+
+impl Ends {
+    /// Counts what a client is told; no answer at all is a failure.
+    pub(crate) fn count(&self, answer: Option<&Answer>) {
+        match answer {
+            Some(Answer::Served(_)) => self.passed.up(),
+            Some(Answer::Refused { .. }) => self.dropped.up(),
+            _ => self.bad_gateway.up(),
+        }
+    }
+}
+
+/// Names of classes kept at most. They come from configurations alone, so this is for an endless row of those.
+const CLASSES: usize = 256;
+
+#[derive(Debug, Default)]
+struct ByClass(RwLock<Vec<(String, Arc<Ends>)>>);
+
+impl Counters {
+    /// The ends of a class; from its first mention on, for as long as the program runs.
+    pub fn class(&self, name: &str) -> Arc<Ends> {
+        let found =
+            |all: &[(String, Arc<Ends>)]| all.iter().find(|(n, _)| n == name).map(|(_, ends)| ends.clone());
+        if let Some(ends) = found(&self.by_class.0.read().unwrap_or_else(PoisonError::into_inner)) {
+            return ends;
+        }
+        let mut all = self.by_class.0.write().unwrap_or_else(PoisonError::into_inner);
+        if let Some(ends) = found(&all) {
+            return ends;
+        }
+        if all.len() >= CLASSES {
+            all.remove(0);
+        }
+        all.push((name.to_owned(), Arc::default()));
+        all.last().map(|(_, ends)| ends.clone()).unwrap_or_default()
+    }
+
+    /// All classes with what has become of their requests, in the order in which they came.
+    pub fn classes(&self) -> Vec<(String, [u64; 3])> {
+        let all = self.by_class.0.read().unwrap_or_else(PoisonError::into_inner);
+        let three = |e: &Ends| [e.passed.get(), e.dropped.get(), e.bad_gateway.get()];
+        all.iter().map(|(name, ends)| (name.clone(), three(ends))).collect()
+    }
+
+    /// The figures that operations read, a line each.
+    pub fn figures(&self) -> String {
+        let mut text = String::new();
+        for (name, [passed, dropped, bad_gateway]) in self.classes() {
+            for (what, n) in [("passed", passed), ("dropped", dropped), ("bad_gateway", bad_gateway)] {
+                let _ = writeln!(text, "node.{what}.{name}={n}");
+            }
+        }
+        let all = [
+            ("upstream_tries", &self.written),
+            ("in_progress", &self.open),
+            ("known_engines", &self.engines),
+            ("skipped_engines", &self.engines_skipped),
+            ("loads", &self.reloads),
+            ("load_errors", &self.reloads_bad),
+        ];
+        for (what, count) in all {
+            let _ = writeln!(text, "node.{what}={}", count.get());
+        }
+        text
+    }
 }
 
 impl fmt::Display for Counters {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "counters")?;
-        self.all().iter().try_for_each(|(name, value)| write!(f, " {name}={value}"))
+        self.all().iter().try_for_each(|(name, value)| write!(f, " {name}={value}"))?;
+        self.classes().iter().try_for_each(|(name, [passed, dropped, bad_gateway])| {
+            write!(f, " {name}=passed:{passed},dropped:{dropped},bad_gateway:{bad_gateway}")
+        })
     }
 }
--- a/src/engines/flight.rs
+++ b/src/engines/flight.rs
@@ -206,6 +206,8 @@
 ) -> Result<Option<Body>, Lost> {
     let limits = &link.house.limits;
     let mut client = FlightServiceClient::new(channel).max_decoding_message_size(limits.flight_message_bytes);
+    // The call follows at once; a stream hands over nothing that tells when its last byte has left.
+    link.house.counters.written.up();
     let text = String::from_utf8(ask.statement.to_vec()).map_err(|_| Lost(Outcome::Moot))?;
     if ask.kind == Kind::Update {
         let command = CommandStatementUpdate { query: text, transaction_id: None };
--- a/src/engines/lines.rs
+++ b/src/engines/lines.rs
@@ -192,6 +192,8 @@
     attempts: HashMap<Bytes, Attempt>,
     input: BytesMut,
     out: Outbox,
+    /// Count of bytes written by which the last attempt has left whole, until it has.
+    unwritten: Option<u64>,
     idle_since: Instant,
     /// Since when what is read is no whole answer.
     half_since: Option<Instant>,
@@ -220,6 +222,7 @@
             attempts: HashMap::new(),
             input: BytesMut::new(),
             out: Outbox::default(),
+            unwritten: None,
             idle_since: Instant::now(),
             half_since: None,
             cut: None,
@@ -298,6 +301,10 @@
         loop {
             self.next_ask();
             self.out.flush(stream)?;
+            if self.unwritten.is_some_and(|whole| whole <= self.out.written()) {
+                self.unwritten = None;
+                self.house.counters.written.up();
+            }
             if self.out.is_empty() && !self.waiting.is_empty() {
                 continue;
             }
@@ -374,6 +381,7 @@
             self.out.push(head);
             self.out.push(ask.statement.clone());
             let whole = self.out.push(&b"\r\n"[..]);
+            self.unwritten = Some(whole);
             self.attempts.insert(ask.name.clone(), Attempt { ask, whole, pages: None });
         }
     }
--- a/src/engines/mod.rs
+++ b/src/engines/mod.rs
@@ -87,12 +87,10 @@
         if state == ListState::Gone {
             self.dropped(engine);
         }
-        self.house.counters.engines.set(self.peers.len());
     }
 
     /// Its actor ends with its mailbox, once its attempts are over.
     fn dropped(&mut self, engine: EngineId) {
         self.peers.remove(&engine);
-        self.house.counters.engines.set(self.peers.len());
     }
 }
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -73,6 +73,16 @@
     pub flight_pieces: usize,
     /// Interval and patience of the pings that tell a Flight engine's connection from a dead one.
     pub keep_alive: (Duration, Duration),
+    /// Wait for the peer's end of a connection whose own is over.
+    pub linger: Duration,
+    /// Callers at the operations address at once; descriptors are kept for them.
+    pub ops_callers: usize,
+    /// Bytes of one call there.
+    pub ops_line: usize,
+    /// From a caller's connecting to the end of its call.
+    pub ops_call: Duration,
+    /// Wait after a caller could not be accepted.
+    pub ops_pause: Duration,
     /// Bytes of one SNMP message.
     pub snmp_bytes: usize,
     /// Variables in one SNMP answer.
@@ -120,6 +130,7 @@
         let progress = parsed.settings.progress_ms;
         let part = |of: usize| (memory_mb << 20) / of;
         let engines = (sockets / 8).min(64);
+        let ops_callers = (sockets / 16).clamp(4, 32);
         Limits {
             message_bytes: 64 * 1024,
             message_depth: 8,
@@ -127,7 +138,7 @@
             estimate: 1e8,
             grant_mb: parsed.grant_mb,
             open_per_client: 32,
-            client_conns: sockets / 2 - 8,
+            client_conns: sockets / 2 - 12 - ops_callers,
             open: parsed.max_open.min(4096),
             input_bytes: part(10),
             output_bytes: part(10),
@@ -153,6 +164,11 @@
             flight_held_bytes: 64 * 1024,
             flight_pieces: 8,
             keep_alive: (Duration::from_secs(2), Duration::from_secs(2)),
+            linger: Duration::from_millis(100),
+            ops_callers,
+            ops_line: 256,
+            ops_call: Duration::from_secs(5),
+            ops_pause: Duration::from_millis(10),
             snmp_bytes: 1472,
             snmp_variables: 24,
             frame_bytes: 256 << 10,
@@ -229,8 +245,8 @@
         let program = 6 << 20;
         let all = shared + buffers + l.flight_message_bytes + program;
         assert!(all <= memory << 20, "{all} bytes of {memory} MB");
-        let program = 12; // standard ones, the runtime's, signals, listeners, the agent, the feed twice
-        let all = l.client_conns + l.flight_conns + engine_conns + program;
+        let program = 16; // standard ones, the runtime's, signals, listeners, the agent, the feed twice, files
+        let all = l.client_conns + l.flight_conns + l.ops_callers + engine_conns + program;
         assert!(all <= sockets, "{all} descriptors of {sockets}");
     }
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -64,5 +64,9 @@
         config.listen =
             listen.parse().map_err(|_| ConfigError(format!("NODE_LISTEN {listen:?} is not an address")))?;
     }
+    if let Ok(ops) = std::env::var("NODE_OPS") {
+        config.ops =
+            Some(ops.parse().map_err(|_| ConfigError(format!("NODE_OPS {ops:?} is not an address")))?);
+    }
     Ok(config)
 }
--- a/src/net.rs
+++ b/src/net.rs
@@ -1,10 +1,12 @@
 //! Bytes on their way out, shared by all connections: pieces are queued as they are and leave in gathered
 //! writes; what the socket does not take stays for the next time.
 
+use crate::limits::Limits;
 use bytes::{Buf, Bytes};
 use std::collections::VecDeque;
 use std::io::{self, IoSlice};
 use tokio::net::TcpStream;
+use tokio::time::timeout;
 
 /// Pieces that one gathered write takes at most.
 const GATHERED: usize = 64;
@@ -87,6 +89,22 @@
     }
 }
 
+/// Waits a moment for the peer's end of a connection whose own is over, and throws away what still comes. Guard:
+/// a close with bytes unread, or one that bytes still reach, resets the connection and the answer with it.
+pub(crate) async fn linger(stream: &TcpStream, limits: &Limits) {
+    let rest = async {
+        let mut rest = [0; 1024];
+        while stream.readable().await.is_ok() {
+            match stream.try_read(&mut rest) {
+                Ok(0) => return,
+                Err(e) if e.kind() != io::ErrorKind::WouldBlock => return,
+                _ => {}
+            }
+        }
+    };
+    let _ = timeout(limits.linger, rest).await;
+}
+
 #[cfg(test)]
 mod tests {
     use super::Outbox;
--- a/src/node.rs
+++ b/src/node.rs
@@ -4,9 +4,11 @@
 use crate::config::{Config, ConfigError, Fronts, Speech, loopback};
 use crate::core::{Clock, Core, Handle, Input, start};
 use crate::counters::Counters;
+use crate::duty::Duty;
 use crate::engines::{Fleet, House};
 use crate::limits::Limits;
 use crate::list;
+use crate::operations::{self, Desk};
 use crate::settings::Parsed;
 use crate::snmp;
 use std::net::SocketAddr;
@@ -24,13 +26,15 @@
     pub flight: Option<SocketAddr>,
     /// Where the SNMP agent listens, if it is on.
     pub snmp: Option<SocketAddr>,
+    /// Where staff ask and tell, if anywhere.
+    pub ops: Option<SocketAddr>,
     /// Its counters.
     pub counters: Arc<Counters>,
     limits: Arc<Limits>,
     /// What only a start can change.
     fixed: (SocketAddr, (usize, usize), Arc<Parsed>),
     feed: watch::Sender<SocketAddr>,
-    stop: watch::Sender<bool>,
+    duty: Arc<Duty>,
 }
 
 impl Node {
@@ -47,6 +51,10 @@
             Some(f) => Some(bind(loopback(&f.listen, "flight")?).await?),
             None => None,
         };
+        let desk = match config.ops {
+            Some(at) => Some(bind(at).await?),
+            None => None,
+        };
         let agent = match fronts.snmp {
             Some(agent) => {
                 let at = loopback(&agent.listen, "snmp")?;
@@ -67,7 +75,7 @@
             flight: speech == Speech::Flight,
             held: Arc::default(),
         };
-        let (stop, stopping) = watch::channel(false);
+        let duty = Arc::new(Duty::new());
         let made = Core::new(
             parsed.settings.clone(),
             config.seed,
@@ -83,12 +91,20 @@
         }
         let (feed, address) = watch::channel(config.feed);
         tokio::spawn(list::follow(address, last, core.clone(), limits.clone(), counters.clone()));
+        let ops = desk.map(|(listener, at)| {
+            let desk = Desk { counters: counters.clone(), limits: limits.clone(), duty: duty.clone() };
+            tokio::spawn(operations::listen(listener, desk));
+            at
+        });
+        for name in &parsed.classes {
+            counters.class(name); // so that a figure is there before its first request
+        }
         let front = Front {
             core,
             parsed,
             limits: limits.clone(),
             counters: counters.clone(),
-            stopping,
+            duty: duty.clone(),
             stocks: Arc::default(),
         };
         let flight = flight_listener.map(|(listener, at)| {
@@ -101,7 +117,8 @@
             tokio::spawn(agent.listen(socket));
             at
         });
-        Ok(Node { listen, flight, snmp, counters, limits, fixed, feed, stop })
+        duty.set(|state| state.serving = true);
+        Ok(Node { listen, flight, snmp, ops, counters, limits, fixed, feed, duty })
     }
 
     /// Goes over to a configuration that was read anew, or stays with the old one where that cannot be used.
@@ -131,7 +148,7 @@
 
     /// Asks for the end: from now on it says that it is not fit.
     pub fn stop(&self) {
-        self.stop.send_replace(true);
+        self.duty.set(|state| state.ending = true);
     }
 
     /// Ends as planned: goes on accepting and answering until the late arrivals are in and nothing is open.
--- /dev/null
+++ b/src/operations.rs
@@ -0,0 +1,98 @@
+//! The operations address, where staff ask and tell. One actor takes callers, each call a task of its own with a
+//! place, a bound on its line and a time by which it is done. Nothing here waits for the core's ordinary mailbox:
+//! what is asked is read off published figures, and what is told goes past the queue.
+
+use crate::counters::Counters;
+use crate::duty::Duty;
+use crate::limits::Limits;
+use crate::net::linger;
+use std::collections::VecDeque;
+use std::sync::Arc;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinHandle;
+use tokio::time::timeout;
+
+/// What a call is answered from.
+#[derive(Clone)]
+pub(crate) struct Desk {
+    pub(crate) counters: Arc<Counters>,
+    pub(crate) limits: Arc<Limits>,
+    pub(crate) duty: Arc<Duty>,
+}
+
+/// Takes callers until the program ends.
+pub(crate) async fn listen(listener: TcpListener, desk: Desk) {
+    let mut callers: VecDeque<JoinHandle<()>> = VecDeque::new();
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(desk.limits.ops_pause).await;
+            continue;
+        };
+        callers.retain(|caller| !caller.is_finished());
+        // Guard: some connect and complete no call. They hold a place each, so the one that has been at it for
+        // longest leaves: a call that is whole is answered within a moment, and no such one is still here.
+        while callers.len() >= desk.limits.ops_callers {
+            callers.pop_front().into_iter().for_each(|caller| caller.abort());
+            desk.counters.ops_bad_calls.up();
+        }
+        let desk = desk.clone();
+        callers.push_back(tokio::spawn(async move {
+            // Guard: whoever stops halfway, or takes no answer, is left to himself in time.
+            if !matches!(timeout(desk.limits.ops_call, desk.serve(stream)).await, Ok(Ok(()))) {
+                desk.counters.ops_bad_calls.up();
+            }
+        }));
+    }
+}
+
+impl Desk {
+    /// One connection: one line, one answer.
+    async fn serve(&self, mut stream: TcpStream) -> std::io::Result<()> {
+        let mut line = Vec::new();
+        // The line may come in pieces of any size, and end with the connection's end.
+        let whole = loop {
+            if let Some(end) = line.iter().position(|b| *b == b'\n') {
+                break end <= self.limits.ops_line && {
+                    line.truncate(end);
+                    true
+                };
+            }
+            if line.len() > self.limits.ops_line {
+                break false;
+            }
+            if stream.read_buf(&mut line).await? == 0 {
+                break !line.is_empty();
+            }
+        };
+        let line = std::str::from_utf8(&line).ok().filter(|_| whole).map(str::trim);
+        let answer = match line {
+            Some(line) => self.answer(line).await,
+            None => "400 no line that can be read\n".to_owned(),
+        };
+        if answer.starts_with("400") {
+            self.counters.ops_bad_calls.up();
+        } else {
+            self.counters.ops_calls.up();
+        }
+        stream.write_all(answer.as_bytes()).await?;
+        stream.shutdown().await?;
+        linger(&stream, &self.limits).await;
+        Ok(())
+    }
+
+    async fn answer(&self, line: &str) -> String {
+        let words: Vec<&str> = line.split_ascii_whitespace().collect();
+        let said = match words[..] {
+            ["READY"] if self.duty.fit() => Ok("ready"),
+            ["READY"] => Err("not ready"),
+            ["STATS"] => return format!("{}EOF\n", self.counters.figures()),
+            [] => Err("an empty line"),
+            _ => Err("no such call: READY, STATS"),
+        };
+        match said {
+            Ok(what) => format!("200 {what}\n"),
+            Err(what) => format!("400 {what}\n"),
+        }
+    }
+}
--- a/src/snmp.rs
+++ b/src/snmp.rs
@@ -18,6 +18,8 @@
 
 /// The project's objects, in an arc for those who hold no number of their own.
 pub(crate) const ROOT: [u32; 10] = [1, 3, 6, 1, 4, 1, 8072, 9999, 9999, 62];
+/// And among them the table of classes.
+const CLASSES: u32 = 100;
 const SYSTEM: [u32; 7] = [1, 3, 6, 1, 2, 1, 1];
 
 /// The agent and what it answers from.
@@ -120,6 +122,16 @@
             };
             put(&ROOT, object, wide(value));
         }
+        let mut cell = |column: u32, row: u32, value| {
+            let arcs: Vec<u32> = ROOT.iter().copied().chain([CLASSES, 1, column, row]).collect();
+            view.insert(ObjectIdentifier::new_unchecked(arcs.into()), value);
+        };
+        for (row, (name, ends)) in (1..).zip(self.counters.classes()) {
+            cell(2, row, text(&name));
+            for (column, value) in (3..).zip(ends) {
+                cell(column, row, wide(ApplicationSyntax::BigCounter(Counter64(value))));
+            }
+        }
         view
     }
 
@@ -176,7 +188,8 @@
     fn the_mib_file_tells_what_the_agent_has() {
         let mib = include_str!("../mibs/MAGPIECHUTE-MIB.txt");
         let mut objects = Vec::new();
-        for part in mib.split(" OBJECT-TYPE\n").skip(1) {
+        let counters = mib.split("mcClassTable OBJECT-TYPE").next().unwrap_or_default();
+        for part in counters.split(" OBJECT-TYPE\n").skip(1) {
             let word = |after: &str| part.split(after).nth(1).and_then(|t| t.split_whitespace().next());
             objects.push((word("SYNTAX"), word("::= { magpiechute")));
         }
@@ -189,5 +202,7 @@
             assert!(mib.to_lowercase().contains(&object), "{object}");
         }
         assert_eq!(objects.len(), names.len());
+        let table = format!("::= {{ magpiechute {} }}", super::CLASSES);
+        assert!(mib.contains(&table) && mib.contains("mcClassBadGateway OBJECT-TYPE"));
     }
 }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -768,17 +768,21 @@
     s send next $.1.0
     s expect $.2.0=0
     s send next $.41.0
-    s expect $.41.0=EndOfMibView
+    s expect $.42.0=0
+    s send next $.45.0
+    s expect $.100.1.2.1=seat-check
+    s send next $.100.1.5.3
+    s expect $.100.1.5.3=EndOfMibView
 "
 )]
 #[case::bulk(
     "
     s send bulk 1 2 $ $.3
     s expect $.1.0=0 $.3.0=0 $.4.0=0
-    s send bulk 0 9 $.39
-    s expect $.39.0=0 $.40.0=0 $.41.0=1 $.41.0=EndOfMibView
-    s send bulk 0 4000000000 $.40.0 $.41.0
-    s expect $.41.0=1 $.41.0=EndOfMibView $.41.0=EndOfMibView $.41.0=EndOfMibView
+    s send bulk 0 9 $.100.1.5.1
+    s expect $.100.1.5.2=0 $.100.1.5.3=0 $.100.1.5.3=EndOfMibView
+    s send bulk 0 4000000000 $.100.1.5.2 $.100.1.5.3
+    s expect $.100.1.5.3=0 $.100.1.5.3=EndOfMibView $.100.1.5.3=EndOfMibView $.100.1.5.3=EndOfMibView
 "
 )]
 #[case::read_only(
@@ -805,6 +809,73 @@
     play(1, Speech::Lines, script);
 }
 
+/// The operations address.
+#[rstest]
+#[case::ready_and_figures(
+    "
+    o1 send READY
+    o1 expect 200
+    c1 send 1 seat-check
+    e expect ASK c1.1
+    wait written=1
+    o1 send STATS
+    o1 expect lines node.in_progress=1 node.upstream_tries=1 node.known_engines=2 node.passed.seat-check=0
+    e send c1.1 served batches=1 a\\n
+    c1 expect 1 served a\\n
+    c1 send 2 log-load
+    e expect ASK c1.2
+    e send c1.2 crashed
+    c1 expect 2 Internal
+    f1 send 1 log-load
+    e expect ASK f1.1
+    e send f1.1 overload
+    e expect ASK f1.1
+    e send f1.1 nobody
+    f1 expect 1 ResourceExhausted RETRY
+    o1 send STATS
+    o1 expect lines node.in_progress=0 node.upstream_tries=4 node.passed.seat-check=1 node.bad_gateway.log-load=1
+    o1 send STATS
+    o1 expect lines node.dropped.log-load=1 node.skipped_engines=0 node.loads=0 node.load_errors=0
+    n send moved
+    n send {
+    o1 send STATS
+    o1 expect lines node.loads=1 node.load_errors=1
+    s send get $.100.1.2.1 $.100.1.3.1 $.100.1.5.3
+    s expect $.100.1.2.1=seat-check $.100.1.3.1=1 $.100.1.5.3=1
+"
+)]
+#[case::bad_lines(
+    "
+    o1 send ready
+    o1 expect 400
+    o1 send READY now
+    o1 expect 400
+    o1 send
+    o1 expect 400
+    o1 send part aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa
+    o1 expect 400
+    wait ops_bad_calls=4
+"
+)]
+#[case::silent_callers_keep_none_out(
+    "
+    o1 send part RE
+    o2 send part S
+    o3 send part S
+    o4 send part S
+    o5 send part S
+    o6 send READY
+    o6 expect 200
+    wait ops_bad_calls=2
+    o5 send part TATS
+    o5 send
+    o5 expect lines node.in_progress=0
+"
+)]
+fn operations(#[case] script: &str) {
+    play(2, Speech::Lines, script);
+}
+
 /// Each front serves from engines of the other protocol.
 #[rstest]
 #[case::flight_client_line_engines(
--- a/tests/scene/mod.rs
+++ b/tests/scene/mod.rs
@@ -11,6 +11,8 @@
 //! - `feed expect 1` (a connection that has event 1), `feed send draining e1`, `feed send raw HEX`, `feed close`.
 //! - `s` asks the SNMP agent; `$` stands for the project's objects: `s send get $.1.0`, `s send next $`,
 //!   `s send bulk 0 3 $`, `s send get@other $.1.0` (another community), `s expect $.1.0=2`.
+//! - `o1`, `o2` are callers at the operations address, one call each: `o1 send READY`, `o1 send part REA`,
+//!   `o1 expect 200`, `o1 expect lines node.loads=0`, `o1 close` (the next `o1` is a new one).
 //! - `n close` asks the workload manager to stop, `n expect closed` waits until it has.
 //! - `n send moved` gives it a configuration with the feed at another address, `n send {` one that says `{`.
 //! - `wait taken=3` waits until a counter has that value.
@@ -21,6 +23,7 @@
 
 mod engines;
 mod flight;
+mod operations;
 mod platform;
 mod snmp;
 
@@ -61,7 +64,7 @@
 /// The text of a configuration.
 pub fn configuration(feed: std::net::SocketAddr, known: &str) -> String {
     format!(
-        r#"{{"name":"n1","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964",
+        r#"{{"name":"n1","listen":"127.0.0.1:0","ops":"127.0.0.1:0","seed":"8c1f30d27a5be964",
         "limits":{{"sockets":64,"memory_mb":32}},
         "feed":"{feed}","known":{{"n":1,"events":[{known}]}},"settings":{}}}"#,
         settings()
@@ -79,6 +82,8 @@
     clients: HashMap<String, platform::Client>,
     flights: HashMap<String, flight::Client>,
     manager: snmp::Manager,
+    ops: std::net::SocketAddr,
+    callers: HashMap<String, operations::Caller>,
 }
 
 /// Plays a script with so many engines that speak lines, or Flight SQL.
@@ -106,8 +111,9 @@
         let node = Node::start(config, fronts).await.expect("node");
         let manager = snmp::Manager::new(node.snmp.expect("agent")).await;
         let (counters, listen) = (node.counters.clone(), (node.listen, node.flight));
-        let (clients, flights) = Default::default();
-        Scene { node: Some(node), ending: None, counters, listen, fleet, clients, flights, manager }
+        let (clients, flights, callers) = Default::default();
+        let (ops, node, ending) = (node.ops.expect("operations"), Some(node), None);
+        Scene { node, ending, counters, listen, fleet, clients, flights, manager, ops, callers }
     }
 
     async fn step(&mut self, step: &str) {
@@ -143,6 +149,15 @@
                     soon(step, ending).await.expect("the end");
                 }
             }
+            ("o", _) => {
+                if !self.callers.contains_key(who) {
+                    self.callers.insert(who.to_owned(), operations::Caller::new(self.ops).await);
+                }
+                soon(step, self.callers.get_mut(who).expect("caller").step(verb, rest)).await;
+                if verb != "send" {
+                    self.callers.remove(who);
+                }
+            }
             ("s", _) => soon(step, self.manager.step(verb, rest)).await,
             ("c" | "x", _) => {
                 if !self.clients.contains_key(who) {
