Hold engines taken out by hand in the module, and stop what waits for their connections

Seen: nothing answered DISABLE and ENABLE, so every engine taken out by hand went on getting work.

Checked: the module test plays a ban through list events that say ready, gone and freshly started; the guard was taken out of `usable` and the test failed. A second hole showed while reading: an attempt that a broken connection gave back was placed on a new one without a look at the list's word (`engines/lines.rs`, `run`), which a ban hits as a drain does; both are stopped there now and at the write. Ruled out: a cold start from the list alone, as it tells a restart late or not at all.

Conclusion: the ban is the module's, apart from the list, and the engine comes back cold.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -133,6 +133,7 @@
     probed_at: Millis,
     cold_sends: Vec<(Millis, f64)>,
     hash: u64,
+    banned: bool, // as in the gateway's own list
 }
 
 #[derive(Clone, Default)]
@@ -163,6 +164,7 @@
     line: BTreeMap<u64, RequestId>,
     keys: BTreeMap<u64, (BTreeMap<u64, RequestId>, Millis)>,
     engines: BTreeMap<EngineId, Engine>,
+    bans: BTreeSet<EngineId>, // taken out by hand, listed or not
     stats: Vec<ClassStat>,
     best: f64,
     rate: f64,
@@ -211,6 +213,7 @@
         self.now = self.now.max(now_ms);
         match event {
             Event::List { kind, entries } => self.on_list(kind, entries),
+            Event::Ban { engine, out, at } => self.on_ban(engine, out, at),
             Event::Request(r) => self.on_request(&r, actions),
             Event::Streaming { id, attempt } => {
                 self.try_of(id, attempt).iter_mut().for_each(|t| t.streaming = true)
@@ -238,9 +241,26 @@
         self.pump(actions);
     }
 
-    /// Listed engines that it sends nothing at present, by choice.
+    /// Listed engines that it sends nothing at present, by hand or by choice.
     pub fn avoided(&self) -> usize {
-        self.engines.values().filter(|e| e.usable() && self.shuns(e)).count()
+        let listed = self.engines.values().filter(|e| e.line.state != ListState::Gone);
+        listed.filter(|e| e.banned || e.usable() && self.shuns(e)).count()
+    }
+
+    /// The engines that staff have taken out.
+    pub fn bans(&self) -> &BTreeSet<EngineId> {
+        &self.bans
+    }
+
+    /// Guard: no list, address or start of the engine undoes a ban. It was restarted while it was out, and
+    /// the list tells that late or not at all, so it is cold from the call back on.
+    fn on_ban(&mut self, engine: EngineId, out: bool, at: Millis) {
+        let new = if out { self.bans.insert(engine) } else { self.bans.remove(&engine) };
+        let Some(e) = self.engines.get_mut(&engine).filter(|_| new) else { return };
+        e.banned = out;
+        if !out {
+            e.restart(at, at + self.set.cold_ms, e.fit.start, self.now);
+        }
     }
 
     /// How many requests, waiters, keys and engines it holds.
@@ -270,6 +290,7 @@
                 (e.fit, e.heard) = (Fit::new(start, now), now);
                 (e.reported, e.probed_at) = (f64::NEG_INFINITY, f64::NEG_INFINITY);
                 let at = line.engine;
+                e.banned = self.bans.contains(&at);
                 e.hash = mix(u64::from(u32::from_be_bytes(at.addr)) ^ u64::from(at.port) << 32);
             }
             let started = line.started_ms;
@@ -666,14 +687,8 @@
         let errors = 1.0 + ERROR_PRICE * e.errors + again;
         let tie = 1.0 + TIE_PRICE * (mix(e.hash ^ self.seed ^ r.seq) >> 11) as f64 / 2f64.powi(53);
         let held = if c.loads { self.load_price(r, e) } else { 1.0 };
-        (IDLE_PRICE + after / self.cores(e))
-            * self.slowness(e)
-            * home
-            * tie
-            * apart
-            * crossing
-            * errors
-            * held
+        let crowd = (IDLE_PRICE + after / self.cores(e)) * self.slowness(e);
+        crowd * home * tie * apart * crossing * errors * held
     }
 
     /// A load stands still while another one of its data set runs there. Own ones are known; those of other
@@ -998,7 +1013,7 @@
     }
 
     fn usable(&self) -> bool {
-        self.line.state == ListState::Ready
+        self.line.state == ListState::Ready && !self.banned
     }
 
     fn pause(&self) -> Millis {
--- a/src/config.rs
+++ b/src/config.rs
@@ -156,14 +156,20 @@
     EngineId { addr: id.to_be_bytes(), port: 0 }
 }
 
+/// The engine with the id that stands in text as `s-` and 8 hex digits.
+pub fn engine_named(text: &str) -> Option<EngineId> {
+    let hex =
+        text.strip_prefix("s-").filter(|hex| hex.len() == 8 && hex.bytes().all(|b| b.is_ascii_hexdigit()))?;
+    u32::from_str_radix(hex, 16).ok().map(engine_id)
+}
+
 impl Member {
     fn listed(self, parsed: &Parsed) -> Result<Listed, ConfigError> {
         let wrong = |what: &str, value: &str| ConfigError(format!("known events: {what} {value:?}"));
         let place = |names: &[String], name: &str, what: &str| {
             names.iter().position(|n| n == name).ok_or_else(|| wrong(what, name))
         };
-        let id = self.instance_id.strip_prefix("s-").and_then(|hex| u32::from_str_radix(hex, 16).ok());
-        let id = id.ok_or_else(|| wrong("engine id", &self.instance_id))?;
+        let engine = engine_named(&self.instance_id).ok_or_else(|| wrong("engine id", &self.instance_id))?;
         let state = match self.lifecycle.as_str() {
             "active" => ListState::Ready,
             "leaving" => ListState::Draining,
@@ -173,7 +179,7 @@
         let zone = place(&parsed.zones, &self.zone, "zone")? as u8;
         let kind = place(&parsed.kinds, &self.machine_type, "machine kind")? as u16;
         let (cell, nominal, started_ms) = (self.cell, self.weight, self.started_at_ms);
-        let entry = EngineEntry { engine: engine_id(id), zone, kind, cell, state, nominal, started_ms };
+        let entry = EngineEntry { engine, zone, kind, cell, state, nominal, started_ms };
         Ok(Listed { entry, address: SocketAddr::V4(self.host_port) })
     }
 }
--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -1,11 +1,11 @@
 //! The module's actor: one task with a mailbox round the core.
 
-use super::{Core, EnginePort, Input};
-use crate::interface::{Millis, RequestId};
+use super::{Core, EnginePort, Input, Urgent};
+use crate::interface::{EngineId, Millis, RequestId};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, sleep_until};
 
 /// Unix time that never goes back: the system's clock at the start, carried on by the monotonic one.
@@ -39,19 +39,46 @@
     }
 }
 
+/// Orders of staff that wait at most.
+const URGENT: usize = 16;
+
+/// Where the core's actor reads.
+pub struct Inputs {
+    inputs: mpsc::Receiver<Input>,
+    orders: mpsc::Receiver<Urgent>,
+}
+
+impl Inputs {
+    /// The next ordinary input, for tests of those who send it.
+    #[cfg(test)]
+    pub(crate) async fn input(&mut self) -> Option<Input> {
+        self.inputs.recv().await
+    }
+}
+
 /// The way into the core's mailbox, for fronts, engines and the list.
 #[derive(Clone)]
 pub struct Handle {
     mailbox: mpsc::Sender<Input>,
+    urgent: mpsc::Sender<Urgent>,
     ids: Arc<AtomicU32>,
     clock: Clock,
 }
 
 impl Handle {
-    /// A mailbox of this size; its receiver goes to [`start`].
-    pub fn new(size: usize, clock: Clock) -> (Handle, mpsc::Receiver<Input>) {
+    /// A mailbox of this size, and a small one that overtakes it; their receivers go to [`start`].
+    pub fn new(size: usize, clock: Clock) -> (Handle, Inputs) {
         let (mailbox, inputs) = mpsc::channel(size);
-        (Handle { mailbox, ids: Arc::new(AtomicU32::new(1)), clock }, inputs)
+        let (urgent, orders) = mpsc::channel(URGENT);
+        (Handle { mailbox, urgent, ids: Arc::new(AtomicU32::new(1)), clock }, Inputs { inputs, orders })
+    }
+
+    /// Takes an engine out or gives it back, past all that waits in the mailbox; false where nothing is known of
+    /// the engine. `told` is what need not be known, as it was said elsewhere.
+    pub async fn ban(&self, engine: EngineId, out: bool, at: Millis, told: bool) -> bool {
+        let (done, said) = oneshot::channel();
+        let _ = self.urgent.send(Urgent::Ban { engine, out, at, told, done }).await;
+        said.await.unwrap_or(false)
     }
 
     /// A new request's id.
@@ -77,12 +104,15 @@
 }
 
 /// Runs the core until its mailbox closes.
-pub async fn start<E: EnginePort>(mut core: Core<E>, mut inputs: mpsc::Receiver<Input>, clock: Clock) {
+pub async fn start<E: EnginePort>(mut core: Core<E>, from: Inputs, clock: Clock) {
+    let Inputs { mut inputs, mut orders } = from;
     core.begin(clock.now());
     loop {
         let alarm = core.next_alarm().unwrap_or_else(|| clock.now() + 1000.0);
         tokio::select! {
             biased;
+            // Guard: staff wait for a second, and a mailbox may stay full for as long as there is load.
+            Some(order) = orders.recv() => core.urgent(clock.now(), order),
             input = inputs.recv() => match input {
                 Some(input) => core.handle(clock.now(), input),
                 None => return,
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -7,7 +7,7 @@
 
 mod actor;
 
-pub use actor::{Clock, Handle, start};
+pub use actor::{Clock, Handle, Inputs, start};
 
 use crate::config::{ListEvent, Listed};
 use crate::counters::{Count, Counters};
@@ -17,7 +17,7 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, HashSet};
 use std::sync::Arc;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 
 /// In which form the pieces of a result stand.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -152,6 +152,8 @@
     fn listed(&mut self, line: &Listed);
     /// The list names it no longer.
     fn dropped(&mut self, engine: EngineId);
+    /// Staff took it out, or gave it back: nothing new, not even what waits for a connection.
+    fn banned(&mut self, engine: EngineId, out: bool);
 }
 
 /// News from an engine's side of the house.
@@ -197,6 +199,26 @@
     List(ListEvent),
 }
 
+/// What overtakes the mailbox.
+pub enum Urgent {
+    /// Staff take an engine out, or give it back.
+    Ban {
+        /// Which engine.
+        engine: EngineId,
+        /// Taken out, or given back.
+        out: bool,
+        /// Unix time in ms at which it was said.
+        at: Millis,
+        /// It was said elsewhere, and holds for an engine that is not known here too.
+        told: bool,
+        /// Whether it was known, once the module has it.
+        done: oneshot::Sender<bool>,
+    },
+}
+
+/// Bans held at most: they outlive their engines.
+const BANS: usize = 256;
+
 struct Out {
     number: u16,
     engine: EngineId,
@@ -368,6 +390,24 @@
         }
     }
 
+    /// Takes an order that did not wait in the mailbox.
+    pub fn urgent(&mut self, now: Millis, order: Urgent) {
+        match order {
+            Urgent::Ban { engine, out, at, told, done } => {
+                let held = self.gateway.bans().contains(&engine);
+                let known = held || self.known.contains(&engine) || told && out;
+                // Guard: what is not listed grows with nothing; it holds a ban only while there is room.
+                let fits = !out || held || self.gateway.bans().len() < BANS;
+                if known && fits || told && !out {
+                    self.tell(now, Event::Ban { engine, out, at });
+                    self.engines.banned(engine, out);
+                    self.counters.engines_skipped.set(self.gateway.avoided());
+                }
+                let _ = done.send(known && fits);
+            }
+        }
+    }
+
     fn take(&mut self, now: Millis, taken: Taken) {
         self.counters.taken.up();
         let id = taken.id;
@@ -441,6 +481,9 @@
                 _ => self.known.insert(line.entry.engine),
             };
             self.engines.listed(line);
+            if self.gateway.bans().contains(&line.entry.engine) {
+                self.engines.banned(line.entry.engine, true); // a new address has a new actor
+            }
         }
         self.ready.retain(|_, ready| *ready);
         self.counters.engines.set(self.known.len());
@@ -642,7 +685,7 @@
         timeout_ms: Option<Millis>,
     ) -> Option<Outcome> {
         let repeatable = self.requests.get(&id).is_some_and(|o| self.repeatable(o));
-        let ready = self.ready.contains_key(&engine);
+        let ready = self.ready.contains_key(&engine) && !self.gateway.bans().contains(&engine);
         let cap = self.cap;
         let open = self.requests.get_mut(&id)?;
         let number = open.attempts;
@@ -746,6 +789,7 @@
         fn priority(&mut self, _: EngineId, _: RequestId, _: u16, _: u8) {}
         fn listed(&mut self, _: &Listed) {}
         fn dropped(&mut self, _: EngineId) {}
+        fn banned(&mut self, _: EngineId, _: bool) {}
     }
 
     struct Nobody;
--- a/src/engines/flight.rs
+++ b/src/engines/flight.rs
@@ -39,9 +39,10 @@
     address: SocketAddr,
     mut orders: mpsc::Receiver<Order>,
     house: House,
+    banned: Arc<AtomicBool>,
 ) {
-    let link =
-        Arc::new(Link { engine, address, house, channel: Mutex::default(), drained: AtomicBool::new(false) });
+    let (channel, drained) = Default::default();
+    let link = Arc::new(Link { engine, address, house, channel, drained, banned });
     let mut tasks = JoinSet::new();
     let mut running: HashMap<(RequestId, u16), AbortHandle> = HashMap::new();
     let (mut listed, mut cut) = (true, None);
@@ -58,7 +59,7 @@
                     running.remove(&(id, attempt)).into_iter().for_each(|task| task.abort());
                 }
                 // Flight SQL has no word for a query's new priority.
-                Some(Order::Priority(..)) => {}
+                Some(Order::Priority(..) | Order::Banned) => {}
                 Some(Order::Listed(state)) => {
                     link.drained.store(state != ListState::Ready, Ordering::Relaxed);
                     let gone = state == ListState::Gone;
@@ -91,9 +92,16 @@
     house: House,
     channel: Mutex<Option<Channel>>,
     drained: AtomicBool,
+    /// Staff took the engine out.
+    banned: Arc<AtomicBool>,
 }
 
 impl Link {
+    /// Whether nothing new may go to its engine.
+    fn shut(&self) -> bool {
+        self.drained.load(Ordering::Relaxed) || self.banned.load(Ordering::Relaxed)
+    }
+
     /// The channel, which is up; `None` where it does not come up, so that nothing was sent.
     async fn channel(&self) -> Option<Channel> {
         let mut channel = self.channel.lock().await;
@@ -160,7 +168,7 @@
     let mut told = MetadataMap::new();
     let done = match link.channel().await {
         // Guard: a drain that came while the connection did stops the attempt before its first byte.
-        Some(channel) if !link.drained.load(Ordering::Relaxed) => send(&link, &ask, channel, &mut told).await,
+        Some(channel) if !link.shut() => send(&link, &ask, channel, &mut told).await,
         _ => Err(Lost(Outcome::NoConnection)),
     };
     match done {
--- a/src/engines/lines.rs
+++ b/src/engines/lines.rs
@@ -10,7 +10,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep_until, timeout};
@@ -21,8 +21,10 @@
     address: SocketAddr,
     mut orders: mpsc::Receiver<Order>,
     house: House,
+    banned: Arc<AtomicBool>,
 ) {
     let mut conns: Vec<Conn> = Vec::new();
+    let mut ready = true;
     // Holds no more than the core's attempts on this engine.
     let (asks, mut returned) = mpsc::unbounded_channel();
     let back = Back { asks, broken: Arc::default() };
@@ -37,6 +39,9 @@
             },
         };
         conns.retain(|c| !c.orders.is_closed());
+        if let Order::Listed(state) = &order {
+            ready = *state == ListState::Ready;
+        }
         let Order::Ask(ask) = order else {
             // Each connection knows its own attempts.
             for conn in &conns {
@@ -44,6 +49,11 @@
             }
             continue;
         };
+        // Guard: what a broken connection gave back finds no new one to what drains or was taken out meanwhile.
+        if !ready || banned.load(Ordering::Relaxed) {
+            ended(&house, engine, &ask, Outcome::NoConnection).await;
+            continue;
+        }
         let once = house.parsed.settings.classes.get(ask.class).is_some_and(|c| c.effect == Effect::Once);
         let place = place(&conns, once, &house);
         let conn = match place {
@@ -51,7 +61,14 @@
             None => {
                 let (orders, mailbox) = mpsc::channel(house.limits.mailbox);
                 let load = Arc::new(Load::default());
-                let connection = Connection::new(engine, mailbox, back.clone(), load.clone(), house.clone());
+                let connection = Connection::new(
+                    engine,
+                    mailbox,
+                    back.clone(),
+                    load.clone(),
+                    house.clone(),
+                    banned.clone(),
+                );
                 house.counters.engine_conns_open.up();
                 tokio::spawn(connection.run(address));
                 conns.push(Conn { orders, load });
@@ -200,6 +217,8 @@
     /// When a gone engine's connections are cut.
     cut: Option<Instant>,
     drained: bool,
+    /// Staff took the engine out.
+    banned: Arc<AtomicBool>,
     /// The engine's actor has ended: no more orders come.
     orphaned: bool,
 }
@@ -211,6 +230,7 @@
         back: Back,
         load: Arc<Load>,
         house: House,
+        banned: Arc<AtomicBool>,
     ) -> Connection {
         Connection {
             engine,
@@ -227,6 +247,7 @@
             half_since: None,
             cut: None,
             drained: false,
+            banned,
             orphaned: false,
         }
     }
@@ -259,7 +280,7 @@
         // Guard: a connection that was up and broke says nothing of attempts that it was never sent; they go over
         // another one. All of this is done before anything waits, so that no order can miss them in between.
         let broken = self.back.broken.fetch_add(1, Ordering::Relaxed);
-        if up && !self.drained && broken < self.house.limits.give_backs {
+        if up && !self.shut() && broken < self.house.limits.give_backs {
             for ask in std::mem::take(&mut self.waiting) {
                 self.load.take_off(self.once(&ask));
                 if let Err(mpsc::error::SendError(ask)) = self.back.asks.send(ask) {
@@ -299,7 +320,7 @@
 
     async fn serve(&mut self, stream: &TcpStream, unsent: &mut Vec<Ask>) -> Result<(), Broken> {
         loop {
-            self.next_ask();
+            self.next_ask(unsent);
             self.out.flush(stream)?;
             if self.unwritten.is_some_and(|whole| whole <= self.out.written()) {
                 self.unwritten = None;
@@ -309,7 +330,7 @@
                 continue;
             }
             let idle = self.attempts.is_empty() && self.waiting.is_empty() && self.out.is_empty();
-            if idle && self.drained {
+            if idle && self.shut() {
                 return Ok(());
             }
             let pages = self.attempts.values().filter_map(|a| a.pages.as_ref().map(|p| p.until)).min();
@@ -362,7 +383,10 @@
 
     /// Puts the next attempt into the queue for the socket, one at a time: so at most one can be caught half
     /// written when its engine drains.
-    fn next_ask(&mut self) {
+    fn next_ask(&mut self, unsent: &mut Vec<Ask>) {
+        if self.shut() {
+            unsent.extend(self.waiting.drain(..));
+        }
         while self.out.is_empty() {
             let Some(ask) = self.waiting.pop_front() else { return };
             let left = (ask.due_ms - self.house.core.now()).max(1.0);
@@ -388,7 +412,7 @@
 
     fn order(&mut self, order: Order, unsent: &mut Vec<Ask>) {
         match order {
-            Order::Ask(ask) if self.drained => unsent.push(ask),
+            Order::Ask(ask) if self.shut() => unsent.push(ask),
             Order::Ask(ask) => self.waiting.push_back(ask),
             Order::Quit(id, attempt) => self.quit(id, attempt),
             Order::Priority(id, attempt, n) => {
@@ -398,6 +422,8 @@
                     self.line("PRIO", &name, Some(usize::from(n)));
                 }
             }
+            Order::Banned if self.shut() => unsent.extend(self.waiting.drain(..)),
+            Order::Banned => {}
             Order::Listed(ListState::Ready) => (self.drained, self.cut) = (false, None),
             Order::Listed(state) => {
                 // Guard: what is not yet begun by the word of a drain is not begun at all.
@@ -410,6 +436,11 @@
         }
     }
 
+    /// Whether nothing new may go to its engine.
+    fn shut(&self) -> bool {
+        self.drained || self.banned.load(Ordering::Relaxed)
+    }
+
     fn name_of(&self, id: RequestId, attempt: u16) -> Option<Bytes> {
         let found = self.attempts.iter().find(|(_, a)| a.ask.id == id && a.ask.attempt == attempt);
         found.map(|(name, _)| name.clone())
@@ -694,3 +725,55 @@
         body: bytes.slice(body),
     }))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::core::{Clock, Handle, Kind};
+    use tokio::net::TcpListener;
+    use tokio::time::sleep;
+
+    /// Guard: what waits for a connection when staff take its engine out is given back, and nothing is connected.
+    #[test]
+    fn a_ban_reaches_what_waits() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("runtime");
+        runtime.block_on(async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+            let address = listener.local_addr().expect("address");
+            let (core, mut news) = Handle::new(4, Clock::new());
+            let (house, banned) = (House::for_tests(core), Arc::<AtomicBool>::default());
+            let (orders, mailbox) = mpsc::channel(4);
+            let engine = EngineId::default();
+            tokio::spawn(run(engine, address, mailbox, house, banned.clone()));
+            let ask = |id| {
+                Order::Ask(Ask {
+                    id,
+                    attempt: 0,
+                    name: Bytes::from_static(b"00000000000000ab"),
+                    class: 0,
+                    due_ms: f64::MAX,
+                    memory_mb: 0.0,
+                    priority: 1,
+                    statement: Bytes::new(),
+                    kind: Kind::Query,
+                })
+            };
+            // Behind it in the mailbox: the flag is there before the order is read.
+            orders.send(ask(1)).await.expect("order");
+            banned.store(true, Ordering::Relaxed);
+            assert!(matches!(
+                news.input().await,
+                Some(Input::Engine {
+                    id: 1,
+                    news: EngineNews::Ended { outcome: Outcome::NoConnection, .. },
+                    ..
+                })
+            ));
+            tokio::select! {
+                biased;
+                _ = listener.accept() => panic!("connected to an engine that was taken out"),
+                () = sleep(std::time::Duration::ZERO) => {}
+            }
+        });
+    }
+}
--- a/src/engines/mod.rs
+++ b/src/engines/mod.rs
@@ -12,6 +12,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use tokio::sync::mpsc;
 
 /// What every engine's actor holds.
@@ -27,6 +28,19 @@
     pub(crate) held: Arc<Stock>,
 }
 
+#[cfg(test)]
+impl House {
+    /// One for tests of a single engine's actor.
+    pub(crate) fn for_tests(core: Handle) -> House {
+        let text = r#"{"nInstances":1,"classes":[{"name":"a","effect":"once","promiseMs":1,"giveUpMs":9}],
+            "guarantees":{"coldMs":1,"coldShare":0.3,"overloadForMs":1,"tipMultiple":3},
+            "limits":{"attemptsCap":6}}"#;
+        let parsed = Arc::new(crate::settings::parse(text.as_bytes()).expect("settings"));
+        let limits = Arc::new(Limits::new(256, 32, true, &parsed));
+        House { core, parsed, limits, counters: Arc::default(), flight: false, held: Arc::default() }
+    }
+}
+
 /// What an engine's actor is told.
 #[derive(Clone, Debug)]
 pub(crate) enum Order {
@@ -35,11 +49,15 @@
     Priority(RequestId, u16, u8),
     /// The list's word on it.
     Listed(ListState),
+    /// Staff took it out, or gave it back.
+    Banned,
 }
 
 struct Peer {
     address: SocketAddr,
     orders: mpsc::Sender<Order>,
+    /// Whether staff took it out. Read before anything new is written, so that no queue of orders delays it.
+    banned: Arc<AtomicBool>,
 }
 
 /// All engines that the list has named.
@@ -76,12 +94,13 @@
         let moved = self.peers.get(&engine).is_none_or(|p| p.address != line.address || p.orders.is_closed());
         if moved && state == ListState::Ready && self.peers.len() < self.house.limits.engines {
             let (orders, mailbox) = mpsc::channel(self.house.limits.mailbox);
-            let house = self.house.clone();
+            let (house, banned) = (self.house.clone(), Arc::<AtomicBool>::default());
+            let shut = banned.clone();
             match house.flight {
-                true => tokio::spawn(flight::run(engine, line.address, mailbox, house)),
-                false => tokio::spawn(lines::run(engine, line.address, mailbox, house)),
+                true => tokio::spawn(flight::run(engine, line.address, mailbox, house, shut)),
+                false => tokio::spawn(lines::run(engine, line.address, mailbox, house, shut)),
             };
-            self.peers.insert(engine, Peer { address: line.address, orders });
+            self.peers.insert(engine, Peer { address: line.address, orders, banned });
         }
         self.tell(engine, Order::Listed(state));
         if state == ListState::Gone {
@@ -89,6 +108,13 @@
         }
     }
 
+    fn banned(&mut self, engine: EngineId, out: bool) {
+        if let Some(peer) = self.peers.get(&engine) {
+            peer.banned.store(out, Ordering::Relaxed);
+        }
+        self.tell(engine, Order::Banned);
+    }
+
     /// Its actor ends with its mailbox, once its attempts are over.
     fn dropped(&mut self, engine: EngineId) {
         self.peers.remove(&engine);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -344,6 +344,15 @@
         /// The entries.
         entries: Vec<EngineEntry>,
     },
+    /// Staff took an engine out, or gave it back, at this time. It holds whatever the list says.
+    Ban {
+        /// Which engine.
+        engine: EngineId,
+        /// Taken out, or given back.
+        out: bool,
+        /// When.
+        at: Millis,
+    },
     /// A client's request.
     Request(Request),
     /// The answer has begun to stream; the attempt belongs to the client.
--- a/src/node.rs
+++ b/src/node.rs
@@ -92,7 +92,8 @@
         let (feed, address) = watch::channel(config.feed);
         tokio::spawn(list::follow(address, last, core.clone(), limits.clone(), counters.clone()));
         let ops = desk.map(|(listener, at)| {
-            let desk = Desk { counters: counters.clone(), limits: limits.clone(), duty: duty.clone() };
+            let (core, counters) = (core.clone(), counters.clone());
+            let desk = Desk { core, counters, limits: limits.clone(), duty: duty.clone() };
             tokio::spawn(operations::listen(listener, desk));
             at
         });
--- a/src/operations.rs
+++ b/src/operations.rs
@@ -2,6 +2,8 @@
 //! place, a bound on its line and a time by which it is done. Nothing here waits for the core's ordinary mailbox:
 //! what is asked is read off published figures, and what is told goes past the queue.
 
+use crate::config::engine_named;
+use crate::core::Handle;
 use crate::counters::Counters;
 use crate::duty::Duty;
 use crate::limits::Limits;
@@ -16,6 +18,7 @@
 /// What a call is answered from.
 #[derive(Clone)]
 pub(crate) struct Desk {
+    pub(crate) core: Handle,
     pub(crate) counters: Arc<Counters>,
     pub(crate) limits: Arc<Limits>,
     pub(crate) duty: Arc<Duty>,
@@ -81,14 +84,23 @@
         Ok(())
     }
 
+    /// Says yes only once the module has it.
+    async fn ban(&self, id: &str, out: bool) -> Result<(), &'static str> {
+        let engine = engine_named(id).ok_or("no engine has such an id")?;
+        let known = self.core.ban(engine, out, self.core.now(), false).await;
+        known.then_some(()).ok_or("no such engine is known")
+    }
+
     async fn answer(&self, line: &str) -> String {
         let words: Vec<&str> = line.split_ascii_whitespace().collect();
         let said = match words[..] {
             ["READY"] if self.duty.fit() => Ok("ready"),
             ["READY"] => Err("not ready"),
             ["STATS"] => return format!("{}EOF\n", self.counters.figures()),
+            ["DISABLE", id] => self.ban(id, true).await.map(|()| "taken out"),
+            ["ENABLE", id] => self.ban(id, false).await.map(|()| "may serve again"),
             [] => Err("an empty line"),
-            _ => Err("no such call: READY, STATS"),
+            _ => Err("no such call: READY, STATS, DISABLE ID, ENABLE ID"),
         };
         match said {
             Ok(what) => format!("200 {what}\n"),
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -485,3 +485,37 @@
     // A warm engine may still be worth a meeting; without the guard all three meet.
     assert!(met.count() <= 1, "data sets whose loads met");
 }
+
+/// Guard: no list, address or start of an engine undoes a ban, and what was at rest comes back cold.
+#[test]
+fn an_engine_taken_out_stays_out_whatever_the_list_says() {
+    let mut rig = Rig::new(settings(vec![class(1, 1000.0, 1.0)]), 2);
+    let ban = |out, at| Event::Ban { engine: engine(0), out, at };
+    rig.event(ban(true, 1000.0));
+    let mut next = 0;
+    let mut ask = |rig: &mut Rig| {
+        next += 1;
+        let to = sent(&rig.request(next, 0, 0), next);
+        to.into_iter().for_each(|at| drop(rig.ended(next, 0, at, Outcome::Ok)));
+        to
+    };
+    for change in [
+        vec![entry(0, ListState::Ready, 0.0)],
+        vec![entry(0, ListState::Gone, 0.0)],
+        vec![entry(0, ListState::Ready, 900.0)],
+    ] {
+        rig.list(change);
+        rig.tick(50.0);
+        assert_eq!(rig.gateway.avoided(), 1.min(rig.gateway.held()[3] - 1));
+        assert!((0..20).all(|_| ask(&mut rig) == Some(engine(1))));
+    }
+    rig.list(vec![entry(1, ListState::Draining, 0.0)]);
+    assert_eq!(ask(&mut rig), None, "better none than one that was taken out");
+    rig.now = 60_000.0;
+    let back = ban(false, rig.now);
+    rig.event(back);
+    assert_eq!(rig.gateway.avoided(), 0);
+    // Cold by the guard for fresh engines: a burst of queries is not let through at once, one comes soon.
+    let sent_at_once = (5000..5100).filter(|id| sent(&rig.request(*id, 0, 0), *id).is_some()).count();
+    assert!((1..60).contains(&sent_at_once), "{sent_at_once} sent to an engine just back");
+}
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -857,6 +857,63 @@
     wait ops_bad_calls=4
 "
 )]
+#[case::an_engine_taken_out_gets_nothing_new(
+    "
+    feed expect 1
+    c1 send 1 seat-check
+    c1 send 2 seat-check
+    e expect ASK c1.1
+    e expect ASK c1.2
+    o1 send DISABLE s-00000001
+    o1 expect 200
+    o1 send DISABLE s-00000001
+    o1 expect 200
+    wait engines_skipped=1
+    e send c1.1 served batches=1 a\\n
+    e send c1.2 served batches=1 b\\n
+    c1 expect 1 served a\\n
+    c1 expect 2 served b\\n
+    feed send draining e2
+    wait feed_events=1
+    c1 send 3 seat-check allow=400
+    c1 expect 3 Overloaded cooldown
+    feed send active e2
+    feed send only e2
+    feed send listed e1
+    wait feed_events=4
+    c1 send 4 seat-check
+    e expect ASK c1.4
+    e send c1.4 served batches=1 d\\n
+    c1 expect 4 served d\\n
+    o1 send STATS
+    o1 expect lines node.skipped_engines=1
+    o1 send ENABLE s-00000001
+    o1 expect 200
+    feed send draining e2
+    wait feed_events=5
+    c1 send 5 seat-check
+    e expect ASK c1.5
+    e send c1.5 served batches=1 c\\n
+    c1 expect 5 served c\\n
+    o1 send STATS
+    o1 expect lines node.skipped_engines=0
+"
+)]
+#[case::engines_that_nobody_knows(
+    "
+    o1 send DISABLE s-000000ff
+    o1 expect 400
+    o1 send ENABLE s-000000ff
+    o1 expect 400
+    o1 send DISABLE 00000001
+    o1 expect 400
+    o1 send DISABLE
+    o1 expect 400
+    o1 send DISABLE s-00000001 s-00000002
+    o1 expect 400
+    wait engines_skipped=0
+"
+)]
 #[case::silent_callers_keep_none_out(
     "
     o1 send part RE
--- a/tests/scene/engines.rs
+++ b/tests/scene/engines.rs
@@ -102,6 +102,11 @@
         self.feed.address
     }
 
+    /// Nothing new may go to this engine from now on, or it may again.
+    pub fn shut(&mut self, n: usize, out: bool) {
+        *self.engines[n].drained.lock().expect("lock") = out.then(Instant::now);
+    }
+
     pub async fn step(&mut self, who: &str, verb: &str, rest: &[&str]) {
         match (who, verb, rest) {
             ("feed", ..) => self.feed_step(verb, rest).await,
@@ -229,12 +234,19 @@
             }
             ("send", [state, engine]) => {
                 let n = number(engine);
-                let state = ["active", "draining", "gone"].iter().position(|s| s == state).expect("state");
+                let state =
+                    ["active", "draining", "gone", "listed"].iter().position(|s| s == state).expect("state");
                 let address = self.engines[n].address;
-                *self.engines[n].drained.lock().expect("lock") = (state > 0).then(Instant::now);
-                feed.events += 1;
-                let frame = feed_frame(feed.events, 2, n, address, state as u8);
-                feed.stream.as_mut().expect("feed").write_all(&frame).await.expect("write");
+                // A line that stays as it was says nothing of what may go there.
+                let state = if state == 3 {
+                    0
+                } else {
+                    self.shut(n, state > 0);
+                    state
+                };
+                self.feed.events += 1;
+                let frame = feed_frame(self.feed.events, 2, n, address, state as u8);
+                self.feed.stream.as_mut().expect("feed").write_all(&frame).await.expect("write");
             }
             other => panic!("feed: {other:?}"),
         }
--- a/tests/scene/mod.rs
+++ b/tests/scene/mod.rs
@@ -155,7 +155,10 @@
                 }
                 soon(step, self.callers.get_mut(who).expect("caller").step(verb, rest)).await;
                 if verb != "send" {
-                    self.callers.remove(who);
+                    let engine = self.callers.remove(who).and_then(|caller| caller.engine);
+                    if let Some((n, out)) = engine.filter(|_| rest == ["200"]) {
+                        self.fleet.shut(n, out);
+                    }
                 }
             }
             ("s", _) => soon(step, self.manager.step(verb, rest)).await,
