Send clients away in a drain: each connection closes once nothing is open on it

Seen: nothing answered DRAIN, and a planned end left kept connections open until the program was gone.

Checked: scenarios with an idle connection, one with requests open, one with half a request on its way, a newcomer, and both fronts. On the Flight SQL front the first form cut an answer off: a place counts as free when the request ends, and the answer is written after that, so there a connection leaves only after a moment of quiet (`Seat::leaves`); making room for newcomers had the same hole. Ruled out: a close with no wait for the peer's end, as a request that crosses it resets the connection and the answer before it.

At fault: `clients/seats.rs` knew one reason to ask a connection to leave, a newcomer's need.

Conclusion: one state, `duty`, for READY, `health`, the places of both fronts and SIGTERM.

--- a/src/clients/flight.rs
+++ b/src/clients/flight.rs
@@ -41,7 +41,8 @@
 /// Serves the front until the program ends.
 pub(crate) async fn listen(listener: TcpListener, front: Front) {
     let seats = Seats::new(front.limits.flight_conns, front.counters.clone());
-    let (silence, ping) = (front.limits.client_silence, front.limits.keep_alive);
+    tokio::spawn(seats.clone().follow(front.duty.clone()));
+    let (silence, ping, quiet) = (front.limits.client_silence, front.limits.keep_alive, front.limits.linger);
     let counters = front.counters.clone();
     let streams = front.limits.open_per_client as u32;
     let message = front.limits.message_bytes;
@@ -59,11 +60,11 @@
                     let (leaving, counters) = (seat.clone(), counters.clone());
                     let leave = Box::pin(async move {
                         tokio::select! {
-                            () = leaving.asked_to_leave() => {}
+                            () = leaving.leaves(quiet) => {}
                             // Guard: who connects and brings no call is closed in time.
                             () = sleep(silence) => {
                                 if leaving.heard() {
-                                    leaving.asked_to_leave().await;
+                                    leaving.leaves(quiet).await;
                                 } else {
                                     counters.client_silent.up();
                                 }
--- a/src/clients/platform.rs
+++ b/src/clients/platform.rs
@@ -12,6 +12,7 @@
 use bytes::{Bytes, BytesMut};
 use std::collections::HashMap;
 use std::sync::Arc;
+use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep_until};
@@ -19,6 +20,7 @@
 /// Accepts clients for as long as the program runs, also while it stops.
 pub(crate) async fn listen(listener: TcpListener, front: Front) {
     let seats = Seats::new(front.limits.client_conns, front.counters.clone());
+    tokio::spawn(seats.clone().follow(front.duty.clone()));
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
@@ -120,7 +122,12 @@
                 let _ = self.out.flush(&self.stream);
             }
             Err(End::Silent) => self.front.counters.client_silent.up(),
-            Ok(()) | Err(End::Closed) => {}
+            Ok(()) => {
+                // What crosses this close goes again; an answer under way must not be lost to its being refused.
+                let _ = self.stream.shutdown().await;
+                net::linger(&self.stream, &self.front.limits).await;
+            }
+            Err(End::Closed) => {}
         }
         self.answers.close();
         if self.owing {
@@ -161,11 +168,12 @@
                 // Guard: a client that says nothing, or stops halfway through a message, is owed a close in time
                 // and holds bytes and a place until then. One that was answered may idle for longer.
                 () = sleep_until(until), if done => return if until < idle { Err(End::Silent) } else { Ok(()) },
-                () = self.seat.asked_to_leave(), if done => {
+                // Guard: half a request is one on its way; it comes whole first, or falls silent.
+                () = self.seat.asked_to_leave(), if done && self.input.is_empty() => {
                     // Not where a request has come in meanwhile.
                     net::read(&self.stream, &mut self.input, self.front.limits.message_bytes)?;
                     self.read().await?;
-                    if self.open.is_empty() && self.out.is_empty() {
+                    if self.open.is_empty() && self.out.is_empty() && self.input.is_empty() {
                         return Ok(());
                     }
                     self.seat.stays();
@@ -200,6 +208,7 @@
                         return Err(End::Malformed);
                     }
                     self.last = id;
+                    self.seat.speaks();
                     self.idle_since = Instant::now();
                     self.half_since = None;
                     if method.as_ref() == b"health" {
--- a/src/clients/seats.rs
+++ b/src/clients/seats.rs
@@ -3,10 +3,12 @@
 //! that connect and say nothing keep others out.
 
 use crate::counters::Counters;
+use crate::duty::Duty;
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 use tokio::sync::Notify;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 
 /// The places of one front.
 pub(crate) struct Seats {
@@ -20,6 +22,8 @@
 
 #[derive(Default)]
 struct Held {
+    /// Clients are sent away.
+    leaving: bool,
     next: u64,
     seats: HashMap<u64, State>,
 }
@@ -95,6 +99,27 @@
         }
     }
 
+    /// Sends clients away from now on, or no longer: each leaves once nothing is open on its connection. One that
+    /// has brought no call yet is served first, as it was on its way.
+    pub(crate) fn drain(&self, leaving: bool) {
+        let mut held = self.held();
+        held.leaving = leaving;
+        if leaving {
+            held.seats.values_mut().for_each(State::send_away);
+        }
+    }
+
+    /// Does so for as long as the front is there.
+    pub(crate) async fn follow(self: Arc<Seats>, duty: Arc<Duty>) {
+        let mut state = duty.follow();
+        loop {
+            self.drain(state.borrow_and_update().leaving());
+            if state.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
     /// Takes a place for a connection that has been accepted.
     pub(crate) fn take(self: &Arc<Seats>) -> Seat {
         let mut held = self.held();
@@ -113,11 +138,25 @@
     }
 }
 
+impl State {
+    fn send_away(&mut self) {
+        if self.busy == 0 && self.heard && !self.asked {
+            self.asked = true;
+            self.leave.notify_one();
+        }
+    }
+}
+
 impl Seat {
     fn with(&self, change: impl FnOnce(&mut State)) {
-        if let Some(state) = self.seats.held().seats.get_mut(&self.id) {
+        let mut held = self.seats.held();
+        let leaving = held.leaving;
+        if let Some(state) = held.seats.get_mut(&self.id) {
             state.since = Instant::now();
             change(state);
+            if leaving {
+                state.send_away();
+            }
         }
     }
 
@@ -160,6 +199,24 @@
         self.leave.notified().await;
     }
 
+    /// Resolves once it was asked and nothing has gone on for this long. Guard: on a connection whose answers are
+    /// written elsewhere, an end of what is open is not yet the end of the answer; nor is a plan the whole call.
+    pub(crate) async fn leaves(&self, quiet: Duration) {
+        loop {
+            self.asked_to_leave().await;
+            let state = || self.seats.held().seats.get(&self.id).map(|s| (s.busy, s.since));
+            loop {
+                let before = state();
+                sleep(quiet).await;
+                match before {
+                    Some((1.., _)) => break self.stays(),
+                    _ if before == state() => return,
+                    _ => {}
+                }
+            }
+        }
+    }
+
     /// It was asked, and goes on as a request came in: it may be asked again.
     pub(crate) fn stays(&self) {
         self.with(|s| s.asked = false);
@@ -172,3 +229,28 @@
         self.seats.freed.notify_one();
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use futures::FutureExt;
+
+    /// Guard: a drain sends away who has been served and has nothing open, on either front, and nobody else.
+    #[test]
+    fn a_drain_asks_those_that_idle() {
+        let seats = Seats::new(8, Arc::default());
+        let [idle, busy, stranger] = [(); 3].map(|()| seats.take());
+        idle.speaks();
+        busy.opened();
+        let asked = |seat: &Seat| seat.asked_to_leave().now_or_never().is_some();
+        seats.drain(true);
+        assert!(asked(&idle) && !asked(&busy) && !asked(&stranger));
+        busy.closed();
+        assert!(asked(&busy) && !asked(&busy), "once, as its last answer is out");
+        busy.opened();
+        busy.stays();
+        seats.drain(false);
+        busy.closed();
+        assert!(!asked(&busy), "not after the drain");
+    }
+}
--- a/src/duty.rs
+++ b/src/duty.rs
@@ -44,4 +44,8 @@
     pub(crate) fn set(&self, change: impl FnOnce(&mut State)) {
         self.0.send_modify(change);
     }
+
+    pub(crate) fn follow(&self) -> watch::Receiver<State> {
+        self.0.subscribe()
+    }
 }
--- a/src/operations.rs
+++ b/src/operations.rs
@@ -99,8 +99,16 @@
             ["STATS"] => return format!("{}EOF\n", self.counters.figures()),
             ["DISABLE", id] => self.ban(id, true).await.map(|()| "taken out"),
             ["ENABLE", id] => self.ban(id, false).await.map(|()| "may serve again"),
+            ["DRAIN"] => {
+                self.duty.set(|state| state.drained = true);
+                Ok("clients are sent away")
+            }
+            ["UNDRAIN"] => {
+                self.duty.set(|state| state.drained = false);
+                Ok("clients may come")
+            }
             [] => Err("an empty line"),
-            _ => Err("no such call: READY, STATS, DISABLE ID, ENABLE ID"),
+            _ => Err("no such call: READY, STATS, DISABLE ID, ENABLE ID, DRAIN, UNDRAIN"),
         };
         match said {
             Ok(what) => format!("200 {what}\n"),
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -899,6 +899,56 @@
     o1 expect lines node.skipped_engines=0
 "
 )]
+#[case::a_drain_sends_clients_away_and_loses_nothing(
+    "
+    c1 send 1 seat-check
+    c2 send 1 seat-check
+    c5 send 1 seat-check
+    e expect ASK c1.1
+    e expect ASK c2.1
+    e expect ASK c5.1
+    e send c1.1 served batches=1 a\\n
+    c1 expect 1 served a\\n
+    e send c5.1 served batches=1 a\\n
+    c5 expect 1 served a\\n
+    c5 send raw 940002a6686561
+    o1 send DRAIN
+    o1 expect 200
+    o1 send READY
+    o1 expect 400
+    c1 expect closed
+    c5 send raw 6c74689180
+    c5 expect 2 false
+    c5 expect closed
+    c3 send 1 seat-check
+    e expect ASK c3.1
+    e send c3.1 served batches=1 b\\n
+    c3 expect 1 served b\\n
+    c3 expect closed
+    f1 send 1 log-load
+    e expect ASK f1.1
+    e send f1.1 served batches=1 7\\t\\t\\n
+    f1 expect 1 served 7
+    c2 send 2 seat-check
+    e expect ASK c2.2
+    e send c2.1 served batches=1 c\\n
+    c2 expect 1 served c\\n
+    e send c2.2 served batches=1 d\\n
+    c2 expect 2 served d\\n
+    c2 expect closed
+    o1 send UNDRAIN
+    o1 expect 200
+    o1 send READY
+    o1 expect 200
+    c4 send 1 seat-check
+    e expect ASK c4.1
+    e send c4.1 served batches=1 e\\n
+    c4 expect 1 served e\\n
+    c4 send health 2
+    c4 expect 2 true
+    wait client_conns_open=1
+"
+)]
 #[case::engines_that_nobody_knows(
     "
     o1 send DISABLE s-000000ff
