Upgrade beside the old process: handed socket, calls by hand in both, deadlines to its end

SIGTERM comes within milliseconds of the successor's yes, before the old one knows of it, so it went on accepting.

Ruled out: a close while requests are open (lost by the rule), and stopping to read (unread counts as lost after 50 ms).

Tests: two stores of one mind, spoilt state, nothing outlives the end, and the program itself upgraded twice.

Conclusion: what keeps an old process busy is the chain of overlapping requests on kept connections; its end bounds it.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -164,6 +164,7 @@
     line: BTreeMap<u64, RequestId>,
     keys: BTreeMap<u64, (BTreeMap<u64, RequestId>, Millis)>,
     engines: BTreeMap<EngineId, Engine>,
+    beside: bool,             // another process of this gateway lives
     bans: BTreeSet<EngineId>, // taken out by hand, listed or not
     stats: Vec<ClassStat>,
     best: f64,
@@ -214,6 +215,7 @@
         match event {
             Event::List { kind, entries } => self.on_list(kind, entries),
             Event::Ban { engine, out, at } => self.on_ban(engine, out, at),
+            Event::Beside { both } => self.beside = both,
             Event::Request(r) => self.on_request(&r, actions),
             Event::Streaming { id, attempt } => {
                 self.try_of(id, attempt).iter_mut().for_each(|t| t.streaming = true)
@@ -847,13 +849,14 @@
         }
         let window = self.set.overload_for_ms;
         let w = self.stats[r.class].mean.max(self.work_of(r));
-        let room =
-            self.set.tip_multiple * self.cores(e) * window * COLD_MARGIN / f64::from(self.set.instances);
+        // Two processes of one gateway have its part together.
+        let parts = f64::from(self.set.instances << u32::from(self.beside));
+        let room = self.set.tip_multiple * self.cores(e) * window * COLD_MARGIN / parts;
         let sent: f64 = e.cold_sends.iter().filter(|(t, _)| self.now - t <= window).map(|(_, w)| w).sum();
         // A share of less than one query comes as a turn by chance in some windows, and not for the heaviest:
         // a few of those sent at once would be the whole budget.
         let turn = mix(e.hash ^ self.seed ^ (self.now / window) as u64) as f64 / 2f64.powi(64);
-        let light = w * COLD_PARTS <= room * f64::from(self.set.instances);
+        let light = w * COLD_PARTS <= room * parts;
         sent + w <= room || sent == 0.0 && light && turn < room / w
     }
 
--- a/src/clients/flight.rs
+++ b/src/clients/flight.rs
@@ -40,7 +40,7 @@
 
 /// Serves the front until the program ends.
 pub(crate) async fn listen(listener: TcpListener, front: Front) {
-    let seats = Seats::new(front.limits.flight_conns, front.counters.clone());
+    let seats = Seats::new(front.limits.flight_conns, front.limits.clone(), front.counters.clone());
     tokio::spawn(seats.clone().follow(front.duty.clone()));
     let (silence, ping, quiet) = (front.limits.client_silence, front.limits.keep_alive, front.limits.linger);
     let counters = front.counters.clone();
--- a/src/clients/platform.rs
+++ b/src/clients/platform.rs
@@ -19,10 +19,17 @@
 
 /// Accepts clients for as long as the program runs, also while it stops.
 pub(crate) async fn listen(listener: TcpListener, front: Front) {
-    let seats = Seats::new(front.limits.client_conns, front.counters.clone());
+    let seats = Seats::new(front.limits.client_conns, front.limits.clone(), front.counters.clone());
     tokio::spawn(seats.clone().follow(front.duty.clone()));
+    let mut state = front.duty.follow();
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            biased;
+            // Guard: somebody else accepts on this socket; what this process took it would have to close unheard.
+            _ = state.wait_for(|s| s.handed) => return,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 // Guard: some clients ask once and keep their connection for good. A request counts once it is
                 // written to a connection that the machine accepted, so one that idles makes room for it.
@@ -161,7 +168,7 @@
                     ended = !net::read(&self.stream, &mut self.input, self.front.limits.message_bytes)?;
                     self.read().await?;
                     // Guard: half messages of many clients could fill the memory together.
-                    if !self.held.0.set(self.input.len(), self.front.limits.input_bytes) {
+                    if !self.held.0.set(self.input.len(), self.front.limits.share(self.front.limits.input_bytes)) {
                         return Err(End::Malformed);
                     }
                 }
@@ -184,7 +191,7 @@
 
     fn owe(&mut self) {
         let waiting = self.out.waiting() as usize;
-        self.held.1.set(waiting, self.front.limits.output_bytes);
+        self.held.1.set(waiting, self.front.limits.share(self.front.limits.output_bytes));
         self.seat.busy(self.open.len() + usize::from(waiting > 0));
         let owes = !self.open.is_empty() || !self.out.is_empty();
         let gauge = &self.front.counters.client_conns_owing;
@@ -335,7 +342,7 @@
         };
         // Guard: answers that nobody takes could fill the memory; this one fails and says so.
         let waiting = self.out.waiting() as usize + size(&pieces);
-        if !self.held.1.set(waiting, self.front.limits.output_bytes) {
+        if !self.held.1.set(waiting, self.front.limits.share(self.front.limits.output_bytes)) {
             self.front.counters.client_over_limit.up();
             self.out.push(msgpack::error(message, "Internal", None));
             return false;
--- a/src/clients/seats.rs
+++ b/src/clients/seats.rs
@@ -4,6 +4,7 @@
 
 use crate::counters::Counters;
 use crate::duty::Duty;
+use crate::limits::Limits;
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -13,8 +14,7 @@
 /// The places of one front.
 pub(crate) struct Seats {
     places: usize,
-    /// Of these, for connections that have not been served yet.
-    strangers: usize,
+    limits: Arc<Limits>,
     held: Mutex<Held>,
     freed: Notify,
     counters: Arc<Counters>,
@@ -48,9 +48,9 @@
 }
 
 impl Seats {
-    pub(crate) fn new(places: usize, counters: Arc<Counters>) -> Arc<Seats> {
+    pub(crate) fn new(places: usize, limits: Arc<Limits>, counters: Arc<Counters>) -> Arc<Seats> {
         let (held, freed) = (Mutex::default(), Notify::new());
-        Arc::new(Seats { places, strangers: places.div_ceil(2), held, freed, counters })
+        Arc::new(Seats { places, limits, held, freed, counters })
     }
 
     fn held(&self) -> MutexGuard<'_, Held> {
@@ -72,16 +72,19 @@
     /// here nothing. Those with a request open are never asked.
     fn make_room(&self) -> bool {
         let mut held = self.held();
+        let places = self.limits.share(self.places);
+        // Of these, for connections that have not been served yet.
+        let most_strangers = places.div_ceil(2);
         let strangers = held.seats.values().filter(|s| !s.known && !s.asked).count();
         let all = held.seats.values().filter(|s| !s.asked).count();
-        if strangers < self.strangers && all < self.places {
+        if strangers < most_strangers && all < places {
             return true;
         }
         let idle = held.seats.values_mut().filter(|s| s.busy == 0 && !s.asked);
         // Above their part a stranger goes, else whoever idles longest; a stranger before the others.
-        let only_strangers = strangers >= self.strangers;
+        let only_strangers = strangers >= most_strangers;
         let victim = idle.filter(|s| !(only_strangers && s.known)).min_by_key(|s| (s.known, s.since));
-        let Some(victim) = victim else { return all < self.places };
+        let Some(victim) = victim else { return all < places };
         victim.asked = true;
         victim.leave.notify_one();
         self.counters.client_evicted.up();
@@ -238,7 +241,9 @@
     /// Guard: a drain sends away who has been served and has nothing open, on either front, and nobody else.
     #[test]
     fn a_drain_asks_those_that_idle() {
-        let seats = Seats::new(8, Arc::default());
+        let limits =
+            crate::engines::House::for_tests(crate::core::Handle::new(1, Default::default()).0).limits;
+        let seats = Seats::new(8, limits, Arc::default());
         let [idle, busy, stranger] = [(); 3].map(|()| seats.take());
         idle.speaks();
         busy.opened();
--- a/src/config.rs
+++ b/src/config.rs
@@ -7,7 +7,7 @@
 use serde_json::value::RawValue;
 use std::fmt;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 /// Why a configuration cannot be used.
 #[derive(Debug, PartialEq, Eq)]
@@ -56,6 +56,10 @@
     pub memory_mb: usize,
     /// Where staff ask and tell, if anywhere.
     pub ops: Option<SocketAddr>,
+    /// The descriptor under which the platform hands the listening socket over, if it does.
+    pub listen_fd: Option<i32>,
+    /// The folder that this process shares with its successor, if there is one.
+    pub folder: Option<PathBuf>,
     /// Where the control feed listens.
     pub feed: SocketAddr,
     /// Number of the last event known.
@@ -156,6 +160,11 @@
     EngineId { addr: id.to_be_bytes(), port: 0 }
 }
 
+/// An engine's id as text.
+pub fn engine_text(engine: EngineId) -> String {
+    format!("s-{:08x}", u32::from_be_bytes(engine.addr))
+}
+
 /// The engine with the id that stands in text as `s-` and 8 hex digits.
 pub fn engine_named(text: &str) -> Option<EngineId> {
     let hex =
@@ -220,6 +229,8 @@
             sockets: file.limits.sockets.max(64),
             memory_mb: (file.limits.memory_mb as usize).max(32),
             ops: file.ops,
+            listen_fd: None,
+            folder: None,
             feed: file.feed,
             known: file.known.n,
             events,
--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -103,6 +103,18 @@
     }
 }
 
+impl Handle {
+    /// The process ends at this time, in Unix ms.
+    pub async fn ends(&self, at: Millis) {
+        let _ = self.urgent.send(Urgent::Ends(at)).await;
+    }
+
+    /// Another process of this workload manager works beside this one, or no longer.
+    pub async fn beside(&self, both: bool) {
+        let _ = self.urgent.send(Urgent::Beside(both)).await;
+    }
+}
+
 /// Runs the core until its mailbox closes.
 pub async fn start<E: EnginePort>(mut core: Core<E>, from: Inputs, clock: Clock) {
     let Inputs { mut inputs, mut orders } = from;
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -201,6 +201,10 @@
 
 /// What overtakes the mailbox.
 pub enum Urgent {
+    /// Another process of this workload manager works beside this one, or no longer.
+    Beside(bool),
+    /// The process is ended at this Unix time in ms: what is not answered by then is lost.
+    Ends(Millis),
     /// Staff take an engine out, or give it back.
     Ban {
         /// Which engine.
@@ -284,6 +288,8 @@
     ready: BTreeMap<EngineId, bool>,
     /// Engines that the list names, ready or not.
     known: BTreeSet<EngineId>,
+    /// When the process is ended, once that is known.
+    ends: Option<Millis>,
     alarms: BinaryHeap<Reverse<(At, u64, Alarm)>>,
     armed: u64,
     actions: Vec<Action>,
@@ -314,6 +320,7 @@
             held_bytes: 0,
             ready: BTreeMap::new(),
             known: BTreeSet::new(),
+            ends: None,
             alarms: BinaryHeap::new(),
             armed: 0,
             actions: Vec::new(),
@@ -393,6 +400,13 @@
     /// Takes an order that did not wait in the mailbox.
     pub fn urgent(&mut self, now: Millis, order: Urgent) {
         match order {
+            Urgent::Ends(at) => {
+                self.ends = Some(at);
+                for id in self.requests.keys().copied().collect::<Vec<_>>() {
+                    self.arm(at, Alarm::Deadline(id));
+                }
+            }
+            Urgent::Beside(both) => self.tell(now, Event::Beside { both }),
             Urgent::Ban { engine, out, at, told, done } => {
                 let held = self.gateway.bans().contains(&engine);
                 let known = held || self.known.contains(&engine) || told && out;
@@ -408,9 +422,18 @@
         }
     }
 
-    fn take(&mut self, now: Millis, taken: Taken) {
+    fn take(&mut self, now: Millis, mut taken: Taken) {
         self.counters.taken.up();
         let id = taken.id;
+        // Guard: a kept connection on which there always is something open brings requests to the very end, and what
+        // that finds open is lost. So none outlives it.
+        if let Some(ends) = self.ends {
+            taken.due_ms = taken.due_ms.min(ends);
+            if ends <= now {
+                self.counters.refused.up();
+                return taken.client.answer(id, Answer::Refused { hold_off_ms: 0.0 });
+            }
+        }
         // Guard: engines tell attempts apart by this name, so one that is open already may not come again.
         if self.names.contains(&taken.name) {
             self.counters.client_bad_calls.up();
@@ -418,7 +441,7 @@
             return taken.client.answer(id, Answer::Failed(Why::Lost));
         }
         let bytes = self.held_bytes + taken.statement.len();
-        if self.requests.len() >= self.limits.open || bytes > self.limits.open_bytes {
+        if self.requests.len() >= self.limits.open || bytes > self.limits.share(self.limits.open_bytes) {
             self.counters.client_over_limit.up();
             self.counters.refused.up();
             return taken.client.answer(id, Answer::Refused { hold_off_ms: 0.0 });
@@ -865,4 +888,48 @@
         }
         assert!(end.0[3] < 2500 && end.0[2] < 10 && end.1[3] < 10, "{end:?}");
     }
+
+    /// Guard: what comes while the process ends is answered before that, or turned away at once.
+    #[test]
+    fn nothing_outlives_the_end() {
+        let text = r#"{"nInstances":1,"classes":[{"name":"a","effect":"once","promiseMs":500,"giveUpMs":20000}],
+            "guarantees":{"coldMs":1000,"coldShare":0.3,"overloadForMs":1500,"tipMultiple":3},
+            "limits":{"attemptsCap":6},"shapes":["std-8c"],"specifics":{"sizeCores":[8]}}"#;
+        let parsed = settings::parse(text.as_bytes()).expect("settings");
+        let limits = Arc::new(Limits::new(256, 32, true, &parsed));
+        let counters: Arc<Counters> = Arc::default();
+        let mut core =
+            Core::new(parsed.settings, 7, Silent::default(), limits, counters.clone()).expect("core");
+        let entry = EngineEntry {
+            engine: engine_id(1),
+            state: ListState::Ready,
+            nominal: 1.0,
+            ..EngineEntry::default()
+        };
+        let entries = vec![Listed { entry, address: ([127, 0, 0, 1], 1).into() }];
+        core.handle(0.0, Input::List(ListEvent { number: 1, kind: ListKind::Full, entries }));
+        let ask = |core: &mut Core<Silent>, now: f64, id: u32, cost| {
+            let taken = Taken {
+                id,
+                name: id.to_be_bytes().to_vec().into(),
+                class: 0,
+                due_ms: now + 20_000.0,
+                cost_ms: Some(cost),
+                memory_mb: None,
+                dataset: 0,
+                statement: Bytes::new(),
+                kind: Kind::Query,
+                client: Arc::new(Nobody),
+            };
+            core.handle(now, Input::Take(taken));
+        };
+        ask(&mut core, 1000.0, 1, 50.0);
+        core.urgent(1000.0, Urgent::Ends(6000.0));
+        ask(&mut core, 5000.0, 2, 50.0);
+        assert_eq!((core.open(), core.engines.0.len()), (2, 2), "what comes before is begun");
+        core.alarms(6000.0);
+        assert_eq!((core.open(), counters.failed.get()), (0, 2), "what is not done is answered");
+        ask(&mut core, 6001.0, 3, 50.0);
+        assert_eq!((core.open(), counters.refused.get()), (0, 1), "and what comes then is turned away");
+    }
 }
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -22,8 +22,15 @@
 }
 
 /// Those that also go down.
-const GAUGES: [&str; 6] =
-    ["engines", "client_conns_open", "client_conns_owing", "engine_conns_open", "open", "engines_skipped"];
+const GAUGES: [&str; 7] = [
+    "engines",
+    "client_conns_open",
+    "client_conns_owing",
+    "engine_conns_open",
+    "open",
+    "engines_skipped",
+    "beside",
+];
 
 /// Whether a name is a gauge's and not a counter's.
 pub fn is_gauge(name: &str) -> bool {
@@ -147,6 +154,10 @@
     ops_calls,
     /// Calls there that cannot be carried out, or did not come whole in time.
     ops_bad_calls,
+    /// Other processes of this workload manager that live: one in an upgrade.
+    beside,
+    /// States of calls by hand that could not be read or written.
+    states_bad,
 }
 
 /// Ends of one class's requests, as their clients were told.
--- a/src/duty.rs
+++ b/src/duty.rs
@@ -11,6 +11,8 @@
     pub(crate) drained: bool,
     /// It ends as planned.
     pub(crate) ending: bool,
+    /// Another process accepts clients on the same socket, so this one does no more.
+    pub(crate) handed: bool,
 }
 
 impl State {
--- a/src/engines/flight.rs
+++ b/src/engines/flight.rs
@@ -256,7 +256,7 @@
             }
             held.push(piece);
             // Guard: results that are not whole yet could fill the memory together.
-            if !hold.set(size, limits.held_bytes) {
+            if !hold.set(size, limits.share(limits.held_bytes)) {
                 return Err(Lost(Outcome::Error));
             }
             if size > limits.flight_held_bytes {
@@ -267,7 +267,7 @@
                 let (id, attempt) = (ask.id, ask.attempt);
                 link.house.core.tell(Input::Engine { engine: link.engine, id, attempt, report, news }).await;
                 flow = Some(to);
-                hold.set(0, limits.held_bytes);
+                hold.set(0, limits.share(limits.held_bytes));
             }
         }
         if let Some(trailers) = data.trailers().await? {
--- a/src/engines/lines.rs
+++ b/src/engines/lines.rs
@@ -164,7 +164,7 @@
     // One that is heard of there is, or is tried for: past the bound no more than one beside the mute ones.
     let none = loads().next().is_none();
     if conns.len() < limits.conns_per_engine
-        && open < limits.engine_conns + if none { limits.engines } else { 0 }
+        && open < limits.share(limits.engine_conns) + if none { limits.share(limits.engines) } else { 0 }
     {
         return None;
     }
@@ -524,7 +524,7 @@
                 let figure = |name| reply.field(name).and_then(crate::clients::figure);
                 let (billed_ms, billed_mb) = (figure("cpu"), figure("used"));
                 let mut hold = Hold::new(&self.house.held);
-                hold.set(reply.body.len(), self.house.limits.held_bytes);
+                hold.set(reply.body.len(), self.house.limits.share(self.house.limits.held_bytes));
                 attempt.pages = Some(Pages { all, got, billed_ms, billed_mb, report, until, hold });
                 for n in 1..all {
                     self.house.counters.pages.up();
@@ -548,7 +548,7 @@
                     // Guard: a result that outgrew what a client takes is not collected to its end.
                     let size: usize = pages.got.iter().flatten().map(Bytes::len).sum();
                     // Nor where all results together outgrow the memory.
-                    let fits = pages.hold.set(size, self.house.limits.held_bytes);
+                    let fits = pages.hold.set(size, self.house.limits.share(self.house.limits.held_bytes));
                     if size > self.house.limits.answer_bytes || !fits {
                         let Some(attempt) = self.attempts.remove(&reply.name) else { return Ok(()) };
                         self.line("FREE", &reply.name, None);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -353,6 +353,11 @@
         /// When.
         at: Millis,
     },
+    /// Another process of this gateway works beside it, as in an upgrade, or no longer.
+    Beside {
+        /// Whether one does.
+        both: bool,
+    },
     /// A client's request.
     Request(Request),
     /// The answer has begun to stream; the attempt belongs to the client.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod settings;
 mod snmp;
 mod sql;
+mod successor;
 
 pub use choice::Gateway;
 pub use interface::*;
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -3,7 +3,7 @@
 
 use crate::settings::Parsed;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
 /// The limits of one running workload manager.
@@ -73,6 +73,27 @@
     pub flight_pieces: usize,
     /// Interval and patience of the pings that tell a Flight engine's connection from a dead one.
     pub keep_alive: (Duration, Duration),
+    /// Bytes of the state that a successor takes over.
+    pub state_bytes: u64,
+    /// Interval at which it is looked at: well within the grace on drains.
+    pub state_look: Duration,
+    /// Tries for a lock that the other process holds, and the wait between them.
+    pub state_tries: usize,
+    /// See `state_tries`.
+    pub state_wait: Duration,
+    /// Longest wait for a word to be written down.
+    pub state_patience: Duration,
+    /// For so long an engine that was given back is told to a successor.
+    pub state_kept: Duration,
+    /// After SIGTERM, where the platform holds the listening socket, the longest deadline counts as no longer than
+    /// this; and so much later the process is killed.
+    pub end_deadline: Duration,
+    /// See `end_deadline`: with a reserve for the last answers.
+    pub end_spare: Duration,
+    /// A successor waits so long at most for the control feed to speak.
+    pub feed_first: Duration,
+    /// Another process of this workload manager lives: what both share is halved.
+    both: Arc<AtomicBool>,
     /// Wait for the peer's end of a connection whose own is over.
     pub linger: Duration,
     /// Callers at the operations address at once; descriptors are kept for them.
@@ -164,6 +185,16 @@
             flight_held_bytes: 64 * 1024,
             flight_pieces: 8,
             keep_alive: (Duration::from_secs(2), Duration::from_secs(2)),
+            state_bytes: 64 * 1024,
+            state_look: Duration::from_millis(50),
+            state_tries: 20,
+            state_wait: Duration::from_millis(5),
+            state_patience: Duration::from_millis(300),
+            state_kept: Duration::from_secs(120),
+            end_deadline: Duration::from_secs(5),
+            end_spare: Duration::from_millis(450),
+            feed_first: Duration::from_millis(1200),
+            both: Arc::default(),
             linger: Duration::from_millis(100),
             ops_callers,
             ops_line: 256,
@@ -191,6 +222,19 @@
     }
 }
 
+impl Limits {
+    /// What this process may have of something that is bounded for the whole workload manager. Beside another
+    /// process that is a little under half, as neither gives the descriptors of the program itself up.
+    pub(crate) fn share(&self, whole: usize) -> usize {
+        if self.both.load(Ordering::Relaxed) { whole * 2 / 5 } else { whole }
+    }
+
+    /// Says whether another process lives; returns what held before.
+    pub(crate) fn set_both(&self, both: bool) -> bool {
+        self.both.swap(both, Ordering::Relaxed)
+    }
+}
+
 /// A stock that many actors draw on, as the sum of what they hold is what counts.
 #[derive(Debug, Default)]
 pub(crate) struct Stock(AtomicUsize);
@@ -242,9 +286,16 @@
         let shared = l.input_bytes + l.output_bytes + l.held_bytes + l.open_bytes + l.ticket_bytes;
         let engine_conns = l.engine_conns + l.engines;
         let buffers = engine_conns * (3 * l.page_bytes + 4096) + l.client_conns * 4096 + l.frame_bytes;
-        let program = 6 << 20;
+        let program = 5 << 20; // 2 to 3 as measured, with a reserve
         let all = shared + buffers + l.flight_message_bytes + program;
         assert!(all <= memory << 20, "{all} bytes of {memory} MB");
+        // Two processes of an upgrade.
+        assert!(!l.set_both(true) && l.set_both(true));
+        let all = l.share(shared) + l.share(buffers) + l.share(l.flight_message_bytes) + program;
+        assert!(2 * all <= memory << 20, "twice {all} bytes of {memory} MB");
+        let all = [l.client_conns, l.flight_conns, l.ops_callers, l.engine_conns, l.engines];
+        let all = all.iter().map(|n| l.share(*n)).sum::<usize>() + 16;
+        assert!(sockets < 256 || 2 * all <= sockets, "twice {all} descriptors of {sockets}");
         let program = 16; // standard ones, the runtime's, signals, listeners, the agent, the feed twice, files
         let all = l.client_conns + l.flight_conns + l.ops_callers + engine_conns + program;
         assert!(all <= sockets, "{all} descriptors of {sockets}");
--- a/src/list.rs
+++ b/src/list.rs
@@ -42,6 +42,7 @@
     core: Handle,
     limits: Arc<Limits>,
     counters: Arc<Counters>,
+    spoken: watch::Sender<bool>,
 ) {
     let (first, longest) = limits.feed_retry;
     let mut wait = first;
@@ -52,7 +53,7 @@
         let moved = tokio::select! {
             biased;
             moved = feed.changed() => Some(moved),
-            done = session(at, &mut last, &core, &limits, &counters) => {
+            done = session(at, &mut last, &core, &limits, &counters, &spoken) => {
                 match done {
                     Ok(()) | Err(Fault::Lost) => {}
                     Err(Fault::Silent) => counters.feed_silences.up(),
@@ -79,6 +80,7 @@
     core: &Handle,
     limits: &Limits,
     counters: &Counters,
+    spoken: &watch::Sender<bool>,
 ) -> Result<(), Fault> {
     // A feed that accepts nothing, or says nothing, may have been cut off while engines drain: go elsewhere in
     // time, as what it has to tell counts as told.
@@ -89,7 +91,10 @@
     loop {
         // Guard: the whole frame is due in time; one that comes byte by byte is as good as none.
         timeout(limits.feed_silence, receive(&mut stream, &mut frame, limits.frame_bytes)).await??;
-        let Some(event) = read_frame(&frame).ok_or(Fault::Malformed)? else { continue };
+        let event = read_frame(&frame).ok_or(Fault::Malformed)?;
+        // Later events come without a pause, so that the first word tells what the start was not told.
+        spoken.send_replace(true);
+        let Some(event) = event else { continue };
         if event.number <= *last {
             continue; // told already, over an earlier connection
         }
--- a/src/main.rs
+++ b/src/main.rs
@@ -35,7 +35,8 @@
     let mut print = hear(SignalKind::user_defined1())?;
     let name = config.name.clone();
     let node = Node::start(config, fronts).await?;
-    eprintln!("magpiechute: {name} serves on {}", node.listen);
+    let ops = node.ops.map_or(String::new(), |at| format!(", is operated at {at}"));
+    eprintln!("magpiechute: {name} serves on {}{ops}", node.listen);
     loop {
         tokio::select! {
             _ = term.recv() => break,
@@ -68,5 +69,11 @@
         config.ops =
             Some(ops.parse().map_err(|_| ConfigError(format!("NODE_OPS {ops:?} is not an address")))?);
     }
+    if let Ok(fd) = std::env::var("NODE_LISTEN_FD") {
+        let fd = fd.parse().ok().filter(|fd| *fd > 2);
+        config.listen_fd =
+            Some(fd.ok_or_else(|| ConfigError("NODE_LISTEN_FD is not a descriptor".to_owned()))?);
+    }
+    config.folder = std::env::var_os("TMPDIR").map(Into::into);
     Ok(config)
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -11,12 +11,14 @@
 use crate::operations::{self, Desk};
 use crate::settings::Parsed;
 use crate::snmp;
+use crate::successor::{self, Scribe, Store};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
+use tokio_listener::{Listener, ListenerAddress, SystemOptions, UserOptions};
 
 /// A workload manager at work.
 pub struct Node {
@@ -35,6 +37,10 @@
     fixed: (SocketAddr, (usize, usize), Arc<Parsed>),
     feed: watch::Sender<SocketAddr>,
     duty: Arc<Duty>,
+    core: Handle,
+    /// The platform holds the listening socket: whoever comes waits there for a successor, which may have said that
+    /// it is ready a moment ago, before this process could know of it.
+    handed: bool,
 }
 
 impl Node {
@@ -46,7 +52,19 @@
             Arc::new(Limits::new(config.sockets, config.memory_mb, speech == Speech::Lines, &parsed));
         let counters = Arc::new(Counters::default());
         let fixed = (config.listen, (config.sockets, config.memory_mb), parsed.clone());
-        let (listener, listen) = bind(config.listen).await?;
+        let store = match &config.folder {
+            Some(folder) => {
+                let opened = Store::open(folder, &config.name, limits.clone(), counters.clone()).await;
+                // Guard: without the folder it is a workload manager all the same, and knows of no other process.
+                opened.inspect_err(|e| eprintln!("magpiechute: no state in {}: {e}", folder.display())).ok()
+            }
+            None => None,
+        };
+        let succeeds = store.as_ref().is_some_and(Store::another);
+        let (listener, listen) = match config.listen_fd {
+            Some(fd) => inherited(fd).await?,
+            None => bind(config.listen).await?,
+        };
         let flight_listener = match &fronts.flight {
             Some(f) => Some(bind(loopback(&f.listen, "flight")?).await?),
             None => None,
@@ -78,7 +96,8 @@
         let duty = Arc::new(Duty::new());
         let made = Core::new(
             parsed.settings.clone(),
-            config.seed,
+            // A process beside another one of the same seed would take its turns at the same times.
+            if succeeds { config.seed ^ clock.now().to_bits() } else { config.seed },
             Fleet::new(house),
             limits.clone(),
             counters.clone(),
@@ -90,10 +109,17 @@
             core.tell(Input::List(event)).await;
         }
         let (feed, address) = watch::channel(config.feed);
-        tokio::spawn(list::follow(address, last, core.clone(), limits.clone(), counters.clone()));
+        let (spoken, mut heard) = watch::channel(false);
+        tokio::spawn(list::follow(address, last, core.clone(), limits.clone(), counters.clone(), spoken));
+        let (scribe, said) = Scribe::new(&limits);
+        if let Some(mut store) = store {
+            // Before it takes anything it knows what was taken out by hand.
+            store.pass_on(&core).await;
+            tokio::spawn(successor::run(store, said, core.clone(), limits.clone()));
+        }
         let ops = desk.map(|(listener, at)| {
             let (core, counters) = (core.clone(), counters.clone());
-            let desk = Desk { core, counters, limits: limits.clone(), duty: duty.clone() };
+            let desk = Desk { core, counters, limits: limits.clone(), duty: duty.clone(), scribe };
             tokio::spawn(operations::listen(listener, desk));
             at
         });
@@ -101,13 +127,17 @@
             counters.class(name); // so that a figure is there before its first request
         }
         let front = Front {
-            core,
+            core: core.clone(),
             parsed,
             limits: limits.clone(),
             counters: counters.clone(),
             duty: duty.clone(),
             stocks: Arc::default(),
         };
+        if succeeds {
+            // Guard: the list of the configuration is that of the first start, and may name engines that are gone.
+            let _ = timeout(limits.feed_first, heard.wait_for(|heard| *heard)).await;
+        }
         let flight = flight_listener.map(|(listener, at)| {
             tokio::spawn(flight::listen(listener, front.clone()));
             at
@@ -119,7 +149,8 @@
             at
         });
         duty.set(|state| state.serving = true);
-        Ok(Node { listen, flight, snmp, ops, counters, limits, fixed, feed, duty })
+        let handed = config.listen_fd.is_some();
+        Ok(Node { listen, flight, snmp, ops, counters, limits, fixed, feed, duty, core, handed })
     }
 
     /// Goes over to a configuration that was read anew, or stays with the old one where that cannot be used.
@@ -149,23 +180,46 @@
 
     /// Asks for the end: from now on it says that it is not fit.
     pub fn stop(&self) {
-        self.duty.set(|state| state.ending = true);
+        let handed = self.handed;
+        self.duty.set(|state| (state.ending, state.handed) = (true, handed));
     }
 
-    /// Ends as planned: goes on accepting and answering until the late arrivals are in and nothing is open.
+    /// Ends as planned: goes on accepting and answering until the late arrivals are in and nothing is open. Where a
+    /// successor accepts, none arrive late, and it ends once the connections that it accepted are closed.
     pub async fn finish(self) {
         self.stop();
-        let late = Instant::now() + self.limits.late_arrivals;
+        let handed = self.duty.now().handed;
+        if handed {
+            let (_, _, parsed) = &self.fixed;
+            let longest = parsed.settings.classes.iter().map(|c| c.give_up_ms).fold(0.0, f64::max);
+            let most = self.limits.end_deadline.as_secs_f64() * 1000.0;
+            let spare = self.limits.end_spare.as_secs_f64() * 1000.0;
+            self.core.ends(self.core.now() + longest.min(most) + spare).await;
+        }
+        let late = Instant::now() + if handed { Duration::ZERO } else { self.limits.late_arrivals };
         loop {
             sleep(Duration::from_millis(20)).await;
             let owed = self.counters.client_conns_owing.get() + self.counters.open.get();
-            if Instant::now() >= late && owed == 0 {
+            let heard = !handed || self.counters.client_conns_open.get() == 0;
+            if Instant::now() >= late && owed == 0 && heard {
                 return;
             }
         }
     }
 }
 
+/// The listening socket that the platform holds and hands over under this descriptor.
+async fn inherited(fd: i32) -> Result<(TcpListener, SocketAddr), ConfigError> {
+    let wrong = |e: String| ConfigError(format!("cannot listen on descriptor {fd}: {e}"));
+    let mut options = UserOptions::default();
+    options.sd_accept_ignore_environment = true;
+    let taken = Listener::bind(&ListenerAddress::FromFd(fd), &SystemOptions::default(), &options).await;
+    let taken = taken.map_err(|e| wrong(e.to_string()))?;
+    let listener = taken.try_into_tcp_listener().map_err(|_| wrong("it is no TCP socket".to_owned()))?;
+    let at = listener.local_addr().map_err(|e| wrong(e.to_string()))?;
+    Ok((listener, at))
+}
+
 async fn bind(at: SocketAddr) -> Result<(TcpListener, SocketAddr), ConfigError> {
     let wrong = |e: std::io::Error| ConfigError(format!("cannot listen on {at}: {e}"));
     let listener = TcpListener::bind(at).await.map_err(wrong)?;
--- a/src/operations.rs
+++ b/src/operations.rs
@@ -8,6 +8,7 @@
 use crate::duty::Duty;
 use crate::limits::Limits;
 use crate::net::linger;
+use crate::successor::{Mark, Scribe};
 use std::collections::VecDeque;
 use std::sync::Arc;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -22,6 +23,7 @@
     pub(crate) counters: Arc<Counters>,
     pub(crate) limits: Arc<Limits>,
     pub(crate) duty: Arc<Duty>,
+    pub(crate) scribe: Scribe,
 }
 
 /// Takes callers until the program ends.
@@ -87,8 +89,13 @@
     /// Says yes only once the module has it.
     async fn ban(&self, id: &str, out: bool) -> Result<(), &'static str> {
         let engine = engine_named(id).ok_or("no engine has such an id")?;
-        let known = self.core.ban(engine, out, self.core.now(), false).await;
-        known.then_some(()).ok_or("no such engine is known")
+        let mark = Mark { out, at: self.core.now() };
+        if !self.core.ban(engine, out, mark.at, false).await {
+            return Err("no such engine is known");
+        }
+        // A successor, or the process that this one succeeds, is to have it as well.
+        self.scribe.record(engine, mark).await;
+        Ok(())
     }
 
     async fn answer(&self, line: &str) -> String {
--- /dev/null
+++ b/src/successor.rs
@@ -0,0 +1,310 @@
+//! The other process of an upgrade. For that time two processes are one workload manager: what staff said to one
+//! holds for both, and what both share is halved. They meet in the folder that the platform gives both: each holds a
+//! place there for as long as it lives, and one file tells what was said by hand.
+
+use crate::config::{engine_named, engine_text};
+use crate::core::Handle;
+use crate::counters::Counters;
+use crate::interface::{EngineId, Millis};
+use crate::limits::Limits;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::fs::{self, File, TryLockError};
+use std::io::{self, Read};
+use std::os::unix::fs::MetadataExt;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{MissedTickBehavior, interval, sleep};
+
+/// The form of the state; one of another version counts as none.
+const VERSION: u32 = 1;
+
+#[derive(Deserialize, Serialize)]
+struct Written {
+    version: u32,
+    engines: BTreeMap<String, Mark>,
+}
+
+/// The last word of staff on an engine.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+pub(crate) struct Mark {
+    pub(crate) out: bool,
+    /// Unix time in ms at which it was said.
+    pub(crate) at: Millis,
+}
+
+/// A call by hand to be written down.
+pub(crate) struct Said {
+    pub(crate) engine: EngineId,
+    pub(crate) mark: Mark,
+    pub(crate) done: oneshot::Sender<()>,
+}
+
+/// The folder, with this process's place in it.
+pub(crate) struct Store {
+    state: PathBuf,
+    lock: File,
+    /// Locked while this process lives, whatever ends it.
+    _place: Option<File>,
+    /// The other process's place; none where both were taken, so that there are others for sure.
+    other: Option<File>,
+    marks: BTreeMap<EngineId, Mark>,
+    /// Marks that came from elsewhere and have not been handed on.
+    news: Vec<(EngineId, Mark)>,
+    /// What the state's file looked like when it was last read.
+    seen: Option<(u64, i64, i64, u64)>,
+    limits: Arc<Limits>,
+    counters: Arc<Counters>,
+}
+
+impl Store {
+    /// Opens the folder and takes a place.
+    pub(crate) async fn open(
+        dir: &Path,
+        name: &str,
+        limits: Arc<Limits>,
+        counters: Arc<Counters>,
+    ) -> io::Result<Store> {
+        let name: String = name.chars().filter(char::is_ascii_alphanumeric).collect();
+        let path = |what: &str| dir.join(format!("magpiechute-{name}.{what}"));
+        let open = |what| File::options().create(true).truncate(false).write(true).open(path(what));
+        let (lock, mut places) = (open("lock")?, vec![open("place-0")?, open("place-1")?]);
+        let mut place = None;
+        // A place may be tried for a moment by the process that holds the other one.
+        for _ in 0..limits.state_tries {
+            place = places.iter().position(|p| p.try_lock().is_ok());
+            if place.is_some() {
+                break;
+            }
+            sleep(limits.state_wait).await;
+        }
+        let place = place.map(|i| places.remove(i));
+        let other = if place.is_some() { places.pop() } else { None };
+        let (marks, news, seen) = Default::default();
+        Ok(Store { state: path("state"), lock, _place: place, other, marks, news, seen, limits, counters })
+    }
+
+    /// Whether another process of this workload manager lives.
+    pub(crate) fn another(&self) -> bool {
+        let Some(other) = &self.other else { return true };
+        match other.try_lock() {
+            Ok(()) => {
+                let _ = other.unlock();
+                false
+            }
+            Err(TryLockError::WouldBlock) => true,
+            Err(TryLockError::Error(_)) => false,
+        }
+    }
+
+    /// What was said elsewhere since it was last asked.
+    pub(crate) fn news(&mut self, now: Millis) -> Vec<(EngineId, Mark)> {
+        self.look(now);
+        std::mem::take(&mut self.news)
+    }
+
+    /// Reads the state if it has changed. Guard: whatever it holds, the program goes on; what cannot be read
+    /// counts as none, and a time that has not come yet would outlast every later word.
+    fn look(&mut self, now: Millis) {
+        let Ok(meta) = fs::metadata(&self.state) else { return };
+        let looks = (meta.ino(), meta.mtime(), meta.mtime_nsec(), meta.len());
+        if self.seen.replace(looks) == Some(looks) {
+            return;
+        }
+        let most = self.limits.state_bytes;
+        let read = File::open(&self.state).and_then(|file| {
+            let mut text = Vec::new();
+            file.take(most + 1).read_to_end(&mut text).map(|_| text)
+        });
+        let written = read.ok().filter(|text| text.len() as u64 <= most);
+        let written = written.and_then(|text| serde_json::from_slice::<Written>(&text).ok());
+        let Some(written) = written.filter(|w| w.version == VERSION) else {
+            return self.counters.states_bad.up();
+        };
+        for (id, mark) in written.engines {
+            let known = engine_named(&id).filter(|_| mark.at >= 0.0 && mark.at <= now + 1000.0);
+            let Some(engine) = known else {
+                self.counters.states_bad.up();
+                continue;
+            };
+            if self.marks.get(&engine).is_none_or(|held| held.at < mark.at) {
+                self.marks.insert(engine, mark);
+                self.news.push((engine, mark));
+            }
+        }
+    }
+
+    /// Writes one more word down, beside what the other process has written.
+    pub(crate) async fn record(&mut self, engine: EngineId, mark: Mark) {
+        let mut locked = false;
+        for _ in 0..self.limits.state_tries {
+            locked = self.lock.try_lock().is_ok();
+            if locked {
+                break;
+            }
+            sleep(self.limits.state_wait).await;
+        }
+        self.look(mark.at);
+        self.marks.insert(engine, mark);
+        // What was given back long ago is of no more use; this also keeps the file small.
+        let kept = self.limits.state_kept.as_secs_f64() * 1000.0;
+        self.marks.retain(|_, m| m.out || mark.at - m.at < kept);
+        if let Err(problem) = self.write() {
+            self.counters.states_bad.up();
+            eprintln!("magpiechute: cannot write {}: {problem}", self.state.display());
+        }
+        if locked {
+            let _ = self.lock.unlock();
+        }
+    }
+
+    /// Replaces the state as a whole: a reader, or a start after a kill, finds the old one or the new one.
+    fn write(&self) -> io::Result<()> {
+        let engines = self.marks.iter().map(|(engine, mark)| (engine_text(*engine), *mark)).collect();
+        let text = serde_json::to_vec(&Written { version: VERSION, engines })?;
+        let next = self.state.with_extension("next");
+        fs::write(&next, text)?;
+        fs::rename(&next, &self.state)
+    }
+}
+
+/// Keeps this process and the other one of one mind until the program ends.
+pub(crate) async fn run(mut store: Store, mut said: mpsc::Receiver<Said>, core: Handle, limits: Arc<Limits>) {
+    let mut look = interval(limits.state_look);
+    look.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            Some(Said { engine, mark, done }) = said.recv() => {
+                store.record(engine, mark).await;
+                let _ = done.send(());
+            }
+            _ = look.tick() => store.pass_on(&core).await,
+        }
+    }
+}
+
+impl Store {
+    /// Tells the core what has changed beside it.
+    pub(crate) async fn pass_on(&mut self, core: &Handle) {
+        let both = self.another();
+        if self.limits.set_both(both) != both {
+            self.counters.beside.set(usize::from(both));
+            core.beside(both).await;
+            eprintln!(
+                "magpiechute: another process of this workload manager {}",
+                if both { "lives" } else { "has gone" }
+            );
+        }
+        for (engine, mark) in self.news(core.now()) {
+            // One given back lately has to be out before it can come back, and is cold from then on.
+            if !mark.out {
+                core.ban(engine, true, mark.at, true).await;
+            }
+            core.ban(engine, mark.out, mark.at, true).await;
+        }
+    }
+}
+
+/// The way to the actor, for whoever is told something by hand.
+#[derive(Clone)]
+pub(crate) struct Scribe {
+    said: mpsc::Sender<Said>,
+    patience: Duration,
+}
+
+impl Scribe {
+    pub(crate) fn new(limits: &Limits) -> (Scribe, mpsc::Receiver<Said>) {
+        let (said, mailbox) = mpsc::channel(limits.ops_callers);
+        (Scribe { said, patience: limits.state_patience }, mailbox)
+    }
+
+    /// Writes a word down; without a folder, or where that takes too long, it holds for this process alone.
+    pub(crate) async fn record(&self, engine: EngineId, mark: Mark) {
+        let (done, written) = oneshot::channel();
+        let wait = async {
+            if self.said.send(Said { engine, mark, done }).await.is_ok() {
+                let _ = written.await;
+            }
+        };
+        let _ = tokio::time::timeout(self.patience, wait).await;
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::config::engine_id;
+    use rstest::rstest;
+
+    async fn store(dir: &Path) -> Store {
+        let limits = crate::engines::House::for_tests(Handle::new(4, Default::default()).0).limits;
+        Store::open(dir, "n1", limits, Arc::default()).await.expect("store")
+    }
+
+    fn folder(name: &str) -> PathBuf {
+        let dir = std::env::temp_dir().join(format!("magpiechute-test-{}-{name}", std::process::id()));
+        let _ = fs::remove_dir_all(&dir);
+        fs::create_dir_all(&dir).expect("folder");
+        dir
+    }
+
+    fn run<T>(test: impl Future<Output = T>) -> T {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        runtime.expect("runtime").block_on(test)
+    }
+
+    /// Two processes see each other for as long as both live, and the later word wins wherever it was said.
+    #[test]
+    fn two_processes_are_of_one_mind() {
+        let dir = folder("two");
+        run(async {
+            let mark = |out, at| Mark { out, at };
+            let mut old = store(&dir).await;
+            assert!(!old.another());
+            old.record(engine_id(1), mark(true, 100.0)).await;
+            let mut new = store(&dir).await;
+            assert!(old.another() && new.another());
+            assert_eq!(new.news(100.0), [(engine_id(1), mark(true, 100.0))]);
+            new.record(engine_id(2), mark(true, 200.0)).await;
+            old.record(engine_id(1), mark(false, 300.0)).await;
+            assert_eq!(old.news(300.0), [(engine_id(2), mark(true, 200.0))]);
+            assert_eq!(new.news(300.0), [(engine_id(1), mark(false, 300.0))]);
+            new.record(engine_id(1), mark(true, 250.0)).await;
+            assert_eq!(old.news(300.0), [], "an earlier word changes nothing");
+            drop(old);
+            assert!(!new.another());
+            drop(new);
+            let mut last = store(&dir).await;
+            let held = last.news(400.0);
+            assert!(held.contains(&(engine_id(2), mark(true, 200.0))), "{held:?}");
+        });
+        let _ = fs::remove_dir_all(&dir);
+    }
+
+    /// Guard: spoilt state stops no start, and what of it is sound still holds.
+    #[rstest]
+    #[case::noise("noise", "\u{1}\u{2}", 0)]
+    #[case::cut_short("cut", r#"{"version":1,"engines":{"s-00000001":{"out":tr"#, 0)]
+    #[case::another_version("version", r#"{"version":9,"engines":{"s-00000001":{"out":true,"at":1.0}}}"#, 0)]
+    #[case::not_engines(
+        "names",
+        r#"{"version":1,"engines":{"x":{"out":true,"at":1.0},"s-00000001":{"out":true,"at":1.0}}}"#,
+        1
+    )]
+    #[case::not_yet("times", r#"{"version":1,"engines":{"s-00000001":{"out":true,"at":9e15}}}"#, 0)]
+    #[case::too_long("long", &" ".repeat(100_000), 0)]
+    fn spoilt_state(#[case] name: &str, #[case] text: &str, #[case] sound: usize) {
+        let dir = folder(name);
+        fs::write(dir.join("magpiechute-n1.state"), text).expect("file");
+        run(async {
+            let mut store = store(&dir).await;
+            assert_eq!(store.news(100.0).len(), sound);
+            assert_eq!(store.counters.states_bad.get(), 1);
+            store.record(engine_id(2), Mark { out: true, at: 200.0 }).await;
+            assert!(store.news(200.0).is_empty() && store.counters.states_bad.get() == 1);
+        });
+        let _ = fs::remove_dir_all(&dir);
+    }
+}
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -5,9 +5,11 @@
 use magpiechute::config::{Fronts, Speech};
 use rstest::rstest;
 use scene::{configuration, play};
-use std::io::{BufRead, BufReader, Read};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, ChildStderr, Command, Stdio};
 
 /// The platform's clients and line engines.
 #[rstest]
@@ -769,7 +771,7 @@
     s expect $.2.0=0
     s send next $.41.0
     s expect $.42.0=0
-    s send next $.45.0
+    s send next $.47.0
     s expect $.100.1.2.1=seat-check
     s send next $.100.1.5.3
     s expect $.100.1.5.3=EndOfMibView
@@ -1067,13 +1069,121 @@
         std::fs::write(&path, text).expect("file");
         path
     };
-    Command::new(env!("CARGO_BIN_EXE_magpiechute"))
-        .env("NODE_CONFIG", file("json", config))
-        .env("MAGPIECHUTE_FRONTS", file("toml", fronts))
+    let mut program = Command::new(env!("CARGO_BIN_EXE_magpiechute"));
+    program.env("NODE_CONFIG", file("json", config)).env("MAGPIECHUTE_FRONTS", file("toml", fronts));
+    for unset in ["NODE_LISTEN", "NODE_OPS", "NODE_LISTEN_FD", "TMPDIR"] {
+        program.env_remove(unset);
+    }
+    program.stderr(Stdio::piped()).spawn().expect("program")
+}
+
+/// The same on a listening socket that the platform holds, in a folder that it gives to every start.
+fn upgraded(
+    listener: &TcpListener,
+    config: &Path,
+    folder: &Path,
+) -> (Child, BufReader<ChildStderr>, SocketAddr) {
+    let socket: OwnedFd = listener.try_clone().expect("socket").into();
+    let mut child = Command::new("sh")
+        .args(["-c", "exec \"$0\" 4<&0 0</dev/null", env!("CARGO_BIN_EXE_magpiechute")])
+        .env("NODE_CONFIG", config)
+        .env("MAGPIECHUTE_FRONTS", folder.join("no-fronts.toml"))
+        .env("NODE_LISTEN_FD", "4")
+        .env("TMPDIR", folder)
         .env_remove("NODE_LISTEN")
+        .env_remove("NODE_OPS")
+        .stdin(socket)
         .stderr(Stdio::piped())
         .spawn()
-        .expect("program")
+        .expect("program");
+    let mut said = BufReader::new(child.stderr.take().expect("stderr"));
+    let line = line_with(&mut said, "is operated at");
+    let ops = line.trim().rsplit(' ').next().and_then(|at| at.parse().ok());
+    (child, said, ops.expect("an address"))
+}
+
+/// The next line that says this.
+fn line_with(said: &mut impl BufRead, what: &str) -> String {
+    loop {
+        let mut line = String::new();
+        assert!(said.read_line(&mut line).expect("line") > 0, "the end before {what:?}");
+        if line.contains(what) {
+            return line;
+        }
+    }
+}
+
+/// One call at the operations address.
+fn call(at: SocketAddr, line: &str) -> String {
+    let mut stream = TcpStream::connect(at).expect("connect");
+    stream.write_all(format!("{line}\n").as_bytes()).expect("write");
+    let mut said = String::new();
+    stream.read_to_string(&mut said).expect("an answer");
+    said
+}
+
+/// Two processes are one workload manager: what staff said to one holds in both and in the next, the old one leaves
+/// the socket to its successor, serves what it accepted and ends.
+#[test]
+fn an_upgrade() {
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("upgrade");
+    let _ = std::fs::remove_dir_all(&folder);
+    std::fs::create_dir_all(&folder).expect("folder");
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
+    let at = listener.local_addr().expect("address");
+    let member = |n: u32| {
+        format!(
+            r#"{{"instanceId":"s-{n:08x}","hostPort":"127.0.0.1:1","zone":"hall-a","machineType":"std-8c"}}"#
+        )
+    };
+    let known = format!(r#"{{"n":1,"members":{{"reset":true,"instances":[{},{}]}}}}"#, member(1), member(2));
+    let config = folder.join("config.json");
+    std::fs::write(&config, configuration("127.0.0.1:1".parse().expect("address"), &known)).expect("file");
+    let start = || upgraded(&listener, &config, &folder);
+    let skipped = |ops, n| {
+        let wanted = format!("node.skipped_engines={n}\n");
+        (0..400).any(|_| {
+            std::thread::sleep(std::time::Duration::from_millis(10));
+            call(ops, "STATS").contains(&wanted)
+        })
+    };
+    let health = b"\x94\x00\x01\xa6health\x91\x80";
+    let fit = |stream: &mut TcpStream| {
+        let mut answer = [0; 7];
+        stream.write_all(health).expect("write");
+        stream.read_exact(&mut answer).expect("an answer");
+        answer[5] == 0xc3
+    };
+    let end = |mut child: Child| {
+        let sent = Command::new("kill").args(["-s", "TERM", &child.id().to_string()]).status();
+        assert!(sent.expect("kill").success() && child.wait().expect("end").success());
+    };
+    let (old, mut old_said, old_ops) = start();
+    assert!(call(old_ops, "READY").starts_with("200"));
+    assert!(call(old_ops, "DISABLE s-00000001").starts_with("200"));
+    // Accepted by the old one, for certain: nobody else is there.
+    let mut kept = TcpStream::connect(at).expect("connect");
+    assert!(fit(&mut kept));
+    let (new, mut new_said, new_ops) = start();
+    line_with(&mut old_said, "another process of this workload manager lives");
+    assert!(call(new_ops, "READY").starts_with("200"));
+    assert!(skipped(new_ops, 1), "the successor knows what was taken out before it came");
+    assert!(call(old_ops, "DISABLE s-00000002").starts_with("200"));
+    assert!(skipped(new_ops, 2), "and what is taken out at the old one");
+    assert!(call(new_ops, "ENABLE s-00000001").starts_with("200"));
+    assert!(skipped(old_ops, 1), "and the other way round");
+    end(old);
+    assert_eq!(kept.read(&mut [0; 9]).expect("the end"), 0, "a kept connection is closed");
+    line_with(&mut new_said, "another process of this workload manager has gone");
+    assert!(fit(&mut TcpStream::connect(at).expect("connect")));
+    end(new);
+    // What is lying about in the folder stops no start.
+    let state = folder.join("magpiechute-n1.state");
+    assert!(std::fs::read_to_string(&state).expect("state").contains("s-00000002"));
+    std::fs::write(&state, "{\"version\":1,").expect("file");
+    let (last, _said, ops) = start();
+    assert!(call(ops, "READY").starts_with("200") && skipped(ops, 0));
+    end(last);
 }
 
 fn good() -> String {
