Take new settings at SIGHUP whole and in one step, with classes mapped by name

Its log says `settings in the new configuration waits for the next start`: new classes were answered NoMethodError and changed ones run as the old.

Checked: scenarios in which a class goes while its requests are out, one comes in front of the others, and a class that went comes back with its counts; a lower number of attempts; fifteen files that are not whole. The module's test fails without the line that moves requests to their class's new place. Ruled out: a module made anew, as bans and what is known cold would go with it, and settings through the core's urgent mailbox, as they would overtake requests that came under the old ones.

At fault: `node.rs`, `reload`, which took the control feed's address alone; fronts, core and engines held positions.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -192,16 +192,11 @@
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
         let set = settings;
         set.check()?;
-        let first = |c: &Class| {
-            let mean = (c.promise_ms * FIRST_WORK * f64::from(c.threads)).max(1.0);
-            let error = Scatter { spread: SCATTER_FIRST, ..Scatter::default() };
-            ClassStat { mean, memory: error.clone(), work: error, ..ClassStat::default() }
-        };
         Ok(Gateway {
-            stats: set.classes.iter().map(first).collect(),
+            stats: set.classes.iter().map(ClassStat::first).collect(),
             pool: Fit::new(1.0, 0.0),
             probes: PROBES_SAVED,
-            widest: set.classes.iter().map(|c| f64::from(c.threads)).fold(1.0, f64::max),
+            widest: set.widest(),
             best: f64::INFINITY,
             set,
             seed,
@@ -216,9 +211,10 @@
             Event::List { kind, entries } => self.on_list(kind, entries),
             Event::Ban { engine, out, at } => self.on_ban(engine, out, at),
             Event::Beside { both } => self.beside = both,
+            Event::Settings(new) => self.on_settings(*new),
             Event::Request(r) => self.on_request(&r, actions),
-            Event::Streaming { id, attempt } => {
-                self.try_of(id, attempt).iter_mut().for_each(|t| t.streaming = true)
+            Event::Streaming { id, attempt: n } => {
+                self.try_of(id, n).iter_mut().for_each(|t| t.streaming = true)
             }
             Event::Started | Event::Timer { token: TICK } => self.on_tick(actions),
             Event::Timer { .. } | Event::PeerMessage { .. } => {}
@@ -246,7 +242,12 @@
     /// Listed engines that it sends nothing at present, by hand or by choice.
     pub fn avoided(&self) -> usize {
         let listed = self.engines.values().filter(|e| e.line.state != ListState::Gone);
-        listed.filter(|e| e.banned || e.usable() && self.shuns(e)).count()
+        listed.filter(|e| e.banned || e.usable() && self.now < e.shut_until.max(e.stalled_until)).count()
+    }
+
+    /// The settings in use.
+    pub fn settings(&self) -> &Settings {
+        &self.set
     }
 
     /// The engines that staff have taken out.
@@ -303,6 +304,16 @@
         }
     }
 
+    /// What was learned of a class goes by its name, and a request's class is the one that it came with.
+    fn on_settings(&mut self, new: Settings) {
+        let (set, places) = new.in_place_of(&self.set, |at| self.reqs.values().any(|r| r.class == at));
+        let known = |name| self.set.names.iter().position(|n| n == name).map(|at| self.stats[at].clone());
+        let stats = set.names.iter().zip(&set.classes);
+        self.stats = stats.map(|(name, c)| known(name).unwrap_or_else(|| ClassStat::first(c))).collect();
+        self.reqs.values_mut().for_each(|r| r.class = places[r.class]);
+        (self.widest, self.set) = (set.widest(), set);
+    }
+
     fn on_request(&mut self, q: &Request, actions: &mut Vec<Action>) {
         let (id, now, class) = (q.id, self.now, q.class);
         if self.reqs.contains_key(&id) {
@@ -379,12 +390,11 @@
                 let doubted = self.engines.get_mut(&t.engine).into_iter();
                 doubted.for_each(|e| {
                     e.errors += ERROR_GAIN * (1.0 - e.errors);
-                    if e.doubted() {
+                    if e.proofs >= ERROR_PROOFS {
                         e.stall(now);
                     }
                 });
-                let r = self.reqs.get_mut(&id).expect("ended");
-                r.erred.push(t.engine);
+                self.reqs.get_mut(&id).expect("ended").erred.push(t.engine);
             }
             Outcome::Full => {
                 self.engines.get_mut(&t.engine).into_iter().for_each(|e| e.stall(now));
@@ -527,9 +537,7 @@
         self.middle_slow = slow.get(slow.len() / 2).copied();
         self.shares = self.engines.values().filter(|e| e.usable()).map(|e| e.share).sum();
         self.watch(actions);
-        if let Some(&id) = self.line.values().next() {
-            self.ask(id, actions);
-        }
+        self.line.values().next().copied().into_iter().for_each(|id| self.ask(id, actions));
         let late: Vec<RequestId> = self.line.values().copied().filter(|id| self.hopeless(*id)).collect();
         late.into_iter().for_each(|id| self.end(id, actions));
         self.shed(actions);
@@ -620,10 +628,11 @@
         if r.attempts > 0 {
             self.extras.push_back(now);
         }
-        let Some(e) = self.engines.get(&engine) else { return };
-        let seen = (f64::from(e.threads + threads), (self.load(e) + f64::from(threads)) / self.cores(e));
+        let all = |e: &Engine| (self.load(e) + f64::from(threads)) / self.cores(e);
+        let all = self.engines.get(&engine).map_or(0.0, all);
         let Some(e) = self.engines.get_mut(&engine) else { return };
         e.threads += threads;
+        let seen = (f64::from(e.threads), all);
         self.own += f64::from(threads);
         e.running.insert(id);
         e.cold_sends.retain(|(t, _)| now - t <= self.set.overload_for_ms);
@@ -652,10 +661,6 @@
         })
     }
 
-    fn shuns(&self, e: &Engine) -> bool {
-        self.now < e.shut_until.max(e.stalled_until)
-    }
-
     /// Whether the rules and the engine's health let this request go there.
     fn takes(&self, r: &Req, e: &Engine) -> bool {
         let c = &self.set.classes[r.class];
@@ -667,8 +672,8 @@
             _ => true,
         };
         // One in doubt is tried with one query at a time that may be sent again.
-        let doubt = e.doubted() && !(e.running.is_empty() && c.effect == Effect::Repeatable);
-        e.usable() && placed && group && !doubt && !self.shuns(e)
+        let doubt = e.proofs >= ERROR_PROOFS && !(e.running.is_empty() && c.effect == Effect::Repeatable);
+        e.usable() && placed && group && !doubt && self.now >= e.shut_until.max(e.stalled_until)
     }
 
     fn price(&self, r: &Req, e: &Engine, homes: &[EngineId]) -> f64 {
@@ -696,13 +701,10 @@
     /// A load stands still while another one of its data set runs there. Own ones are known; those of other
     /// gateways are kept apart by a hash that all share: each has its part of the engines for a data set.
     fn load_price(&self, r: &Req, e: &Engine) -> f64 {
-        let same = |id: &RequestId| {
-            let other = &self.reqs[id];
-            other.dataset == r.dataset && self.set.classes[other.class].loads
-        };
+        let same = |other: &Req| other.dataset == r.dataset && self.set.classes[other.class].loads;
         let part = mix(e.hash.rotate_left(11) ^ u64::from(r.dataset)) % u64::from(self.set.instances);
         let own = part == u64::from(self.set.ordinal);
-        let held = if e.running.iter().any(same) { HELD_PRICE } else { 1.0 };
+        let held = if e.running.iter().any(|id| same(&self.reqs[id])) { HELD_PRICE } else { 1.0 };
         held * if own { 1.0 } else { OTHERS_PRICE }
     }
 
@@ -988,6 +990,12 @@
 }
 
 impl ClassStat {
+    fn first(c: &Class) -> Self {
+        let mean = (c.promise_ms * FIRST_WORK * f64::from(c.threads)).max(1.0);
+        let error = Scatter { spread: SCATTER_FIRST, ..Scatter::default() };
+        ClassStat { mean, memory: error.clone(), work: error, ..ClassStat::default() }
+    }
+
     /// Takes one query's work into the mean; a rare giant counts as twenty usual ones.
     fn see(&mut self, work: f64) {
         self.seen += 1;
@@ -1001,8 +1009,7 @@
         self.cold = Some((from, until));
         self.fit = Fit::new(start, now);
         (self.samples, self.slow, self.others, self.busy) = (0, 0.0, 0.0, 0.0);
-        (self.fails, self.shut_until) = (0, 0.0);
-        (self.errors, self.proofs) = (0.0, 0);
+        (self.fails, self.shut_until, self.errors, self.proofs) = (0, 0.0, 0.0, 0);
     }
 
     /// A pause for new work, longer each time until it serves again.
@@ -1011,10 +1018,6 @@
         self.stalled_until = now + DOWN_MS.0 * f64::from(1 << self.stalls);
     }
 
-    fn doubted(&self) -> bool {
-        self.proofs >= ERROR_PROOFS
-    }
-
     fn usable(&self) -> bool {
         self.line.state == ListState::Ready && !self.banned
     }
@@ -1045,8 +1048,7 @@
         self.s = std::array::from_fn(|k| self.s[k] * FADE + powers[k]);
         self.t = std::array::from_fn(|k| self.t[k] * FADE + powers[k] * output);
         let rose = output > self.last;
-        (self.last, self.outcomes, self.since) = (output, 0, now);
-        self.open = [0.0; 3];
+        (self.last, self.outcomes, self.since, self.open) = (output, 0, now, [0.0; 3]);
         if self.s[0] < enough {
             return;
         }
--- a/src/clients/flight.rs
+++ b/src/clients/flight.rs
@@ -5,6 +5,7 @@
 use super::seats::{Seat, Seats};
 use crate::core::{Answer, Body, ClientPort, Flow, Input, Kind, Taken, Why};
 use crate::interface::{Effect, RequestId};
+use crate::settings::Named;
 use crate::{rows, sql};
 use arrow_flight::flight_service_server::{FlightService, FlightServiceServer};
 use arrow_flight::sql::{Any, CommandStatementQuery, CommandStatementUpdate, DoPutUpdateResult};
@@ -156,7 +157,7 @@
 #[derive(Clone)]
 struct Call {
     name: Bytes,
-    class: usize,
+    class: Arc<Named>,
     cost_ms: Option<f64>,
     memory_mb: Option<f64>,
     statement: Bytes,
@@ -348,7 +349,7 @@
         let mut tickets = self.tickets();
         let known = tickets.held.get(&handle).cloned();
         let mut call = known.ok_or_else(|| invalid("a ticket that is unknown, too old or spent"))?;
-        if self.front.parsed.settings.classes.get(call.class).is_some_and(|c| c.effect == Effect::Once) {
+        if call.class.class.effect == Effect::Once {
             tickets.held.remove(&handle);
             tickets.order.retain(|h| *h != handle);
         } else {
@@ -373,9 +374,9 @@
             None => None,
             Some(t) => Some(t.to_str().ok().and_then(grpc_timeout).ok_or_else(|| invalid("grpc-timeout"))?),
         };
-        let usual = self.front.parsed.settings.classes.get(call.class).map_or(0.0, |c| c.give_up_ms);
+        let usual = call.class.class.give_up_ms;
         let left = timeout.map_or(usual, |t| t.as_secs_f64() * 1000.0);
-        let (id, class) = (self.front.core.next_id(), call.class);
+        let (id, ends) = (self.front.core.next_id(), self.front.counters.class(&call.class.name));
         let (port, answer) = oneshot::channel();
         self.front.counters.client_conns_owing.up();
         seat.iter().for_each(|seat| seat.opened());
@@ -383,8 +384,8 @@
         let taken = Taken {
             id,
             name: call.name,
+            due_ms: self.front.due(now, &call.class, left),
             class: call.class,
-            due_ms: self.front.due(now, call.class, left),
             cost_ms: call.cost_ms,
             memory_mb: call.memory_mb,
             dataset: sql::dataset(&call.statement).unwrap_or(0),
@@ -395,8 +396,7 @@
         self.front.core.tell(Input::Take(taken)).await;
         let answer = answer.await;
         owed.over = true;
-        let ends = self.front.parsed.classes.get(class).map(|name| self.front.counters.class(name));
-        ends.unwrap_or_default().count(answer.as_ref().ok());
+        ends.count(answer.as_ref().ok());
         match answer {
             Ok(Answer::Served(body)) => {
                 owed.over = body.rest.is_none();
--- a/src/clients/mod.rs
+++ b/src/clients/mod.rs
@@ -9,14 +9,16 @@
 use crate::counters::{Counters, Ends};
 use crate::duty::Duty;
 use crate::limits::{Limits, Stock};
-use crate::settings::Parsed;
+use crate::settings::{Named, Parsed};
 use std::sync::Arc;
+use tokio::sync::watch;
 
 /// What every front holds.
 #[derive(Clone)]
 pub(crate) struct Front {
     pub(crate) core: Handle,
-    pub(crate) parsed: Arc<Parsed>,
+    /// The settings in use.
+    pub(crate) parsed: watch::Receiver<Arc<Parsed>>,
     pub(crate) limits: Arc<Limits>,
     pub(crate) counters: Arc<Counters>,
     /// Whether clients are to come or go.
@@ -33,20 +35,18 @@
 
 impl Front {
     /// A class by its name.
-    pub(crate) fn class(&self, name: &[u8]) -> Option<usize> {
-        self.parsed.classes.iter().position(|c| c.as_bytes() == name)
+    pub(crate) fn class(&self, name: &[u8]) -> Option<Arc<Named>> {
+        self.parsed.borrow().classes.iter().find(|c| c.name.as_bytes() == name).cloned()
     }
 
     /// Where the ends of a class's requests are counted; none where there is no such class.
     pub(crate) fn ends(&self, class: &[u8]) -> Option<Arc<Ends>> {
-        let class = self.class(class).and_then(|i| self.parsed.classes.get(i))?;
-        Some(self.counters.class(class))
+        self.class(class).map(|class| self.counters.class(&class.name))
     }
 
     /// When a client gives up. Guard: none waits for longer than its class does, whatever it says.
-    pub(crate) fn due(&self, now: f64, class: usize, allow: f64) -> f64 {
-        let usual = self.parsed.settings.classes.get(class).map_or(0.0, |c| c.give_up_ms);
-        now + allow.min(usual)
+    pub(crate) fn due(&self, now: f64, class: &Named, allow: f64) -> f64 {
+        now + allow.min(class.class.give_up_ms)
     }
 
     /// An estimate sent as text. Guard: one that no query has would reach engines and the module's means.
@@ -56,7 +56,8 @@
 
     /// A tenant by its name; where there are no tenants any name will do.
     pub(crate) fn knows_tenant(&self, name: &[u8]) -> bool {
-        self.parsed.tenants.is_empty() || self.parsed.tenants.iter().any(|t| t.as_bytes() == name)
+        let parsed = self.parsed.borrow();
+        parsed.tenants.is_empty() || parsed.tenants.iter().any(|t| t.as_bytes() == name)
     }
 }
 
--- a/src/clients/platform.rs
+++ b/src/clients/platform.rs
@@ -285,7 +285,7 @@
         let (Some(fields), Some(statement)) = (fields, body) else { return Err("ArgumentError") };
         let name = fields.get("ref").filter(|r| is_ref(r)).ok_or("ArgumentError")?;
         let allow = fields.get("allow").and_then(|a| figure(a)).ok_or("ArgumentError")?;
-        let due_ms = self.front.due(now, class, allow);
+        let due_ms = self.front.due(now, &class, allow);
         if !fields.get("project").is_some_and(|p| self.front.knows_tenant(p)) {
             return Err("ArgumentError");
         }
--- a/src/config.rs
+++ b/src/config.rs
@@ -4,6 +4,7 @@
 use crate::interface::{EngineEntry, EngineId, ListKind, ListState};
 use crate::settings::{self, Parsed};
 use serde::Deserialize;
+use serde_json::Value;
 use serde_json::value::RawValue;
 use std::fmt;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
@@ -68,6 +69,8 @@
     pub events: Vec<ListEvent>,
     /// The settings, as the simulator's first message has them.
     pub parsed: Parsed,
+    /// The file's text as values, without the events, to tell which keys another file lacks.
+    pub values: Value,
 }
 
 #[derive(Deserialize)]
@@ -203,8 +206,12 @@
 
     /// Reads the configuration's text.
     pub fn parse(text: &[u8]) -> Result<Config, ConfigError> {
-        let file: File<'_> =
-            serde_json::from_slice(text).map_err(|e| ConfigError(format!("configuration: {e}")))?;
+        let wrong = |e: serde_json::Error| ConfigError(format!("configuration: {e}"));
+        let file: File<'_> = serde_json::from_slice(text).map_err(wrong)?;
+        let mut values: Value = serde_json::from_slice(text).map_err(wrong)?;
+        if let Some(known) = values.get_mut("known") {
+            *known = Value::Null;
+        }
         let parsed = settings::parse(file.settings.get().as_bytes()).map_err(ConfigError)?;
         let seed = match file.seed.as_str() {
             "" => 0,
@@ -235,8 +242,33 @@
             known: file.known.n,
             events,
             parsed,
+            values,
         })
     }
+
+    /// A key of the file in use that this one lacks: it would not be what it says it is, but a part.
+    pub fn lacks(&self, used: &Value) -> Option<String> {
+        lacks(used, &self.values).map(|key| key.trim_start_matches('.').to_owned())
+    }
+}
+
+/// The path of a key that `used` has and `new` lacks. Of a list's entries each has to have what all had.
+fn lacks(used: &Value, new: &Value) -> Option<String> {
+    match (used, new) {
+        (Value::Object(used), Value::Object(new)) => {
+            used.iter().find_map(|(key, value)| match new.get(key) {
+                None => Some(format!(".{key}")),
+                Some(new) => lacks(value, new).map(|rest| format!(".{key}{rest}")),
+            })
+        }
+        (Value::Array(used), Value::Array(new)) => {
+            let all: Vec<_> = used.iter().filter_map(Value::as_object).collect();
+            let (first, rest) = all.split_first()?;
+            let mut shared = first.keys().filter(|key| rest.iter().all(|o| o.contains_key(*key)));
+            shared.find(|key| new.iter().any(|o| o.get(*key).is_none())).map(|key| format!("[].{key}"))
+        }
+        _ => None,
+    }
 }
 
 /// The fronts that are off unless a file under `deploy/` turns them on.
--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -104,6 +104,11 @@
 }
 
 impl Handle {
+    /// A place in the mailbox, for what has to be said at one moment to the core and to others.
+    pub async fn place(&self) -> Option<mpsc::Permit<'_, Input>> {
+        self.mailbox.reserve().await.ok()
+    }
+
     /// The process ends at this time, in Unix ms.
     pub async fn ends(&self, at: Millis) {
         let _ = self.urgent.send(Urgent::Ends(at)).await;
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -13,6 +13,7 @@
 use crate::counters::{Count, Counters};
 use crate::interface::*;
 use crate::limits::Limits;
+use crate::settings::Named;
 use bytes::Bytes;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, HashSet};
@@ -99,8 +100,8 @@
     pub id: RequestId,
     /// The client's own name for it: passed to engines unchanged.
     pub name: Bytes,
-    /// Its class, by position.
-    pub class: usize,
+    /// Its class.
+    pub class: Arc<Named>,
     /// Unix time in ms at which the client gives up.
     pub due_ms: Millis,
     /// Estimated work over all threads.
@@ -126,8 +127,8 @@
     pub attempt: u16,
     /// The client's name for the request.
     pub name: Bytes,
-    /// Its class, by position.
-    pub class: usize,
+    /// Its class.
+    pub class: Arc<Named>,
     /// Unix time in ms at which the attempt is over.
     pub due_ms: Millis,
     /// Memory to grant in MB; 0 for the engine's choice.
@@ -197,6 +198,8 @@
     },
     /// An event of the list.
     List(ListEvent),
+    /// New settings: in the mailbox's order, so that what came under the old ones is taken under them.
+    Settings(Box<Settings>),
 }
 
 /// What overtakes the mailbox.
@@ -278,8 +281,6 @@
     engines: E,
     limits: Arc<Limits>,
     counters: Arc<Counters>,
-    effects: Vec<Effect>,
-    cap: u32,
     requests: HashMap<RequestId, Open>,
     /// Clients' names of the requests that are open.
     names: HashSet<Bytes>,
@@ -306,15 +307,11 @@
         limits: Arc<Limits>,
         counters: Arc<Counters>,
     ) -> Result<Self, SettingsError> {
-        let effects = settings.classes.iter().map(|c| c.effect).collect();
-        let cap = settings.attempts_cap;
         Ok(Core {
             gateway: Gateway::new(settings, seed)?,
             engines,
             limits,
             counters,
-            effects,
-            cap,
             requests: HashMap::new(),
             names: HashSet::new(),
             held_bytes: 0,
@@ -374,6 +371,7 @@
             Input::Take(taken) => self.take(now, taken),
             Input::Left(id) => self.left(now, id),
             Input::List(event) => self.list(now, event),
+            Input::Settings(new) => self.tell(now, Event::Settings(new)),
             Input::Engine { engine, id, attempt, report, news } => {
                 let open = self.requests.get_mut(&id);
                 let Some(out) =
@@ -446,9 +444,14 @@
             self.counters.refused.up();
             return taken.client.answer(id, Answer::Refused { hold_off_ms: 0.0 });
         }
+        // Guard: a class that went as its request was on its way; nothing of it has run.
+        let Some(class) = self.gateway.settings().position(&taken.class.name, &taken.class.class) else {
+            self.counters.refused.up();
+            return taken.client.answer(id, Answer::Refused { hold_off_ms: 0.0 });
+        };
         let request = Request {
             id,
-            class: taken.class,
+            class,
             key: 0,
             due_ms: taken.due_ms,
             cost_ms: taken.cost_ms,
@@ -623,7 +626,7 @@
         let due = out.heard + self.limits.silence_ms;
         if due > armed {
             self.arm(due, Alarm::Silence(id, attempt));
-        } else if self.effects.get(open.taken.class) == Some(&Effect::Repeatable) {
+        } else if self.repeatable(open) {
             self.engines.quit(engine, id, attempt);
             self.ended(now, id, attempt, Outcome::TimedOut, LoadReport::default(), (None, None));
         }
@@ -696,7 +699,7 @@
     }
 
     fn repeatable(&self, open: &Open) -> bool {
-        self.effects.get(open.taken.class).is_some_and(|e| *e == Effect::Repeatable)
+        open.taken.class.class.effect == Effect::Repeatable
     }
 
     /// Starts an attempt, or says why it cannot be; then it provably never ran.
@@ -709,7 +712,7 @@
     ) -> Option<Outcome> {
         let repeatable = self.requests.get(&id).is_some_and(|o| self.repeatable(o));
         let ready = self.ready.contains_key(&engine) && !self.gateway.bans().contains(&engine);
-        let cap = self.cap;
+        let cap = self.gateway.settings().attempts_cap;
         let open = self.requests.get_mut(&id)?;
         let number = open.attempts;
         open.attempts = open.attempts.saturating_add(1);
@@ -725,7 +728,7 @@
             id,
             attempt: number,
             name: open.taken.name.clone(),
-            class: open.taken.class,
+            class: open.taken.class.clone(),
             due_ms,
             memory_mb: open.memory_mb,
             priority: open.priority,
@@ -831,6 +834,7 @@
             "limits":{"attemptsCap":6,"cancel":true},"shapes":["std-8c"],"specifics":{"sizeCores":[8],"progressMs":500}}"#;
         let parsed = settings::parse(text.as_bytes()).expect("settings");
         let limits = Arc::new(Limits::new(256, 32, true, &parsed));
+        let classes = parsed.classes;
         let mut core =
             Core::new(parsed.settings, 7, Silent::default(), limits, Arc::default()).expect("core");
         core.begin(0.0);
@@ -856,7 +860,7 @@
                     Input::Take(Taken {
                         id,
                         name: id.to_be_bytes().to_vec().into(),
-                        class: (n % 2) as usize,
+                        class: classes[(n % 2) as usize].clone(),
                         due_ms: now + if n < 5 { 300.0 } else { 20_000.0 },
                         cost_ms: Some(50.0),
                         memory_mb: None,
@@ -898,6 +902,7 @@
         let parsed = settings::parse(text.as_bytes()).expect("settings");
         let limits = Arc::new(Limits::new(256, 32, true, &parsed));
         let counters: Arc<Counters> = Arc::default();
+        let class = parsed.classes[0].clone();
         let mut core =
             Core::new(parsed.settings, 7, Silent::default(), limits, counters.clone()).expect("core");
         let entry = EngineEntry {
@@ -912,7 +917,7 @@
             let taken = Taken {
                 id,
                 name: id.to_be_bytes().to_vec().into(),
-                class: 0,
+                class: class.clone(),
                 due_ms: now + 20_000.0,
                 cost_ms: Some(cost),
                 memory_mb: None,
--- a/src/engines/flight.rs
+++ b/src/engines/flight.rs
@@ -189,7 +189,7 @@
     let mut request = Request::new(message);
     let left = (ask.due_ms - link.house.core.now()).max(1.0);
     request.set_timeout(Duration::from_micros((left * 1000.0) as u64));
-    let class = link.house.parsed.classes.get(ask.class).cloned().unwrap_or_default();
+    let class = ask.class.name.clone();
     let name = String::from_utf8_lossy(&ask.name).into_owned();
     let mut put = |key: &'static str, value: String| {
         if let Ok(value) = value.parse() {
--- a/src/engines/lines.rs
+++ b/src/engines/lines.rs
@@ -54,7 +54,7 @@
             ended(&house, engine, &ask, Outcome::NoConnection).await;
             continue;
         }
-        let once = house.parsed.settings.classes.get(ask.class).is_some_and(|c| c.effect == Effect::Once);
+        let once = ask.class.class.effect == Effect::Once;
         let place = place(&conns, once, &house);
         let conn = match place {
             Some(conn) => conn,
@@ -309,7 +309,7 @@
     }
 
     fn once(&self, ask: &Ask) -> bool {
-        self.house.parsed.settings.classes.get(ask.class).is_some_and(|c| c.effect == Effect::Once)
+        ask.class.class.effect == Effect::Once
     }
 
     async fn report(&self, asks: &mut Vec<Ask>) {
@@ -390,11 +390,10 @@
         while self.out.is_empty() {
             let Some(ask) = self.waiting.pop_front() else { return };
             let left = (ask.due_ms - self.house.core.now()).max(1.0);
-            let class = self.house.parsed.classes.get(ask.class).map_or("", String::as_str);
             let mut head = Vec::with_capacity(96);
             head.extend_from_slice(b"ASK ");
             head.extend_from_slice(&ask.name);
-            head.extend_from_slice(format!(" sort={class},patience={left:.0}").as_bytes());
+            head.extend_from_slice(format!(" sort={},patience={left:.0}", ask.class.name).as_bytes());
             if ask.memory_mb > 0.0 {
                 head.extend_from_slice(format!(",mb={:.0}", ask.memory_mb.ceil()).as_bytes());
             }
@@ -745,12 +744,16 @@
             let (orders, mailbox) = mpsc::channel(4);
             let engine = EngineId::default();
             tokio::spawn(run(engine, address, mailbox, house, banned.clone()));
+            let text = r#"{"nInstances":1,"classes":[{"name":"a","effect":"once","promiseMs":1,"giveUpMs":9}],
+                "guarantees":{"coldMs":1,"coldShare":0.3,"overloadForMs":1,"tipMultiple":3},
+                "limits":{"attemptsCap":6}}"#;
+            let class = crate::settings::parse(text.as_bytes()).expect("settings").classes[0].clone();
             let ask = |id| {
                 Order::Ask(Ask {
                     id,
                     attempt: 0,
                     name: Bytes::from_static(b"00000000000000ab"),
-                    class: 0,
+                    class: class.clone(),
                     due_ms: f64::MAX,
                     memory_mb: 0.0,
                     priority: 1,
--- a/src/engines/mod.rs
+++ b/src/engines/mod.rs
@@ -8,7 +8,6 @@
 use crate::counters::Counters;
 use crate::interface::{EngineId, ListState, RequestId};
 use crate::limits::{Limits, Stock};
-use crate::settings::Parsed;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -19,7 +18,6 @@
 #[derive(Clone)]
 pub(crate) struct House {
     pub(crate) core: Handle,
-    pub(crate) parsed: Arc<Parsed>,
     pub(crate) limits: Arc<Limits>,
     pub(crate) counters: Arc<Counters>,
     /// Whether the engines speak Flight SQL and not lines.
@@ -35,9 +33,9 @@
         let text = r#"{"nInstances":1,"classes":[{"name":"a","effect":"once","promiseMs":1,"giveUpMs":9}],
             "guarantees":{"coldMs":1,"coldShare":0.3,"overloadForMs":1,"tipMultiple":3},
             "limits":{"attemptsCap":6}}"#;
-        let parsed = Arc::new(crate::settings::parse(text.as_bytes()).expect("settings"));
+        let parsed = crate::settings::parse(text.as_bytes()).expect("settings");
         let limits = Arc::new(Limits::new(256, 32, true, &parsed));
-        House { core, parsed, limits, counters: Arc::default(), flight: false, held: Arc::default() }
+        House { core, limits, counters: Arc::default(), flight: false, held: Arc::default() }
     }
 }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -108,6 +108,8 @@
     pub ordinal: u32,
     /// Request classes.
     pub classes: Vec<Class>,
+    /// Their names, by which new settings find them.
+    pub names: Vec<String>,
     /// Cores of each machine kind.
     pub kind_cores: Vec<f64>,
     /// Engines heed a memory grant.
@@ -195,6 +197,33 @@
     }
 }
 
+impl Settings {
+    /// Threads of the widest class.
+    pub fn widest(&self) -> f64 {
+        self.classes.iter().map(|c| f64::from(c.threads)).fold(1.0, f64::max)
+    }
+
+    /// The position of a class that has this name and reads just so.
+    pub fn position(&self, name: &str, class: &Class) -> Option<usize> {
+        self.names.iter().zip(&self.classes).position(|(n, c)| n == name && c == class)
+    }
+
+    /// These settings in place of `old`, with the classes of those that are still used and are not in these behind
+    /// their own; and for each position in `old` the one here, as far as it is used.
+    pub fn in_place_of(mut self, old: &Settings, used: impl Fn(usize) -> bool) -> (Settings, Vec<usize>) {
+        let mut places = Vec::new();
+        for (at, (name, class)) in old.names.iter().zip(&old.classes).enumerate() {
+            let place = self.position(name, class).unwrap_or(self.classes.len());
+            places.push(place);
+            if place == self.classes.len() && used(at) {
+                self.names.push(name.clone());
+                self.classes.push(class.clone());
+            }
+        }
+        (self, places)
+    }
+}
+
 impl std::error::Error for SettingsError {}
 
 /// An engine's state in the list.
@@ -358,6 +387,8 @@
         /// Whether one does.
         both: bool,
     },
+    /// New settings; what is under way keeps its class.
+    Settings(Box<Settings>),
     /// A client's request.
     Request(Request),
     /// The answer has begun to stream; the attempt belongs to the client.
--- a/src/main.rs
+++ b/src/main.rs
@@ -41,7 +41,7 @@
         tokio::select! {
             _ = term.recv() => break,
             _ = int.recv() => break,
-            _ = hup.recv() => node.reload(load(Path::new(&path))),
+            _ = hup.recv() => node.reload(load(Path::new(&path))).await,
             _ = print.recv() => eprintln!("magpiechute: {}", node.counters),
         }
     }
--- a/src/node.rs
+++ b/src/node.rs
@@ -12,8 +12,9 @@
 use crate::settings::Parsed;
 use crate::snmp;
 use crate::successor::{self, Scribe, Store};
+use serde_json::Value;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::watch;
@@ -34,7 +35,10 @@
     pub counters: Arc<Counters>,
     limits: Arc<Limits>,
     /// What only a start can change.
-    fixed: (SocketAddr, (usize, usize), Arc<Parsed>),
+    fixed: (SocketAddr, (usize, usize)),
+    /// The configuration in use, as values.
+    used: Mutex<Value>,
+    parsed: watch::Sender<Arc<Parsed>>,
     feed: watch::Sender<SocketAddr>,
     duty: Arc<Duty>,
     core: Handle,
@@ -51,7 +55,7 @@
         let limits =
             Arc::new(Limits::new(config.sockets, config.memory_mb, speech == Speech::Lines, &parsed));
         let counters = Arc::new(Counters::default());
-        let fixed = (config.listen, (config.sockets, config.memory_mb), parsed.clone());
+        let fixed = (config.listen, (config.sockets, config.memory_mb));
         let store = match &config.folder {
             Some(folder) => {
                 let opened = Store::open(folder, &config.name, limits.clone(), counters.clone()).await;
@@ -87,7 +91,6 @@
         let (core, inputs) = Handle::new(limits.mailbox, clock);
         let house = House {
             core: core.clone(),
-            parsed: parsed.clone(),
             limits: limits.clone(),
             counters: counters.clone(),
             flight: speech == Speech::Flight,
@@ -123,12 +126,13 @@
             tokio::spawn(operations::listen(listener, desk));
             at
         });
-        for name in &parsed.classes {
-            counters.class(name); // so that a figure is there before its first request
+        for class in &parsed.classes {
+            counters.class(&class.name); // so that a figure is there before its first request
         }
+        let (parsed, settings) = watch::channel(parsed);
         let front = Front {
             core: core.clone(),
-            parsed,
+            parsed: settings,
             limits: limits.clone(),
             counters: counters.clone(),
             duty: duty.clone(),
@@ -149,30 +153,70 @@
             at
         });
         duty.set(|state| state.serving = true);
-        let handed = config.listen_fd.is_some();
-        Ok(Node { listen, flight, snmp, ops, counters, limits, fixed, feed, duty, core, handed })
+        let (handed, used) = (config.listen_fd.is_some(), Mutex::new(config.values));
+        Ok(Node {
+            listen,
+            flight,
+            snmp,
+            ops,
+            counters,
+            limits,
+            fixed,
+            used,
+            parsed,
+            feed,
+            duty,
+            core,
+            handed,
+        })
     }
 
     /// Goes over to a configuration that was read anew, or stays with the old one where that cannot be used.
-    /// Connections, requests and engines stay: of all that it holds only the control feed's address may change
-    /// while the program runs, and `known` is of the start. The feed tells what is new under its own numbers.
-    pub fn reload(&self, config: Result<Config, ConfigError>) {
-        let config = match config {
+    /// Connections, requests and engines stay: the settings and the control feed's address may change while the
+    /// program runs, and `known` is of the start. The feed tells what is new under its own numbers.
+    pub async fn reload(&self, config: Result<Config, ConfigError>) {
+        let whole = config.and_then(|config| {
+            let used = self.used.lock().unwrap_or_else(PoisonError::into_inner);
+            match config.lacks(&used) {
+                None => Ok(config),
+                // Guard: what goes without saying at a start would change here without a word.
+                Some(key) => Err(ConfigError(format!("configuration: {key} is missing"))),
+            }
+        });
+        let config = match whole {
             Ok(config) => config,
             Err(problem) => {
                 self.counters.reloads_bad.up();
                 return eprintln!("magpiechute: goes on with the old configuration: {problem}");
             }
         };
-        let (listen, machine, parsed) = &self.fixed;
+        let (listen, machine) = &self.fixed;
+        let before = self.parsed.borrow().clone();
+        let (old, new) = (&*before, &config.parsed);
+        let of_connections = |p: &Parsed| {
+            (p.connect_timeout_ms, p.conn_idle_ms, p.streams_per_conn, p.max_open, p.settings.progress_ms)
+        };
         let kept = [
             ("listen", config.listen != *listen),
             ("limits", (config.sockets, config.memory_mb) != *machine),
-            ("settings", config.parsed != **parsed),
+            ("settings of connections", of_connections(old) != of_connections(new)),
         ];
         for (name, _) in kept.iter().filter(|(_, differs)| *differs) {
             eprintln!("magpiechute: {name} in the new configuration waits for the next start");
         }
+        if *old != *new {
+            // One step: nothing comes between the fronts' settings and the core's place in its mailbox, so that
+            // what came under the old ones is taken under them, and what comes next under the new.
+            if let Some(place) = self.core.place().await {
+                for class in &new.classes {
+                    self.counters.class(&class.name);
+                }
+                self.parsed.send_replace(Arc::new(new.clone()));
+                place.send(Input::Settings(Box::new(new.settings.clone())));
+                eprintln!("magpiechute: goes by new settings");
+            }
+        }
+        *self.used.lock().unwrap_or_else(PoisonError::into_inner) = config.values;
         self.feed.send_if_modified(|at| std::mem::replace(at, config.feed) != config.feed);
         self.counters.reloads.up();
         eprintln!("magpiechute: follows the control feed at {}", config.feed);
@@ -190,8 +234,8 @@
         self.stop();
         let handed = self.duty.now().handed;
         if handed {
-            let (_, _, parsed) = &self.fixed;
-            let longest = parsed.settings.classes.iter().map(|c| c.give_up_ms).fold(0.0, f64::max);
+            let longest =
+                self.parsed.borrow().settings.classes.iter().map(|c| c.give_up_ms).fold(0.0, f64::max);
             let most = self.limits.end_deadline.as_secs_f64() * 1000.0;
             let spare = self.limits.end_spare.as_secs_f64() * 1000.0;
             self.core.ends(self.core.now() + longest.min(most) + spare).await;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -3,6 +3,7 @@
 
 use crate::interface::{Class, DedupScope, Effect, ExtraBudget, ReportMode, Settings};
 use serde::Deserialize;
+use std::sync::Arc;
 
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
@@ -92,7 +93,7 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct Limits {
-    attempts_cap: u32,
+    attempts_cap: f64,
     #[serde(default)]
     cancel: bool,
     #[serde(default)]
@@ -159,6 +160,15 @@
     progress_ms: f64,
 }
 
+/// A class with its name, as a request holds it from its arrival to its end, whatever settings come meanwhile.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Named {
+    /// The clients' and the engines' name for it.
+    pub name: String,
+    /// What the settings said of it.
+    pub class: Class,
+}
+
 /// Settings for the library, and what its hosts need besides.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Parsed {
@@ -168,8 +178,8 @@
     pub report_names: Vec<String>,
     /// Answers tell the work and memory that a query needed.
     pub bills: bool,
-    /// Class names, by position.
-    pub classes: Vec<String>,
+    /// Classes with their names, by position.
+    pub classes: Vec<Arc<Named>>,
     /// Tenant names, by position.
     pub tenants: Vec<String>,
     /// Zone names, by position.
@@ -191,6 +201,13 @@
 /// Reads a settings message.
 pub fn parse(text: &[u8]) -> Result<Parsed, String> {
     let s: Setup = serde_json::from_slice(text).map_err(|e| format!("settings: {e}"))?;
+    // Guard: with no time, or no attempt at all, every request of the class would end at once.
+    if s.classes.iter().any(|c| c.give_up_ms <= 0.0 || c.promise_ms <= 0.0) {
+        return Err("settings: a deadline that is not above 0".to_owned());
+    }
+    if s.limits.attempts_cap < 1.0 {
+        return Err("settings: a number of attempts that is not above 0".to_owned());
+    }
     let mut classes = Vec::new();
     for (i, c) in s.classes.iter().enumerate() {
         let effect = match (c.effect.as_str(), c.dedup_scope.as_str()) {
@@ -234,11 +251,14 @@
     };
     let largest = s.specifics.kind_memory_mb.iter().copied().fold(0.0, f64::max);
     let grant_mb = largest * s.specifics.max_grant_share.clamp(0.0, 1.0);
-    let classes_named = s.classes.iter().map(|c| c.name.clone()).collect();
+    let names: Vec<String> = s.classes.iter().map(|c| c.name.clone()).collect();
+    let named = |(name, class): (&String, &Class)| Named { name: name.clone(), class: class.clone() };
+    let classes_named = names.iter().zip(&classes).map(named).map(Arc::new).collect();
     let settings = Settings {
         instances: s.n_instances,
         ordinal: s.ordinal,
         classes,
+        names,
         kind_cores: s.specifics.size_cores,
         takes_grants: s.specifics.takes_grants,
         progress_ms: s.specifics.progress_ms,
@@ -246,7 +266,7 @@
         zone: s.az,
         crossing_price: s.charges.cross_zone,
         must_ask: s.discovery == "ask",
-        attempts_cap: s.limits.attempts_cap,
+        attempts_cap: s.limits.attempts_cap as u32,
         may_cancel: s.limits.cancel,
         may_probe: s.limits.may_probe,
         max_hold_off_ms: if s.limits.retry_after { s.limits.max_retry_after_ms } else { 0.0 },
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -519,3 +519,29 @@
     let sent_at_once = (5000..5100).filter(|id| sent(&rig.request(*id, 0, 0), *id).is_some()).count();
     assert!((1..60).contains(&sent_at_once), "{sent_at_once} sent to an engine just back");
 }
+
+/// Guard: new settings move classes about; a request under way goes by the class that it came with, and what was
+/// learned of a class stays with its name.
+#[test]
+fn new_settings_find_classes_by_name() {
+    let once = Class { effect: Effect::Once, ..class(1, 1000.0, 1.0) };
+    let named = |classes: Vec<(&str, Class)>| Settings {
+        names: classes.iter().map(|(name, _)| (*name).to_owned()).collect(),
+        ..settings(classes.into_iter().map(|(_, class)| class).collect())
+    };
+    let old = named(vec![("a", class(1, 1000.0, 1.0)), ("load", once.clone())]);
+    let mut rig = Rig::new(old.clone(), 2);
+    let at = sent(&rig.request(1, 1, 0), 1).expect("an engine");
+    let new = named(vec![("b", once.clone()), ("a", class(1, 1000.0, 1.0))]);
+    rig.event(Event::Settings(Box::new(new)));
+    let after = rig.ended(1, 0, at, Outcome::Reset);
+    assert!(
+        answered(&after, 1) && sent(&after, 1).is_none(),
+        "a load that may have run, whatever is in its place"
+    );
+    let at = sent(&rig.request(2, 1, 0), 2).expect("an engine");
+    assert!(sent(&rig.ended(2, 0, at, Outcome::Reset), 2).is_some(), "a query goes again");
+    assert_eq!(rig.gateway.settings().names, ["b", "a", "load"], "kept while it was under way");
+    rig.event(Event::Settings(Box::new(old)));
+    assert_eq!(rig.gateway.settings().names, ["a", "load"], "and no longer");
+}
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -193,6 +193,83 @@
     wait reloads=1
 "
 )]
+#[case::new_settings_are_taken_whole_and_requests_keep_their_class(
+    "
+    c1 send 1 log-load
+    c1 send 2 usage-report
+    e expect ASK c1.1
+    e expect ASK c1.2
+    n send settings -usage-report +part-load
+    wait reloads=1
+    c1 send 3 usage-report
+    c1 expect 3 NoMethodError
+    c1 send 4 part-load
+    e expect ASK c1.4
+    e send c1.4 crashed
+    c1 expect 4 Internal
+    e expect none ASK c1.4
+    e send c1.2 overload
+    e expect ASK c1.2
+    e send c1.2 crashed
+    e expect ASK c1.2
+    e send c1.2 served batches=1 b\\n
+    c1 expect 2 served b\\n
+    e send c1.1 crashed
+    c1 expect 1 Internal
+    o1 send STATS
+    o1 expect lines node.passed.usage-report=1 node.bad_gateway.part-load=1 node.loads=1
+    n send settings +usage-report
+    wait reloads=2
+    c1 send 5 usage-report
+    e expect ASK c1.5
+    e send c1.5 served batches=1 c\\n
+    c1 expect 5 served c\\n
+    o1 send STATS
+    o1 expect lines node.passed.usage-report=2
+    f1 send 1 part-load
+    f1 expect 1 InvalidArgument
+"
+)]
+#[case::a_lower_number_of_attempts_binds_the_next_one(
+    "
+    c1 send 1 seat-check
+    e expect ASK c1.1
+    e send c1.1 overload
+    e expect ASK c1.1
+    n send settings attemptsCap=2
+    wait reloads=1
+    e send c1.1 overload
+    c1 expect 1 Overloaded cooldown
+    e expect none ASK c1.1
+"
+)]
+#[case::settings_that_are_not_whole_change_nothing(
+    "
+    n send settings attemptsCap=0
+    n send settings attemptsCap=\"6\"
+    n send settings giveUpMs=0
+    n send settings giveUpMs=-15000
+    n send settings giveUpMs=\"soon\"
+    n send settings giveUpMs=null
+    n send settings -seat-check -usage-report -log-load
+    n send settings !promiseMs
+    n send settings !aimStretch
+    n send settings !tipMultiple
+    n send settings !tenants
+    n send settings !feed
+    n send settings !ops
+    n send settings cut
+    n send settings empty
+    wait reloads_bad=15
+    wait reloads=0
+    c1 send 1 seat-check
+    e expect ASK c1.1
+    e send c1.1 overload
+    e expect ASK c1.1
+    e send c1.1 served batches=1 a\\n
+    c1 expect 1 served a\\n
+"
+)]
 #[case::the_feed_breaks_off_inside_an_event_and_repeats_another(
     "
     feed expect 1
--- a/tests/scene/mod.rs
+++ b/tests/scene/mod.rs
@@ -14,6 +14,7 @@
 //! - `o1`, `o2` are callers at the operations address, one call each: `o1 send READY`, `o1 send part REA`,
 //!   `o1 expect 200`, `o1 expect lines node.loads=0`, `o1 close` (the next `o1` is a new one).
 //! - `n close` asks the workload manager to stop, `n expect closed` waits until it has.
+//! - `n send settings CHANGE ...` gives it a configuration with other settings; see `changed`.
 //! - `n send moved` gives it a configuration with the feed at another address, `n send {` one that says `{`.
 //! - `wait taken=3` waits until a counter has that value.
 //!
@@ -30,6 +31,7 @@
 use engines::Fleet;
 use magpiechute::config::{Agent, Config, FlightFront, Fronts, Speech};
 use magpiechute::node::Node;
+use serde_json::Value;
 use std::collections::HashMap;
 use std::future::Future;
 use std::time::Duration;
@@ -71,6 +73,45 @@
     )
 }
 
+/// A configuration with changes: `-NAME` without a class, `+NAME` with one more that may run once only, `NAME=VALUE`
+/// with this value wherever the name stands, `!NAME` without that key, `cut` short or `empty`.
+fn changed(text: &str, changes: &[&str]) -> String {
+    fn each(value: &mut Value, key: &str, change: &dyn Fn(&mut serde_json::Map<String, Value>)) {
+        match value {
+            Value::Object(map) => {
+                map.values_mut().for_each(|value| each(value, key, change));
+                if map.contains_key(key) {
+                    change(map);
+                }
+            }
+            Value::Array(all) => all.iter_mut().for_each(|value| each(value, key, change)),
+            _ => {}
+        }
+    }
+    let mut value: Value = serde_json::from_str(text).expect("configuration");
+    for change in changes {
+        let classes = value["settings"]["classes"].as_array_mut().expect("classes");
+        if let Some(name) = change.strip_prefix('-') {
+            classes.retain(|class| class["name"] != name);
+        } else if let Some(name) = change.strip_prefix('+') {
+            let mut class = classes[0].clone();
+            (class["name"], class["effect"]) = (name.into(), "once".into());
+            classes.insert(0, class);
+        } else if let Some(key) = change.strip_prefix('!') {
+            each(&mut value, key, &|map| drop(map.remove(key)));
+        } else if let Some((key, new)) = change.split_once('=') {
+            let new: Value = serde_json::from_str(new).expect("value");
+            each(&mut value, key, &|map| drop(map.insert(key.to_owned(), new.clone())));
+        }
+    }
+    let text = value.to_string();
+    match changes {
+        ["cut"] => text[..text.len() / 2].to_owned(),
+        ["empty"] => String::new(),
+        _ => text,
+    }
+}
+
 /// The whole scene.
 pub struct Scene {
     node: Option<Node>,
@@ -131,11 +172,14 @@
             }
             ("n", "send") => {
                 let node = self.node.as_ref().expect("node");
-                if rest == ["moved"] {
+                if rest[0] == "settings" {
+                    let text = configuration(self.fleet.feed.address, &self.fleet.known());
+                    node.reload(Config::parse(changed(&text, &rest[1..]).as_bytes())).await;
+                } else if rest == ["moved"] {
                     let at = self.fleet.move_feed().await;
-                    node.reload(Config::parse(configuration(at, &self.fleet.known()).as_bytes()));
+                    node.reload(Config::parse(configuration(at, &self.fleet.known()).as_bytes())).await;
                 } else {
-                    node.reload(Config::parse(rest[0].as_bytes()));
+                    node.reload(Config::parse(rest[0].as_bytes())).await;
                 }
             }
             ("n", "close") => {
