Give a successor three quarters of the cold budget, and record a guard that did not help

- each process had half of the budget for cold engines, yet the old one stops accepting within moments.

At fault: `Gateway::cold_room`, which halved. Test: two processes together stay within one's budget.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -164,7 +164,7 @@
     line: BTreeMap<u64, RequestId>,
     keys: BTreeMap<u64, (BTreeMap<u64, RequestId>, Millis)>,
     engines: BTreeMap<EngineId, Engine>,
-    beside: bool,             // another process of this gateway lives
+    beside: f64,              // beside another process of this gateway: its part is one in so many
     bans: BTreeSet<EngineId>, // taken out by hand, listed or not
     stats: Vec<ClassStat>,
     best: f64,
@@ -210,7 +210,7 @@
         match event {
             Event::List { kind, entries } => self.on_list(kind, entries),
             Event::Ban { engine, out, at } => self.on_ban(engine, out, at),
-            Event::Beside { both } => self.beside = both,
+            Event::Beside { parts } => self.beside = parts,
             Event::Settings(new) => self.on_settings(*new),
             Event::Request(r) => self.on_request(&r, actions),
             Event::Streaming { id, attempt: n } => {
@@ -852,7 +852,7 @@
         let window = self.set.overload_for_ms;
         let w = self.stats[r.class].mean.max(self.work_of(r));
         // Two processes of one gateway have its part together.
-        let parts = f64::from(self.set.instances << u32::from(self.beside));
+        let parts = f64::from(self.set.instances) * self.beside.max(1.0);
         let room = self.set.tip_multiple * self.cores(e) * window * COLD_MARGIN / parts;
         let sent: f64 = e.cold_sends.iter().filter(|(t, _)| self.now - t <= window).map(|(_, w)| w).sum();
         // A share of less than one query comes as a turn by chance in some windows, and not for the heaviest:
--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -115,8 +115,8 @@
     }
 
     /// Another process of this workload manager works beside this one, or no longer.
-    pub async fn beside(&self, both: bool) {
-        let _ = self.urgent.send(Urgent::Beside(both)).await;
+    pub async fn beside(&self, parts: f64) {
+        let _ = self.urgent.send(Urgent::Beside(parts)).await;
     }
 }
 
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -204,8 +204,8 @@
 
 /// What overtakes the mailbox.
 pub enum Urgent {
-    /// Another process of this workload manager works beside this one, or no longer.
-    Beside(bool),
+    /// Another process of this workload manager works beside this one, or no longer; see [`Event::Beside`].
+    Beside(f64),
     /// The process is ended at this Unix time in ms: what is not answered by then is lost.
     Ends(Millis),
     /// Staff take an engine out, or give it back.
@@ -404,7 +404,7 @@
                     self.arm(at, Alarm::Deadline(id));
                 }
             }
-            Urgent::Beside(both) => self.tell(now, Event::Beside { both }),
+            Urgent::Beside(parts) => self.tell(now, Event::Beside { parts }),
             Urgent::Ban { engine, out, at, told, done } => {
                 let held = self.gateway.bans().contains(&engine);
                 let known = held || self.known.contains(&engine) || told && out;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -384,8 +384,8 @@
     },
     /// Another process of this gateway works beside it, as in an upgrade, or no longer.
     Beside {
-        /// Whether one does.
-        both: bool,
+        /// Its own part of what both have together is one in so many; 1 where it is alone.
+        parts: f64,
     },
     /// New settings; what is under way keeps its class.
     Settings(Box<Settings>),
--- a/src/successor.rs
+++ b/src/successor.rs
@@ -50,6 +50,8 @@
     _place: Option<File>,
     /// The other process's place; none where both were taken, so that there are others for sure.
     other: Option<File>,
+    /// Another process was there before this one.
+    succeeds: bool,
     marks: BTreeMap<EngineId, Mark>,
     /// Marks that came from elsewhere and have not been handed on.
     news: Vec<(EngineId, Mark)>,
@@ -83,7 +85,11 @@
         let place = place.map(|i| places.remove(i));
         let other = if place.is_some() { places.pop() } else { None };
         let (marks, news, seen) = Default::default();
-        Ok(Store { state: path("state"), lock, _place: place, other, marks, news, seen, limits, counters })
+        let (state, succeeds) = (path("state"), false);
+        let mut store =
+            Store { state, lock, _place: place, other, succeeds, marks, news, seen, limits, counters };
+        store.succeeds = store.another();
+        Ok(store)
     }
 
     /// Whether another process of this workload manager lives.
@@ -191,7 +197,10 @@
         let both = self.another();
         if self.limits.set_both(both) != both {
             self.counters.beside.set(usize::from(both));
-            core.beside(both).await;
+            // The old one stops accepting as soon as the successor is ready, and what it does with a cold engine
+            // falls off from then on; the successor has nearly all that comes.
+            let part = if self.succeeds { 4.0 / 3.0 } else { 4.0 };
+            core.beside(if both { part } else { 1.0 }).await;
             eprintln!(
                 "magpiechute: another process of this workload manager {}",
                 if both { "lives" } else { "has gone" }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -355,3 +355,20 @@
         .unwrap();
     assert!(sends.get() > 1000, "the test drove real traffic");
 }
+
+/// Two processes of one gateway have its part of a cold engine's budget together: neither sends more than its own.
+#[test]
+fn rule_4_two_processes_share_the_cold_budget() {
+    let sends = |parts: f64| {
+        let mut rig = Rig::new(settings(vec![class(1, 600.0, 1.0)]), 0);
+        rig.event(Event::Beside { parts });
+        rig.list(vec![entry(0, ListState::Ready, rig.now)]);
+        let ids = (0..200).map(|id| (id, query(id, 0, rig.now + 9000.0, Some(10.0), None)));
+        ids.collect::<Vec<_>>()
+            .into_iter()
+            .filter(|(id, q)| sent(&rig.event(q.clone()), *id).is_some())
+            .count()
+    };
+    let (alone, old, new) = (sends(1.0), sends(4.0), sends(4.0 / 3.0));
+    assert!(old > 0 && old < new && old + new <= alone, "{old} and {new} of {alone}");
+}
