--- /dev/null
+++ b/src/core/ports.rs
@@ -0,0 +1,211 @@
+//! What passes between the core and its peers: requests and answers, attempts and their news, orders of staff.
+
+use crate::config::{ListEvent, Listed};
+use crate::interface::*;
+use crate::settings::Named;
+use bytes::Bytes;
+use std::sync::Arc;
+use tokio::sync::{mpsc, oneshot};
+
+/// In which form the pieces of a result stand.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Form {
+    /// Rows as text: a tab between columns, a line feed after each row.
+    Text,
+    /// Arrow data as the Flight format frames it, one message a piece.
+    Arrow,
+}
+
+/// What follows of a result that streams. A channel that closes without [`Flow::End`] is a result cut off.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Flow {
+    /// The next piece.
+    Piece(Bytes),
+    /// All pieces have come.
+    End,
+}
+
+/// What a statement is to its client.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// Rows are wanted.
+    Query,
+    /// A count of changed rows is wanted.
+    Update,
+}
+
+/// A result, in pieces that pass on unchanged.
+#[derive(Debug)]
+pub struct Body {
+    /// Their form.
+    pub form: Form,
+    /// The pieces held.
+    pub pieces: Vec<Bytes>,
+    /// Further pieces of a result too large to hold.
+    pub rest: Option<mpsc::Receiver<Flow>>,
+}
+
+impl Body {
+    /// A result that is held whole.
+    pub fn whole(form: Form, pieces: Vec<Bytes>) -> Body {
+        Body { form, pieces, rest: None }
+    }
+}
+
+/// The final answer to a request.
+#[derive(Debug)]
+pub enum Answer {
+    /// Served, with the result as the engine gave it.
+    Served(Body),
+    /// Refused: trying again is harmless. The client may come back after this many milliseconds, if any.
+    Refused {
+        /// Advice to stay away this long; 0 for none.
+        hold_off_ms: Millis,
+    },
+    /// Failed; it may have run.
+    Failed(Why),
+}
+
+/// Why a request failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Why {
+    /// Its client's deadline.
+    Deadline,
+    /// Anything else: an engine's error, a lost attempt, a module that gave it up.
+    Lost,
+}
+
+/// Where answers go: a client's connection, of whatever protocol.
+pub trait ClientPort: Send + Sync {
+    /// Takes the one final answer. It must not block; whether the client still is there is its own matter.
+    fn answer(&self, id: RequestId, answer: Answer);
+}
+
+/// A request as a front took it.
+pub struct Taken {
+    /// The id that the core's handle gave out.
+    pub id: RequestId,
+    /// The client's own name for it: passed to engines unchanged.
+    pub name: Bytes,
+    /// Its class.
+    pub class: Arc<Named>,
+    /// Unix time in ms at which the client gives up.
+    pub due_ms: Millis,
+    /// Estimated work over all threads.
+    pub cost_ms: Option<f64>,
+    /// Estimated memory in MB.
+    pub memory_mb: Option<f64>,
+    /// Its group of tables.
+    pub dataset: u32,
+    /// The statement.
+    pub statement: Bytes,
+    /// What its client wants of it.
+    pub kind: Kind,
+    /// Where its answer goes.
+    pub client: Arc<dyn ClientPort>,
+}
+
+/// One attempt, for an engine.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    /// The core's id of the request.
+    pub id: RequestId,
+    /// Which attempt.
+    pub attempt: u16,
+    /// The client's name for the request.
+    pub name: Bytes,
+    /// Its class.
+    pub class: Arc<Named>,
+    /// Unix time in ms at which the attempt is over.
+    pub due_ms: Millis,
+    /// Memory to grant in MB; 0 for the engine's choice.
+    pub memory_mb: f64,
+    /// Priority, 0 to 3.
+    pub priority: u8,
+    /// The statement.
+    pub statement: Bytes,
+    /// What its client wants of it.
+    pub kind: Kind,
+}
+
+/// Where attempts go: all engines, of whatever protocol. No call blocks.
+pub trait EnginePort: Send {
+    /// Starts an attempt; false where it provably was not sent.
+    fn ask(&mut self, engine: EngineId, ask: Ask) -> bool;
+    /// Gives an attempt up; nothing comes back.
+    fn quit(&mut self, engine: EngineId, id: RequestId, attempt: u16);
+    /// Names a new priority for an attempt that is out.
+    fn priority(&mut self, engine: EngineId, id: RequestId, attempt: u16, priority: u8);
+    /// The list's word on an engine: nothing new may go where it is not ready.
+    fn listed(&mut self, line: &Listed);
+    /// The list names it no longer.
+    fn dropped(&mut self, engine: EngineId);
+    /// Staff took it out, or gave it back: nothing new, not even what waits for a connection.
+    fn banned(&mut self, engine: EngineId, out: bool);
+}
+
+/// News from an engine's side of the house.
+#[derive(Debug)]
+pub enum EngineNews {
+    /// A running attempt's note, or a mere sign of life.
+    Note(Option<Note>),
+    /// The result outgrew what is held and streams to the client from now on.
+    Streaming(Body),
+    /// The end of an attempt.
+    Ended {
+        /// How.
+        outcome: Outcome,
+        /// The work it needed, where told.
+        billed_ms: Option<f64>,
+        /// The memory it needed in MB, where told.
+        billed_mb: Option<f64>,
+        /// The result, where it ended well and did not stream.
+        body: Option<Body>,
+    },
+}
+
+/// What comes into the core's mailbox.
+pub enum Input {
+    /// A client's request.
+    Take(Taken),
+    /// The client of a request left or no longer waits.
+    Left(RequestId),
+    /// News of an attempt.
+    Engine {
+        /// Which engine.
+        engine: EngineId,
+        /// Which request.
+        id: RequestId,
+        /// Which attempt.
+        attempt: u16,
+        /// The engine's load report, if one came along.
+        report: LoadReport,
+        /// The news.
+        news: EngineNews,
+    },
+    /// An event of the list.
+    List(ListEvent),
+    /// New settings: in the mailbox's order, so that what came under the old ones is taken under them.
+    Settings(Box<Settings>),
+}
+
+/// What overtakes the mailbox.
+pub enum Urgent {
+    /// Another process of this workload manager works beside this one, or no longer; see [`Event::Beside`].
+    Beside(f64),
+    /// The process is ended at this Unix time in ms: what is not answered by then is lost.
+    Ends(Millis),
+    /// Staff take an engine out, or give it back.
+    Ban {
+        /// Which engine.
+        engine: EngineId,
+        /// Taken out, or given back.
+        out: bool,
+        /// Unix time in ms at which it was said.
+        at: Millis,
+        /// It was said elsewhere, and holds for an engine that is not known here too.
+        told: bool,
+        /// Whether it was known, once the module has it.
+        done: oneshot::Sender<bool>,
+    },
+}
--- /dev/null
+++ b/src/core/tests.rs
@@ -0,0 +1,134 @@
+//! Tests of the core alone: engines and clients that say nothing.
+
+use super::*;
+use crate::config::{Listed, engine_id};
+use crate::settings;
+
+/// Engines that take attempts and say nothing.
+#[derive(Default)]
+struct Silent(Vec<EngineId>);
+
+impl EnginePort for Silent {
+    fn ask(&mut self, engine: EngineId, _: Ask) -> bool {
+        self.0.push(engine);
+        true
+    }
+    fn quit(&mut self, _: EngineId, _: RequestId, _: u16) {}
+    fn priority(&mut self, _: EngineId, _: RequestId, _: u16, _: u8) {}
+    fn listed(&mut self, _: &Listed) {}
+    fn dropped(&mut self, _: EngineId) {}
+    fn banned(&mut self, _: EngineId, _: bool) {}
+}
+
+struct Nobody;
+
+impl ClientPort for Nobody {
+    fn answer(&self, _: RequestId, _: Answer) {}
+}
+
+/// Guard: nothing grows with what was ever seen. A long day in which engines are replaced, some left out of a
+/// whole list and never told gone, and clients leave, time out or are served.
+#[test]
+fn nothing_grows_with_a_long_day() {
+    let text = r#"{"nInstances":1,"classes":[{"name":"a","effect":"once","promiseMs":500,"giveUpMs":20000},
+        {"name":"b","effect":"repeatable","promiseMs":500,"giveUpMs":20000}],
+        "guarantees":{"coldMs":1000,"coldShare":0.3,"overloadForMs":1500,"tipMultiple":3},
+        "limits":{"attemptsCap":6,"cancel":true},"shapes":["std-8c"],"specifics":{"sizeCores":[8],"progressMs":500}}"#;
+    let parsed = settings::parse(text.as_bytes()).expect("settings");
+    let limits = Arc::new(Limits::new(256, 32, true, &parsed));
+    let classes = parsed.classes;
+    let mut core = Core::new(parsed.settings, 7, Silent::default(), limits, Arc::default()).expect("core");
+    core.begin(0.0);
+    let line = |n: u32, state| Listed {
+        entry: EngineEntry { engine: engine_id(n), state, nominal: 1.0, ..EngineEntry::default() },
+        address: ([127, 0, 0, 1], 1).into(),
+    };
+    let (mut now, mut most) = (0.0, ([0; 4], [0; 4]));
+    for round in 0..3000 {
+        now += 20.0;
+        core.alarms(now);
+        let next = round / 10 + 1;
+        let (kind, entries) = match round % 10 {
+            0 if next % 2 == 0 => (ListKind::Full, vec![line(next, ListState::Ready)]),
+            0 => (ListKind::Delta, vec![line(next, ListState::Ready), line(next - 1, ListState::Gone)]),
+            _ => (ListKind::Delta, Vec::new()),
+        };
+        core.handle(now, Input::List(ListEvent { number: 0, kind, entries }));
+        for n in 0..20 {
+            let id = round * 20 + n;
+            core.handle(
+                now,
+                Input::Take(Taken {
+                    id,
+                    name: id.to_be_bytes().to_vec().into(),
+                    class: classes[(n % 2) as usize].clone(),
+                    due_ms: now + if n < 5 { 300.0 } else { 20_000.0 },
+                    cost_ms: Some(50.0),
+                    memory_mb: None,
+                    dataset: id,
+                    statement: Bytes::new(),
+                    kind: Kind::Query,
+                    client: Arc::new(Nobody),
+                }),
+            );
+            if n >= 10 {
+                core.handle(now, Input::Left(id));
+            } else if let (5.., Some(engine)) = (n, core.engines.0.last().copied()) {
+                let body = Some(Body::whole(Form::Text, Vec::new()));
+                let news = EngineNews::Ended { outcome: Outcome::Ok, billed_ms: None, billed_mb: None, body };
+                let report = LoadReport::default();
+                core.handle(now, Input::Engine { engine, id, attempt: 0, report, news });
+                core.handle(now, Input::Left(id));
+            }
+        }
+        let held = core.held();
+        if round == 999 {
+            most = held;
+        }
+    }
+    let end = core.held();
+    for (end, most) in end.0.iter().chain(&end.1).zip(most.0.iter().chain(&most.1)) {
+        assert!(*end <= most + most / 2 + 8, "{:?} grew from {most:?}", core.held());
+    }
+    assert!(end.0[3] < 2500 && end.0[2] < 10 && end.1[3] < 10, "{end:?}");
+}
+
+/// Guard: what comes while the process ends is answered before that, or turned away at once.
+#[test]
+fn nothing_outlives_the_end() {
+    let text = r#"{"nInstances":1,"classes":[{"name":"a","effect":"once","promiseMs":500,"giveUpMs":20000}],
+        "guarantees":{"coldMs":1000,"coldShare":0.3,"overloadForMs":1500,"tipMultiple":3},
+        "limits":{"attemptsCap":6},"shapes":["std-8c"],"specifics":{"sizeCores":[8]}}"#;
+    let parsed = settings::parse(text.as_bytes()).expect("settings");
+    let limits = Arc::new(Limits::new(256, 32, true, &parsed));
+    let counters: Arc<Counters> = Arc::default();
+    let class = parsed.classes[0].clone();
+    let mut core = Core::new(parsed.settings, 7, Silent::default(), limits, counters.clone()).expect("core");
+    let entry =
+        EngineEntry { engine: engine_id(1), state: ListState::Ready, nominal: 1.0, ..EngineEntry::default() };
+    let entries = vec![Listed { entry, address: ([127, 0, 0, 1], 1).into() }];
+    core.handle(0.0, Input::List(ListEvent { number: 1, kind: ListKind::Full, entries }));
+    let ask = |core: &mut Core<Silent>, now: f64, id: u32, cost| {
+        let taken = Taken {
+            id,
+            name: id.to_be_bytes().to_vec().into(),
+            class: class.clone(),
+            due_ms: now + 20_000.0,
+            cost_ms: Some(cost),
+            memory_mb: None,
+            dataset: 0,
+            statement: Bytes::new(),
+            kind: Kind::Query,
+            client: Arc::new(Nobody),
+        };
+        core.handle(now, Input::Take(taken));
+    };
+    ask(&mut core, 1000.0, 1, 50.0);
+    core.urgent(1000.0, Urgent::Ends(6000.0));
+    ask(&mut core, 5000.0, 2, 50.0);
+    assert_eq!((core.open(), core.engines.0.len()), (2, 2), "what comes before is begun");
+    core.alarms(6000.0);
+    assert_eq!((core.open(), counters.failed.get()), (0, 2), "what is not done is answered");
+    ask(&mut core, 6001.0, 3, 50.0);
+    assert_eq!((core.open(), counters.refused.get()), (0, 1), "and what comes then is turned away");
+}
--- a/src/engines/lines.rs
+++ b/src/engines/lines.rs
@@ -1,16 +1,18 @@
 //! The platform's engines: lines of words over TCP. One actor an engine hands attempts to its connections,
 //! each an actor too.
 
+use super::place::{Conn, Load, place};
+use super::reply::{Broken, Reply, number_of, rows_of, take};
 use super::{House, Order};
 use crate::core::{Ask, Body, EngineNews, Form, Input};
 use crate::interface::{Effect, EngineId, ListState, LoadReport, Note, Outcome, RequestId};
-use crate::limits::{Hold, Limits};
+use crate::limits::Hold;
 use crate::net::{self, Outbox};
 use bytes::{Bytes, BytesMut};
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep_until, timeout};
@@ -93,85 +95,6 @@
     broken: Arc<AtomicUsize>,
 }
 
-/// One connection, as its engine's actor sees it.
-struct Conn {
-    orders: mpsc::Sender<Order>,
-    load: Arc<Load>,
-}
-
-/// Attempts that a connection carries: all, and those that may run once only.
-#[derive(Default)]
-struct Load {
-    all: AtomicUsize,
-    once: AtomicUsize,
-    /// Unix time in ms of its last answer; 0 before the first.
-    heard: AtomicU64,
-    /// Unix time in ms since which it has carried any.
-    busy: AtomicU64,
-}
-
-impl Load {
-    fn add(&self, once: bool, now: f64) {
-        // What was given up unheard leaves the clock running: the next one would be as unheard.
-        let (heard, busy) = (self.heard.load(Ordering::Relaxed), self.busy.load(Ordering::Relaxed));
-        if self.all.fetch_add(1, Ordering::Relaxed) == 0 && (busy == 0 || heard >= busy) {
-            self.busy.store(now as u64, Ordering::Relaxed);
-        }
-        self.once.fetch_add(usize::from(once), Ordering::Relaxed);
-    }
-
-    fn take_off(&self, once: bool) {
-        self.all.fetch_sub(1, Ordering::Relaxed);
-        self.once.fetch_sub(usize::from(once), Ordering::Relaxed);
-    }
-
-    fn now(&self) -> (usize, usize) {
-        (self.all.load(Ordering::Relaxed), self.once.load(Ordering::Relaxed))
-    }
-
-    /// Whether what it carries should have been heard of by now, if only by a note. Guard: a machine that vanished
-    /// leaves its connections open and silent; only a new one, which never comes up, tells that it has.
-    fn mute(&self, now: f64, limits: &Limits) -> bool {
-        let since = self.heard.load(Ordering::Relaxed).max(self.busy.load(Ordering::Relaxed));
-        self.now().0 > 0 && now - since as f64 > limits.conn_mute_ms
-    }
-
-    /// Whether it answered so lately that it can be relied on.
-    fn proven(&self, now: f64, limits: &Limits) -> bool {
-        now - self.heard.load(Ordering::Relaxed) as f64 <= limits.conn_proven_ms
-    }
-}
-
-/// Which connection carries one more attempt; none where a new one is to. Guard: one answer that cannot be read
-/// ends its connection and all that is on it, so what may run once only has one of its own, and others share one
-/// in small groups, as far as descriptors go. Guard: a connection that idles may be reset by the request that ends
-/// that, unread or not; what may run once only is then lost, so it takes a new one unless this one just answered.
-fn place(conns: &[Conn], once: bool, house: &House) -> Option<usize> {
-    let limits = &house.limits;
-    let now = house.core.now();
-    let heard = |i: usize| !conns[i].load.mute(now, limits);
-    let loads = || conns.iter().map(|c| c.load.now()).enumerate().filter(|(i, _)| heard(*i));
-    let fits = |(i, (all, loads)): (usize, (usize, usize))| match once {
-        true => all == 0 && conns[i].load.proven(now, limits),
-        false => loads == 0 && all < limits.streams_shared,
-    };
-    // The fullest of those that fit, then the one heard last, so that the others idle out.
-    let rank = |(i, load): &(usize, (usize, usize))| (load.0, conns[*i].load.heard.load(Ordering::Relaxed));
-    if let Some((i, _)) = loads().filter(|at| fits(*at)).max_by_key(rank) {
-        return Some(i);
-    }
-    let open = house.counters.engine_conns_open.get() as usize;
-    // One that is heard of there is, or is tried for: past the bound no more than one beside the mute ones.
-    let none = loads().next().is_none();
-    if conns.len() < limits.conns_per_engine
-        && open < limits.share(limits.engine_conns) + if none { limits.share(limits.engines) } else { 0 }
-    {
-        return None;
-    }
-    let all = conns.iter().map(|c| c.load.now()).enumerate();
-    all.min_by_key(|(i, (all, loads))| (!heard(*i), *loads, *all)).map(|(i, _)| i)
-}
-
 async fn ended(house: &House, engine: EngineId, ask: &Ask, outcome: Outcome) {
     let news = EngineNews::Ended { outcome, billed_ms: None, billed_mb: None, body: None };
     let report = LoadReport::default();
@@ -646,85 +569,6 @@
     }
 }
 
-/// The connection cannot go on.
-#[derive(Debug, PartialEq, Eq)]
-pub(crate) struct Broken;
-
-impl From<std::io::Error> for Broken {
-    fn from(_: std::io::Error) -> Broken {
-        Broken
-    }
-}
-
-/// One answer of an engine.
-#[derive(Debug, PartialEq, Eq)]
-pub(crate) struct Reply {
-    name: Bytes,
-    word: Bytes,
-    fields: Bytes,
-    body: Bytes,
-}
-
-impl Reply {
-    fn field(&self, name: &str) -> Option<&[u8]> {
-        let pairs = self.fields.split(|b| *b == b',');
-        pairs.filter_map(|p| p.strip_prefix(name.as_bytes())).find_map(|p| p.strip_prefix(b"="))
-    }
-}
-
-/// Whether a page can be one: whole rows of text. What looks like noise is not passed on.
-fn rows_of(page: &[u8]) -> bool {
-    let fine = |c: char| !c.is_control() || c == '\t' || c == '\n';
-    page.last().is_none_or(|b| *b == b'\n')
-        && std::str::from_utf8(page).is_ok_and(|text| text.chars().all(fine))
-}
-
-fn number_of(text: &[u8]) -> Option<u32> {
-    std::str::from_utf8(text).ok()?.parse().ok()
-}
-
-/// Takes one whole answer off the front of the buffer: `ID WORD FIELDS LENGTH`, the bytes, and a line end.
-pub(crate) fn take(
-    buffer: &mut BytesMut,
-    line_bytes: usize,
-    page_bytes: usize,
-) -> Result<Option<Reply>, Broken> {
-    let Some(end) = buffer.iter().take(line_bytes).position(|b| *b == b'\n') else {
-        return if buffer.len() >= line_bytes { Err(Broken) } else { Ok(None) };
-    };
-    let line = buffer[..end].strip_suffix(b"\r").ok_or(Broken)?;
-    let mut words = line.split(|b| *b == b' ');
-    let (Some(name), Some(word), Some(fields), Some(length), None) =
-        (words.next(), words.next(), words.next(), words.next(), words.next())
-    else {
-        return Err(Broken);
-    };
-    let length = number_of(length).map(|n| n as usize).filter(|n| *n <= page_bytes).ok_or(Broken)?;
-    let at = |part: &[u8], from: usize| from..from + part.len();
-    let name = at(name, 0);
-    let word = at(word, name.end + 1);
-    let fields = at(fields, word.end + 1);
-    // A name, a word and FIELDS: what is none of these was not meant as an answer.
-    let pairs = |f: &[u8]| f == b"-" || f.split(|b| *b == b',').all(|p| p.contains(&b'='));
-    if !crate::clients::is_ref(&line[name.clone()]) || !pairs(&line[fields.clone()]) {
-        return Err(Broken);
-    }
-    let body = end + 1..end + 1 + length;
-    if buffer.len() < body.end + 2 {
-        return Ok(None);
-    }
-    if &buffer[body.end..body.end + 2] != b"\r\n" {
-        return Err(Broken);
-    }
-    let bytes = buffer.split_to(body.end + 2).freeze();
-    Ok(Some(Reply {
-        name: bytes.slice(name),
-        word: bytes.slice(word),
-        fields: bytes.slice(fields),
-        body: bytes.slice(body),
-    }))
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/src/engines/mod.rs
+++ b/src/engines/mod.rs
@@ -2,6 +2,8 @@
 
 pub(crate) mod flight;
 pub(crate) mod lines;
+mod place;
+mod reply;
 
 use crate::config::Listed;
 use crate::core::{Ask, EnginePort, Handle};
--- /dev/null
+++ b/src/engines/place.rs
@@ -0,0 +1,86 @@
+//! Which of an engine's connections carries one more attempt.
+
+use super::{House, Order};
+use crate::limits::Limits;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use tokio::sync::mpsc;
+
+/// One connection, as its engine's actor sees it.
+pub(super) struct Conn {
+    pub(super) orders: mpsc::Sender<Order>,
+    pub(super) load: Arc<Load>,
+}
+
+/// Attempts that a connection carries: all, and those that may run once only.
+#[derive(Default)]
+pub(super) struct Load {
+    all: AtomicUsize,
+    once: AtomicUsize,
+    /// Unix time in ms of its last answer; 0 before the first.
+    pub(super) heard: AtomicU64,
+    /// Unix time in ms since which it has carried any.
+    busy: AtomicU64,
+}
+
+impl Load {
+    pub(super) fn add(&self, once: bool, now: f64) {
+        // What was given up unheard leaves the clock running: the next one would be as unheard.
+        let (heard, busy) = (self.heard.load(Ordering::Relaxed), self.busy.load(Ordering::Relaxed));
+        if self.all.fetch_add(1, Ordering::Relaxed) == 0 && (busy == 0 || heard >= busy) {
+            self.busy.store(now as u64, Ordering::Relaxed);
+        }
+        self.once.fetch_add(usize::from(once), Ordering::Relaxed);
+    }
+
+    pub(super) fn take_off(&self, once: bool) {
+        self.all.fetch_sub(1, Ordering::Relaxed);
+        self.once.fetch_sub(usize::from(once), Ordering::Relaxed);
+    }
+
+    fn now(&self) -> (usize, usize) {
+        (self.all.load(Ordering::Relaxed), self.once.load(Ordering::Relaxed))
+    }
+
+    /// Whether what it carries should have been heard of by now, if only by a note. Guard: a machine that vanished
+    /// leaves its connections open and silent; only a new one, which never comes up, tells that it has.
+    fn mute(&self, now: f64, limits: &Limits) -> bool {
+        let since = self.heard.load(Ordering::Relaxed).max(self.busy.load(Ordering::Relaxed));
+        self.now().0 > 0 && now - since as f64 > limits.conn_mute_ms
+    }
+
+    /// Whether it answered so lately that it can be relied on.
+    fn proven(&self, now: f64, limits: &Limits) -> bool {
+        now - self.heard.load(Ordering::Relaxed) as f64 <= limits.conn_proven_ms
+    }
+}
+
+/// Which connection carries one more attempt; none where a new one is to. Guard: one answer that cannot be read
+/// ends its connection and all that is on it, so what may run once only has one of its own, and others share one
+/// in small groups, as far as descriptors go. Guard: a connection that idles may be reset by the request that ends
+/// that, unread or not; what may run once only is then lost, so it takes a new one unless this one just answered.
+pub(super) fn place(conns: &[Conn], once: bool, house: &House) -> Option<usize> {
+    let limits = &house.limits;
+    let now = house.core.now();
+    let heard = |i: usize| !conns[i].load.mute(now, limits);
+    let loads = || conns.iter().map(|c| c.load.now()).enumerate().filter(|(i, _)| heard(*i));
+    let fits = |(i, (all, loads)): (usize, (usize, usize))| match once {
+        true => all == 0 && conns[i].load.proven(now, limits),
+        false => loads == 0 && all < limits.streams_shared,
+    };
+    // The fullest of those that fit, then the one heard last, so that the others idle out.
+    let rank = |(i, load): &(usize, (usize, usize))| (load.0, conns[*i].load.heard.load(Ordering::Relaxed));
+    if let Some((i, _)) = loads().filter(|at| fits(*at)).max_by_key(rank) {
+        return Some(i);
+    }
+    let open = house.counters.engine_conns_open.get() as usize;
+    // One that is heard of there is, or is tried for: past the bound no more than one beside the mute ones.
+    let none = loads().next().is_none();
+    if conns.len() < limits.conns_per_engine
+        && open < limits.share(limits.engine_conns) + if none { limits.share(limits.engines) } else { 0 }
+    {
+        return None;
+    }
+    let all = conns.iter().map(|c| c.load.now()).enumerate();
+    all.min_by_key(|(i, (all, loads))| (!heard(*i), *loads, *all)).map(|(i, _)| i)
+}
