--- /dev/null
+++ b/src/attempt.rs
@@ -0,0 +1,316 @@
+//! The life of an attempt, from the decision to send it to the proof that it is over. Sans-I/O: what speaks to an
+//! engine tells a [`Life`] what was queued, written, answered and closed; the core keeps the [`Tries`] of each
+//! request and lets a further attempt out only once the one before is proven over. `docs/ends.md` has the table
+//! of all ends.
+
+use crate::interface::{EngineId, Millis, Outcome};
+
+/// How an attempt came to its end. No end leaves the attempt running at its engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// No engine ever had it whole.
+    Unsent,
+    /// The engine said that it never ran.
+    Refused,
+    /// The engine said how it ended.
+    Answered,
+    /// The word that gives it up has left; where another attempt may follow, the engine has read it.
+    GivenUp,
+    /// The engine had it whole, and its connection is closed, which gives it up.
+    Broken,
+}
+
+impl End {
+    /// Whether the engine may have run it, in whole or in part.
+    pub fn may_have_run(self) -> bool {
+        !matches!(self, End::Unsent | End::Refused)
+    }
+}
+
+/// Where an attempt is. A mark counts what a connection has been given to write, in whatever unit its speech has.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    /// Nothing of it has been handed to a connection.
+    Waiting,
+    /// Its last part lies before this mark, which has not left yet.
+    Writing(u64),
+    /// The engine has it whole.
+    Out,
+    /// The engine has told its result; what is left to pass is the result alone.
+    Told,
+    /// Its last part lies before the first mark, and the word that gives it up ends at the second; whether the engine
+    /// has to have read that.
+    GivingUp(u64, u64, bool),
+    /// The word has left, and the engine has not said that it has read it.
+    Unheard,
+    /// It is over.
+    Ended,
+}
+
+/// The life of one attempt, as the actor sees it that speaks to its engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Life(Phase);
+
+impl Default for Life {
+    fn default() -> Self {
+        Life(Phase::Waiting)
+    }
+}
+
+impl Life {
+    /// It is queued for the connection and ends at this mark.
+    pub fn write(&mut self, whole: u64) {
+        if self.0 == Phase::Waiting {
+            self.0 = Phase::Writing(whole);
+        }
+    }
+
+    /// So much has left. The end, where a word that gives it up has left with that.
+    pub fn left(&mut self, written: u64) -> Option<End> {
+        match self.0 {
+            Phase::Writing(whole) if whole <= written => self.0 = Phase::Out,
+            Phase::GivingUp(_, word, true) if word <= written => self.0 = Phase::Unheard,
+            Phase::GivingUp(_, word, false) if word <= written => return self.end(End::GivenUp),
+            _ => {}
+        }
+        None
+    }
+
+    /// Whether nothing of it has been handed to a connection.
+    pub fn waiting(&self) -> bool {
+        self.0 == Phase::Waiting
+    }
+
+    /// Whether it is being given up.
+    pub fn giving_up(&self) -> bool {
+        matches!(self.0, Phase::GivingUp(..) | Phase::Unheard)
+    }
+
+    /// The engine says that it has read what was sent up to the word that gives it up. Guard: connections are read in
+    /// no order among each other, so an attempt that follows over another one could be read before a word that has
+    /// merely left.
+    pub fn heard(&mut self) -> Option<End> {
+        if matches!(self.0, Phase::GivingUp(_, _, true) | Phase::Unheard) {
+            self.end(End::GivenUp)
+        } else {
+            None
+        }
+    }
+
+    /// Whether the engine has told its result.
+    pub fn told(&self) -> bool {
+        self.0 == Phase::Told
+    }
+
+    /// It is no longer wanted. `word` queues the word for the engine and returns the mark at which that ends; it is
+    /// asked for where the engine may have or get the attempt. `again` is whether another attempt may follow, so that
+    /// the engine has to have read it. The end, where there is nothing to wait for.
+    pub fn give_up(&mut self, again: bool, word: impl FnOnce() -> u64) -> Option<End> {
+        match self.0 {
+            Phase::Waiting => self.end(End::Unsent),
+            // The engine is done with it: the word frees what it holds of the result.
+            Phase::Told => {
+                word();
+                self.end(End::Answered)
+            }
+            Phase::Writing(whole) => {
+                self.0 = Phase::GivingUp(whole, word(), again);
+                None
+            }
+            Phase::Out => {
+                self.0 = Phase::GivingUp(0, word(), again);
+                None
+            }
+            Phase::GivingUp(..) | Phase::Unheard | Phase::Ended => None,
+        }
+    }
+
+    /// The engine began to tell a good result, of which more is to come. False where it is not wanted any more.
+    pub fn tell(&mut self) -> bool {
+        let fine = matches!(self.0, Phase::Writing(_) | Phase::Out);
+        if fine {
+            self.0 = Phase::Told;
+        }
+        fine
+    }
+
+    /// The engine told its end; `ran` is whether that leaves open that it ran.
+    pub fn answered(&mut self, ran: bool) -> End {
+        self.0 = Phase::Ended;
+        if ran { End::Answered } else { End::Refused }
+    }
+
+    /// Its connection is closed, after so much had left.
+    pub fn closed(&mut self, written: u64) -> End {
+        let end = match self.0 {
+            Phase::Waiting => End::Unsent,
+            Phase::Writing(whole) | Phase::GivingUp(whole, ..) if written < whole => End::Unsent,
+            Phase::Told | Phase::Ended => End::Answered,
+            Phase::Writing(_) | Phase::Out | Phase::GivingUp(..) | Phase::Unheard => End::Broken,
+        };
+        self.0 = Phase::Ended;
+        end
+    }
+
+    fn end(&mut self, end: End) -> Option<End> {
+        self.0 = Phase::Ended;
+        Some(end)
+    }
+}
+
+/// An attempt that is out, as its request sees it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Out {
+    /// Which attempt of its request, from 0.
+    pub number: u16,
+    /// Where it is.
+    pub engine: EngineId,
+    /// When it was sent.
+    pub sent: Millis,
+    /// When its engine last said anything of it.
+    pub heard: Millis,
+    /// Since when, and as what, it is being given up.
+    pub quitting: Option<(Millis, Outcome)>,
+}
+
+/// Why no further attempt may go out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Barred {
+    /// Another one is out, or not proven over.
+    Out,
+    /// It may run once only, and may have run.
+    Ran,
+    /// It has had all that it may have.
+    Spent,
+}
+
+/// The attempts of one request, and what their ends prove together.
+#[derive(Clone, Debug, Default)]
+pub struct Tries {
+    made: u16,
+    out: Option<Out>,
+    ran: bool,
+}
+
+impl Tries {
+    /// The attempt that is out.
+    pub fn out(&self) -> Option<&Out> {
+        self.out.as_ref()
+    }
+
+    /// The attempt that is out, if it is this one.
+    pub fn out_as(&mut self, number: u16, engine: Option<EngineId>) -> Option<&mut Out> {
+        self.out.as_mut().filter(|o| o.number == number && engine.is_none_or(|at| at == o.engine))
+    }
+
+    /// Attempts made, those included that were barred.
+    pub fn made(&self) -> u16 {
+        self.made
+    }
+
+    /// Whether any attempt may have run, the one that is out included.
+    pub fn may_have_run(&self) -> bool {
+        self.ran || self.out.is_some()
+    }
+
+    /// Numbers a further attempt, and says whether it may go out.
+    pub fn next(&mut self, repeatable: bool, cap: u32) -> Result<u16, Barred> {
+        let number = self.made;
+        self.made = self.made.saturating_add(1);
+        match self {
+            Tries { out: Some(_), .. } => Err(Barred::Out),
+            Tries { ran: true, .. } if !repeatable => Err(Barred::Ran),
+            _ if u32::from(number) >= cap => Err(Barred::Spent),
+            _ => Ok(number),
+        }
+    }
+
+    /// It went out.
+    pub fn sent(&mut self, number: u16, engine: EngineId, now: Millis) {
+        self.out = Some(Out { number, engine, sent: now, heard: now, quitting: None });
+    }
+
+    /// The one that is out is given up, and counts as this once that is proven; none where none is, or it is being
+    /// given up already.
+    pub fn give_up(&mut self, now: Millis, as_what: Outcome) -> Option<Out> {
+        let out = self.out.as_mut().filter(|o| o.quitting.is_none())?;
+        out.quitting = Some((now, as_what));
+        Some(*out)
+    }
+
+    /// The attempt with this number is proven over.
+    pub fn ended(&mut self, number: u16, may_have_run: bool) -> Option<Out> {
+        let out = self.out.take_if(|o| o.number == number)?;
+        self.ran |= may_have_run;
+        Some(out)
+    }
+
+    /// Part of a result has gone to the client.
+    pub fn streams(&mut self) {
+        self.ran = true;
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Every phase, and what giving up, an answer and a closed connection prove in it.
+    #[test]
+    fn what_each_end_proves() {
+        let writing = || {
+            let mut life = Life::default();
+            life.write(10);
+            life
+        };
+        let out = || {
+            let mut life = writing();
+            assert_eq!(life.left(10), None);
+            life
+        };
+        assert_eq!(Life::default().give_up(false, || unreachable!()), Some(End::Unsent));
+        assert_eq!((Life::default().closed(99), writing().closed(9)), (End::Unsent, End::Unsent));
+        assert_eq!((writing().closed(10), out().closed(10)), (End::Broken, End::Broken));
+        for mut life in [writing(), out()] {
+            assert_eq!(life.give_up(false, || 20), None, "not before the word has left");
+            assert!(life.giving_up() && life.left(19).is_none() && !life.tell());
+            assert_eq!((life.left(20), life.left(20)), (Some(End::GivenUp), None));
+        }
+        let mut life = out();
+        assert_eq!(life.give_up(true, || 20), None);
+        assert_eq!((life.left(20), life.giving_up()), (None, true), "it may be read late");
+        assert_eq!((life.heard(), life.heard()), (Some(End::GivenUp), None));
+        assert_eq!(out().heard(), None);
+        // Half of the word has left: the engine has the attempt whole. Half of the attempt: it has not.
+        for (written, end) in [(15, End::Broken), (9, End::Unsent)] {
+            let mut life = writing();
+            life.give_up(false, || 20);
+            assert_eq!(life.closed(written), end);
+        }
+        let mut told = out();
+        assert!(told.tell() && !told.tell());
+        assert_eq!(told.give_up(false, || 20), Some(End::Answered));
+        assert!(!out().answered(false).may_have_run() && out().answered(true).may_have_run());
+    }
+
+    #[test]
+    fn one_attempt_at_a_time() {
+        let at = EngineId::default();
+        let mut tries = Tries::default();
+        assert_eq!(tries.next(true, 6), Ok(0));
+        tries.sent(0, at, 5.0);
+        assert!(tries.may_have_run() && tries.next(true, 6) == Err(Barred::Out));
+        assert!(
+            tries.give_up(6.0, Outcome::TimedOut).is_some()
+                && tries.give_up(7.0, Outcome::Cancelled).is_none()
+        );
+        assert_eq!(tries.next(true, 6), Err(Barred::Out), "nothing is proven yet");
+        assert!(tries.ended(1, true).is_none() && tries.ended(0, false).is_some());
+        assert!(!tries.may_have_run());
+        assert_eq!(tries.next(false, 6), Ok(3));
+        tries.sent(3, at, 8.0);
+        assert!(tries.ended(3, true).is_some());
+        assert_eq!(tries.next(false, 6), Err(Barred::Ran));
+        assert_eq!((tries.next(true, 6), tries.next(true, 6)), (Ok(5), Err(Barred::Spent)));
+    }
+}
--- /dev/null
+++ b/src/core/ends.rs
@@ -0,0 +1,187 @@
+//! How attempts and requests come to their ends: results, failures, deadlines, silence, and what is given up.
+
+use super::*;
+use crate::attempt::Out;
+use crate::counters::Count;
+
+impl<E: EnginePort> Core<E> {
+    pub(super) fn streaming(&mut self, now: Millis, id: RequestId, attempt: u16, body: Body) {
+        let Some(open) = self.requests.get_mut(&id).filter(|o| !o.streaming) else { return };
+        open.streaming = true;
+        open.tries.streams();
+        self.counters.served.up();
+        open.taken.client.answer(id, Answer::Served(body));
+        self.tell(now, Event::Streaming { id, attempt });
+    }
+
+    pub(super) fn served(
+        &mut self,
+        now: Millis,
+        id: RequestId,
+        attempt: u16,
+        report: LoadReport,
+        billed: (Option<f64>, Option<f64>),
+        body: Option<Body>,
+    ) {
+        let streaming = self.requests.get(&id).is_some_and(|o| o.streaming);
+        let Some(body) = body.or_else(|| streaming.then(|| Body::whole(Form::Text, Vec::new()))) else {
+            // A good end without a result has run, and there is nothing to pass on.
+            return self.ended(now, id, attempt, (Outcome::Error, true), report, billed);
+        };
+        let Some(open) = self.requests.get_mut(&id) else { return };
+        let Some(out) = open.tries.ended(attempt, true) else { return };
+        if !open.over && !open.streaming {
+            self.counters.served.up();
+            open.taken.client.answer(id, Answer::Served(body));
+        }
+        self.remove(id);
+        self.tell_ended(now, id, &out, Outcome::Ok, true, report, billed);
+    }
+
+    /// An attempt is proven over without a result, and may have run or not; the module decides what follows.
+    pub(super) fn ended(
+        &mut self,
+        now: Millis,
+        id: RequestId,
+        attempt: u16,
+        (outcome, ran): (Outcome, bool),
+        report: LoadReport,
+        billed: (Option<f64>, Option<f64>),
+    ) {
+        let Some(open) = self.requests.get_mut(&id) else { return };
+        let Some(out) = open.tries.ended(attempt, ran) else { return };
+        // The client of a stream was told by the break in it.
+        let finished = open.streaming || open.over;
+        if finished {
+            self.remove(id);
+        }
+        self.tell_ended(now, id, &out, outcome, finished, report, billed);
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn tell_ended(
+        &mut self,
+        now: Millis,
+        id: RequestId,
+        out: &Out,
+        outcome: Outcome,
+        finished: bool,
+        report: LoadReport,
+        (billed_ms, billed_mb): (Option<f64>, Option<f64>),
+    ) {
+        self.count_end(outcome).up();
+        let (attempt, engine, took_ms) = (out.number, out.engine, now - out.sent);
+        let ended = Ended { id, attempt, engine, outcome, took_ms, finished, billed_ms, billed_mb, report };
+        self.tell(now, Event::Ended(ended));
+    }
+
+    pub(super) fn count_end(&self, outcome: Outcome) -> &Count {
+        match outcome {
+            Outcome::Ok => &self.counters.ended_ok,
+            Outcome::Error => &self.counters.ended_error,
+            Outcome::Full => &self.counters.ended_full,
+            Outcome::TimedOut => &self.counters.ended_timeout,
+            Outcome::NoConnection => &self.counters.ended_no_connection,
+            Outcome::Reset => &self.counters.ended_reset,
+            Outcome::Cancelled => &self.counters.ended_cancelled,
+            Outcome::Moot => &self.counters.ended_moot,
+        }
+    }
+
+    /// The client's deadline: whatever the module leaves open is answered, and what is out is given up. Guard: a
+    /// module that still holds the request, or would send it once more, gets no further say.
+    pub(super) fn deadline(&mut self, now: Millis, id: RequestId) {
+        if self.requests.get(&id).is_some_and(|o| !o.streaming) {
+            self.answer(now, id, Answer::Failed(Why::Deadline), Outcome::TimedOut);
+            self.tell(now, Event::ClientGone { id });
+        }
+    }
+
+    /// An attempt on a machine that vanished says nothing and is not reset. What may be repeated is given up;
+    /// what may run once only waits on, as no other attempt is allowed anyway.
+    pub(super) fn silence(&mut self, now: Millis, id: RequestId, attempt: u16, armed: Millis) {
+        let Some(open) = self.requests.get_mut(&id).filter(|o| !o.streaming) else { return };
+        let Some(heard) = open.tries.out_as(attempt, None).map(|o| o.heard) else { return };
+        let due = heard + self.limits.silence_ms;
+        if due > armed {
+            self.arm(due, Alarm::Silence(id, attempt));
+        } else if self.repeatable(id) {
+            self.give_up(now, id, Outcome::TimedOut);
+        }
+    }
+
+    /// Gives up what is out for a request. It stays out, and the module hears nothing, until its engine's actor has
+    /// proven it over: a further attempt before that would be out beside it.
+    pub(super) fn give_up(&mut self, now: Millis, id: RequestId, as_what: Outcome) {
+        let Some(open) = self.requests.get_mut(&id) else { return };
+        let Some(out) = open.tries.give_up(now, as_what) else { return };
+        self.engines.quit(out.engine, id, out.number, !open.over);
+        self.arm(now + self.limits.quit_again_ms, Alarm::Quit(id, out.number));
+    }
+
+    /// No proof so far. Guard: an order that found its mailbox full is given again. Guard: without a proof in its time
+    /// nothing may follow, so the request ends.
+    pub(super) fn unproven(&mut self, now: Millis, id: RequestId, attempt: u16) {
+        let Some(open) = self.requests.get_mut(&id) else { return };
+        let Some((out, since)) =
+            open.tries.out_as(attempt, None).and_then(|o| o.quitting.map(|(since, _)| (*o, since)))
+        else {
+            return;
+        };
+        if now - since < self.limits.unproven_ms {
+            self.engines.quit(out.engine, id, attempt, !open.over);
+            return self.arm(now + self.limits.quit_again_ms, Alarm::Quit(id, attempt));
+        }
+        self.counters.unproven.up();
+        if !self.requests.get(&id).is_none_or(|o| o.over || o.streaming) {
+            self.answer(now, id, Answer::Failed(Why::Lost), Outcome::TimedOut);
+            self.tell(now, Event::ClientGone { id });
+        }
+        self.ended(now, id, attempt, (Outcome::TimedOut, true), LoadReport::default(), (None, None));
+    }
+
+    /// The one final answer: whoever comes second finds the request over.
+    pub(super) fn answer(&mut self, now: Millis, id: RequestId, answer: Answer, as_what: Outcome) {
+        let Some(client) = self.close(now, id, as_what) else { return };
+        match answer {
+            Answer::Refused { .. } => self.counters.refused.up(),
+            _ => self.counters.failed.up(),
+        }
+        client.answer(id, answer);
+    }
+
+    /// Nothing is owed to the client any more: that is for the caller, and for now. What is out is given up, and the
+    /// request is held until that is proven, as its name may not come again before.
+    pub(super) fn close(
+        &mut self,
+        now: Millis,
+        id: RequestId,
+        as_what: Outcome,
+    ) -> Option<Arc<dyn ClientPort>> {
+        let open = self.requests.get_mut(&id).filter(|o| !o.over)?;
+        open.over = true;
+        let (client, out) = (open.taken.client.clone(), open.tries.out().is_some());
+        self.owed -= 1;
+        self.counters.open.down();
+        match out {
+            true => self.give_up(now, id, as_what),
+            false => self.remove(id),
+        }
+        Some(client)
+    }
+
+    fn remove(&mut self, id: RequestId) {
+        let Some(open) = self.requests.remove(&id) else { return };
+        self.names.remove(&open.taken.name);
+        self.held_bytes -= open.taken.statement.len();
+        if !open.over {
+            self.owed -= 1;
+            self.counters.open.down();
+        }
+    }
+}
+
+/// Whether an outcome proves that the attempt never ran.
+pub fn never_ran(outcome: Outcome) -> bool {
+    matches!(outcome, Outcome::Full | Outcome::NoConnection | Outcome::Moot)
+}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -3,16 +3,20 @@
 //!
 //! Whatever the module or a peer does, the core sees to it that a request gets one final answer, that one
 //! attempt at most is out for it, and that what may run once only is not sent again unless every earlier
-//! attempt provably never ran.
+//! attempt provably never ran. An attempt that is given up stays out until its engine's actor has proven it over;
+//! the client is answered without waiting for that.
 
 mod actor;
+mod ends;
 mod ports;
 
 pub use actor::{Clock, Handle, Inputs, start};
+pub use ends::never_ran;
 pub use ports::*;
 
+use crate::attempt::Tries;
 use crate::config::ListEvent;
-use crate::counters::{Count, Counters};
+use crate::counters::Counters;
 use crate::interface::*;
 use crate::limits::Limits;
 use bytes::Bytes;
@@ -23,21 +27,12 @@
 /// Bans held at most: they outlive their engines.
 const BANS: usize = 256;
 
-struct Out {
-    number: u16,
-    engine: EngineId,
-    sent: Millis,
-    heard: Millis,
-    quitting: bool,
-}
-
 struct Open {
     taken: Taken,
-    attempts: u16,
-    out: Option<Out>,
-    may_have_run: bool,
+    tries: Tries,
     streaming: bool,
-    expired: bool,
+    /// Its client has the final answer, or has left; it is held for the attempt that is not proven over.
+    over: bool,
     memory_mb: f64,
     priority: u8,
 }
@@ -46,6 +41,7 @@
 enum Alarm {
     Module(u64),
     Deadline(RequestId),
+    /// Looks whether what is being given up is proven over.
     Quit(RequestId, u16),
     Silence(RequestId, u16),
 }
@@ -81,6 +77,8 @@
     requests: HashMap<RequestId, Open>,
     /// Clients' names of the requests that are open.
     names: HashSet<Bytes>,
+    /// Those among them that still owe an answer.
+    owed: usize,
     /// Bytes of their statements.
     held_bytes: usize,
     ready: BTreeMap<EngineId, bool>,
@@ -111,6 +109,7 @@
             counters,
             requests: HashMap::new(),
             names: HashSet::new(),
+            owed: 0,
             held_bytes: 0,
             ready: BTreeMap::new(),
             known: BTreeSet::new(),
@@ -128,7 +127,7 @@
 
     /// Requests open now.
     pub fn open(&self) -> usize {
-        self.requests.len()
+        self.owed
     }
 
     /// How many entries are held for requests, engines and alarms: here, and in the module.
@@ -152,9 +151,7 @@
             match alarm {
                 Alarm::Module(token) => self.tell(now, Event::Timer { token }),
                 Alarm::Deadline(id) => self.deadline(now, id),
-                Alarm::Quit(id, attempt) => {
-                    self.ended(now, id, attempt, Outcome::Cancelled, LoadReport::default(), (None, None))
-                }
+                Alarm::Quit(id, attempt) => self.unproven(now, id, attempt),
                 Alarm::Silence(id, attempt) => self.silence(now, id, attempt, at.0),
             }
             // The module's timer comes often enough to publish what it believes.
@@ -170,22 +167,34 @@
             Input::List(event) => self.list(now, event),
             Input::Settings(new) => self.tell(now, Event::Settings(new)),
             Input::Engine { engine, id, attempt, report, news } => {
-                let open = self.requests.get_mut(&id);
-                let Some(out) =
-                    open.and_then(|r| r.out.as_mut()).filter(|o| o.number == attempt && o.engine == engine)
-                else {
-                    return; // given up meanwhile
+                let Some(open) = self.requests.get_mut(&id) else { return };
+                let over = open.over;
+                let Some(out) = open.tries.out_as(attempt, Some(engine)) else {
+                    return; // proven over before this came
                 };
                 out.heard = now;
+                let quitting = out.quitting;
                 match news {
-                    EngineNews::Note(Some(note)) => self.tell(now, Event::Note { id, attempt, note }),
-                    EngineNews::Note(None) => {}
+                    EngineNews::Note(Some(note)) if quitting.is_none() => {
+                        self.tell(now, Event::Note { id, attempt, note })
+                    }
+                    EngineNews::Note(_) => {}
+                    EngineNews::Streaming(_) if over || quitting.is_some() => {}
                     EngineNews::Streaming(body) => self.streaming(now, id, attempt, body),
+                    // A good answer that crossed the word is one all the same, as long as an answer is owed.
                     EngineNews::Ended { outcome: Outcome::Ok, billed_ms, billed_mb, body } => {
                         self.served(now, id, attempt, report, (billed_ms, billed_mb), body)
                     }
                     EngineNews::Ended { outcome, billed_ms, billed_mb, .. } => {
-                        self.ended(now, id, attempt, outcome, report, (billed_ms, billed_mb))
+                        let ran = !never_ran(outcome);
+                        self.ended(now, id, attempt, (outcome, ran), report, (billed_ms, billed_mb))
+                    }
+                    EngineNews::GivenUp(end) => {
+                        let (since, outcome) = quitting.unwrap_or((now, Outcome::Cancelled));
+                        self.counters.given_up.up();
+                        self.counters.proofs.see(now - since);
+                        let end = (outcome, end.may_have_run());
+                        self.ended(now, id, attempt, end, report, (None, None))
                     }
                 }
             }
@@ -258,15 +267,14 @@
         self.arm(taken.due_ms - self.limits.answer_margin_ms, Alarm::Deadline(id));
         let open = Open {
             taken,
-            attempts: 0,
-            out: None,
-            may_have_run: false,
+            tries: Tries::default(),
             streaming: false,
-            expired: false,
+            over: false,
             memory_mb: 0.0,
             priority: 1,
         };
         self.counters.open.up();
+        self.owed += 1;
         self.held_bytes = bytes;
         self.names.insert(open.taken.name.clone());
         self.requests.insert(id, open);
@@ -275,12 +283,9 @@
 
     /// The client left: nothing is owed, and what is out is given up at once, as it would only take room.
     fn left(&mut self, now: Millis, id: RequestId) {
-        let Some(open) = self.remove(id) else { return };
-        self.counters.left.up();
-        self.tell(now, Event::ClientGone { id });
-        if let Some(out) = open.out {
-            self.engines.quit(out.engine, id, out.number);
-            self.tell_ended(now, id, &out, Outcome::Cancelled, true, LoadReport::default(), (None, None));
+        if self.close(now, id, Outcome::Cancelled).is_some() {
+            self.counters.left.up();
+            self.tell(now, Event::ClientGone { id });
         }
     }
 
@@ -314,121 +319,6 @@
         self.tell(now, Event::List { kind: event.kind, entries });
     }
 
-    fn streaming(&mut self, now: Millis, id: RequestId, attempt: u16, body: Body) {
-        let Some(open) = self.requests.get_mut(&id).filter(|o| !o.streaming) else { return };
-        open.streaming = true;
-        open.may_have_run = true;
-        self.counters.served.up();
-        open.taken.client.answer(id, Answer::Served(body));
-        self.tell(now, Event::Streaming { id, attempt });
-    }
-
-    fn served(
-        &mut self,
-        now: Millis,
-        id: RequestId,
-        attempt: u16,
-        report: LoadReport,
-        billed: (Option<f64>, Option<f64>),
-        body: Option<Body>,
-    ) {
-        let streaming = self.requests.get(&id).is_some_and(|o| o.streaming);
-        let Some(body) = body.or_else(|| streaming.then(|| Body::whole(Form::Text, Vec::new()))) else {
-            // A good end without a result has run, and there is nothing to pass on.
-            return self.ended(now, id, attempt, Outcome::Error, report, billed);
-        };
-        let Some(open) = self.remove(id) else { return };
-        if !open.streaming {
-            self.counters.served.up();
-            open.taken.client.answer(id, Answer::Served(body));
-        }
-        if let Some(out) = open.out {
-            self.tell_ended(now, id, &out, Outcome::Ok, true, report, billed);
-        }
-    }
-
-    /// An attempt ended without a result; the module decides what follows.
-    fn ended(
-        &mut self,
-        now: Millis,
-        id: RequestId,
-        attempt: u16,
-        outcome: Outcome,
-        report: LoadReport,
-        billed: (Option<f64>, Option<f64>),
-    ) {
-        let Some(open) = self.requests.get_mut(&id) else { return };
-        let Some(out) = open.out.take_if(|o| o.number == attempt) else { return };
-        // What was called off may have run, even if its end tells otherwise a moment later.
-        open.may_have_run |= out.quitting || !never_ran(outcome);
-        let finished = open.streaming;
-        if finished {
-            self.remove(id); // its client was told by the break in its stream
-        }
-        self.tell_ended(now, id, &out, outcome, finished, report, billed);
-    }
-
-    #[allow(clippy::too_many_arguments)]
-    fn tell_ended(
-        &mut self,
-        now: Millis,
-        id: RequestId,
-        out: &Out,
-        outcome: Outcome,
-        finished: bool,
-        report: LoadReport,
-        (billed_ms, billed_mb): (Option<f64>, Option<f64>),
-    ) {
-        self.count_end(outcome).up();
-        let (attempt, engine, took_ms) = (out.number, out.engine, now - out.sent);
-        let ended = Ended { id, attempt, engine, outcome, took_ms, finished, billed_ms, billed_mb, report };
-        self.tell(now, Event::Ended(ended));
-    }
-
-    fn count_end(&self, outcome: Outcome) -> &Count {
-        match outcome {
-            Outcome::Ok => &self.counters.ended_ok,
-            Outcome::Error => &self.counters.ended_error,
-            Outcome::Full => &self.counters.ended_full,
-            Outcome::TimedOut => &self.counters.ended_timeout,
-            Outcome::NoConnection => &self.counters.ended_no_connection,
-            Outcome::Reset => &self.counters.ended_reset,
-            Outcome::Cancelled => &self.counters.ended_cancelled,
-            Outcome::Moot => &self.counters.ended_moot,
-        }
-    }
-
-    /// The client's deadline: what is out is given up, and whatever the module leaves open is answered.
-    fn deadline(&mut self, now: Millis, id: RequestId) {
-        let Some(open) = self.requests.get_mut(&id).filter(|o| !o.streaming) else { return };
-        open.expired = true;
-        if let Some(out) = &open.out {
-            let (engine, attempt) = (out.engine, out.number);
-            self.engines.quit(engine, id, attempt);
-            self.ended(now, id, attempt, Outcome::TimedOut, LoadReport::default(), (None, None));
-        }
-        // Guard: a module that still holds it, or has sent it once more, gets no further say.
-        if self.requests.contains_key(&id) {
-            self.answer(id, Answer::Failed(Why::Deadline));
-            self.tell(now, Event::ClientGone { id });
-        }
-    }
-
-    /// An attempt on a machine that vanished says nothing and is not reset. What may be repeated is given up;
-    /// what may run once only waits on, as no other attempt is allowed anyway.
-    fn silence(&mut self, now: Millis, id: RequestId, attempt: u16, armed: Millis) {
-        let Some(open) = self.requests.get(&id).filter(|o| !o.streaming) else { return };
-        let Some(out) = open.out.as_ref().filter(|o| o.number == attempt) else { return };
-        let engine = out.engine;
-        let due = out.heard + self.limits.silence_ms;
-        if due > armed {
-            self.arm(due, Alarm::Silence(id, attempt));
-        } else if self.repeatable(open) {
-            self.engines.quit(engine, id, attempt);
-            self.ended(now, id, attempt, Outcome::TimedOut, LoadReport::default(), (None, None));
-        }
-    }
-
     fn arm(&mut self, at: Millis, alarm: Alarm) {
         self.armed += 1;
         self.alarms.push(Reverse((At(at), self.armed, alarm)));
@@ -440,7 +330,7 @@
                 Alarm::Module(_) => true,
                 Alarm::Deadline(id) => requests.contains_key(id),
                 Alarm::Quit(id, n) | Alarm::Silence(id, n) => {
-                    requests.get(id).and_then(|r| r.out.as_ref()).is_some_and(|out| out.number == *n)
+                    requests.get(id).and_then(|r| r.tries.out()).is_some_and(|out| out.number == *n)
                 }
             });
         }
@@ -461,15 +351,19 @@
                 Action::Terms { id, memory_mb, priority } => self.terms(id, memory_mb, priority),
                 Action::Refuse { id, hold_off_ms } => {
                     // Guard: a refusal says that a repeat is harmless, so it may not cover a load that may have run.
-                    let sure = self
-                        .requests
-                        .get(&id)
-                        .is_some_and(|o| !o.may_have_run && o.out.is_none() || self.repeatable(o));
-                    let why = Answer::Failed(Why::Lost);
-                    self.answer(id, if sure { Answer::Refused { hold_off_ms } } else { why });
+                    let ran = self.requests.get(&id).is_none_or(|o| o.tries.may_have_run());
+                    let sure = !ran || self.repeatable(id);
+                    let answer =
+                        if sure { Answer::Refused { hold_off_ms } } else { Answer::Failed(Why::Lost) };
+                    self.answer(now, id, answer, Outcome::Cancelled);
+                }
+                Action::Fail { id } => self.answer(now, id, Answer::Failed(Why::Lost), Outcome::Cancelled),
+                Action::Cancel { id, attempt } => {
+                    let open = self.requests.get_mut(&id).filter(|o| !o.streaming);
+                    if open.is_some_and(|o| o.tries.out_as(attempt, None).is_some()) {
+                        self.give_up(now, id, Outcome::Cancelled);
+                    }
                 }
-                Action::Fail { id } => self.answer(id, Answer::Failed(Why::Lost)),
-                Action::Cancel { id, attempt } => self.cancel(now, id, attempt),
                 Action::Timer { after_ms, token } => self.arm(now + after_ms.max(1.0), Alarm::Module(token)),
                 Action::Log { line } => eprintln!("magpiechute: {line}"),
                 // Engines may not be probed, and the feed pushes: nothing to do.
@@ -478,7 +372,7 @@
         }
         self.actions = actions;
         for (id, engine, outcome) in moot {
-            let attempt = self.requests.get(&id).map_or(0, |o| o.attempts.saturating_sub(1));
+            let attempt = self.requests.get(&id).map_or(0, |o| o.tries.made().saturating_sub(1));
             self.count_end(outcome).up();
             let ended = Ended {
                 id,
@@ -486,7 +380,7 @@
                 engine,
                 outcome,
                 took_ms: 0.0,
-                finished: !self.requests.contains_key(&id),
+                finished: self.requests.get(&id).is_none_or(|o| o.over),
                 billed_ms: None,
                 billed_mb: None,
                 report: LoadReport::default(),
@@ -495,8 +389,8 @@
         }
     }
 
-    fn repeatable(&self, open: &Open) -> bool {
-        open.taken.class.class.effect == Effect::Repeatable
+    fn repeatable(&self, id: RequestId) -> bool {
+        self.requests.get(&id).is_some_and(|o| o.taken.class.class.effect == Effect::Repeatable)
     }
 
     /// Starts an attempt, or says why it cannot be; then it provably never ran.
@@ -507,18 +401,17 @@
         engine: EngineId,
         timeout_ms: Option<Millis>,
     ) -> Option<Outcome> {
-        let repeatable = self.requests.get(&id).is_some_and(|o| self.repeatable(o));
+        let repeatable = self.repeatable(id);
         let ready = self.ready.contains_key(&engine) && !self.gateway.bans().contains(&engine);
         let cap = self.gateway.settings().attempts_cap;
         let open = self.requests.get_mut(&id)?;
-        let number = open.attempts;
-        open.attempts = open.attempts.saturating_add(1);
-        // Guards: one attempt out at a time, no second run of what may run once, no more than the cap.
-        let barred = open.out.is_some() || open.may_have_run && !repeatable || u32::from(number) >= cap;
-        if barred || !ready {
+        // Guards: one attempt out at a time, no second run of what may run once, no more than the cap, none for who
+        // has an answer.
+        let next = open.tries.next(repeatable, cap).ok().filter(|_| !open.over);
+        let Some(number) = next.filter(|_| ready) else {
             self.counters.guarded.up();
-            return Some(if barred { Outcome::Moot } else { Outcome::NoConnection });
-        }
+            return Some(if next.is_none() { Outcome::Moot } else { Outcome::NoConnection });
+        };
         let due_ms =
             timeout_ms.filter(|t| *t > 0.0).map_or(open.taken.due_ms, |t| (now + t).min(open.taken.due_ms));
         let ask = Ask {
@@ -535,7 +428,7 @@
         if !self.engines.ask(engine, ask) {
             return Some(Outcome::NoConnection);
         }
-        open.out = Some(Out { number, engine, sent: now, heard: now, quitting: false });
+        open.tries.sent(number, engine, now);
         self.counters.sent.up();
         if self.limits.silence_ms.is_finite() {
             self.arm(now + self.limits.silence_ms, Alarm::Silence(id, number));
@@ -547,51 +440,13 @@
         let Some(open) = self.requests.get_mut(&id) else { return };
         open.memory_mb = memory_mb.clamp(0.0, self.limits.grant_mb);
         let before = std::mem::replace(&mut open.priority, priority.min(3));
-        if let Some(out) = open.out.as_ref().filter(|_| before != open.priority) {
+        if let Some(out) = open.tries.out().filter(|o| before != open.priority && o.quitting.is_none()) {
             self.engines.priority(out.engine, id, out.number, open.priority);
         }
     }
-
-    /// Gives an attempt up. It counts as ended once the word has had time to reach the socket: a further
-    /// attempt before that would be out beside it.
-    fn cancel(&mut self, now: Millis, id: RequestId, attempt: u16) {
-        let open = self.requests.get_mut(&id).filter(|o| !o.streaming);
-        let out = open.and_then(|o| o.out.as_mut()).filter(|o| o.number == attempt && !o.quitting);
-        if let Some(out) = out {
-            out.quitting = true;
-            self.engines.quit(out.engine, id, attempt);
-            self.arm(now + self.limits.quit_settle_ms, Alarm::Quit(id, attempt));
-        }
-    }
-
-    /// The one final answer: whoever comes second finds the request gone.
-    fn answer(&mut self, id: RequestId, answer: Answer) {
-        let Some(open) = self.remove(id) else { return };
-        if let Some(out) = &open.out {
-            self.engines.quit(out.engine, id, out.number);
-        }
-        // At its deadline a client has no use for advice on when to come back.
-        let answer = if open.expired { Answer::Failed(Why::Deadline) } else { answer };
-        match answer {
-            Answer::Refused { .. } => self.counters.refused.up(),
-            _ => self.counters.failed.up(),
-        }
-        open.taken.client.answer(id, answer);
-    }
-
-    fn remove(&mut self, id: RequestId) -> Option<Open> {
-        let open = self.requests.remove(&id)?;
-        self.names.remove(&open.taken.name);
-        self.held_bytes -= open.taken.statement.len();
-        self.counters.open.down();
-        Some(open)
-    }
-}
-
-/// Whether an outcome proves that the attempt never ran.
-pub fn never_ran(outcome: Outcome) -> bool {
-    matches!(outcome, Outcome::Full | Outcome::NoConnection | Outcome::Moot)
 }
 
+#[cfg(test)]
+mod interleavings;
 #[cfg(test)]
 mod tests;
--- a/src/core/ports.rs
+++ b/src/core/ports.rs
@@ -1,5 +1,6 @@
 //! What passes between the core and its peers: requests and answers, attempts and their news, orders of staff.
 
+use crate::attempt::End;
 use crate::config::{ListEvent, Listed};
 use crate::interface::*;
 use crate::settings::Named;
@@ -132,8 +133,9 @@
 pub trait EnginePort: Send {
     /// Starts an attempt; false where it provably was not sent.
     fn ask(&mut self, engine: EngineId, ask: Ask) -> bool;
-    /// Gives an attempt up; nothing comes back.
-    fn quit(&mut self, engine: EngineId, id: RequestId, attempt: u16);
+    /// Gives an attempt up. [`EngineNews::GivenUp`] comes back once that is proven, unless an end of its own does;
+    /// given twice it is done once. Where another attempt may follow, `again`, the proof is that the engine has read it.
+    fn quit(&mut self, engine: EngineId, id: RequestId, attempt: u16, again: bool);
     /// Names a new priority for an attempt that is out.
     fn priority(&mut self, engine: EngineId, id: RequestId, attempt: u16, priority: u8);
     /// The list's word on an engine: nothing new may go where it is not ready.
@@ -151,6 +153,8 @@
     Note(Option<Note>),
     /// The result outgrew what is held and streams to the client from now on.
     Streaming(Body),
+    /// What was given up is proven over.
+    GivenUp(End),
     /// The end of an attempt.
     Ended {
         /// How.
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -1,19 +1,22 @@
 //! Tests of the core alone: engines and clients that say nothing.
 
 use super::*;
+use crate::attempt::End;
 use crate::config::{Listed, engine_id};
 use crate::settings;
 
-/// Engines that take attempts and say nothing.
+/// Engines that take attempts and say nothing; what they are told to give up is kept.
 #[derive(Default)]
-struct Silent(Vec<EngineId>);
+struct Silent(Vec<EngineId>, Vec<(EngineId, RequestId, u16)>);
 
 impl EnginePort for Silent {
     fn ask(&mut self, engine: EngineId, _: Ask) -> bool {
         self.0.push(engine);
         true
     }
-    fn quit(&mut self, _: EngineId, _: RequestId, _: u16) {}
+    fn quit(&mut self, engine: EngineId, id: RequestId, attempt: u16, _: bool) {
+        self.1.push((engine, id, attempt));
+    }
     fn priority(&mut self, _: EngineId, _: RequestId, _: u16, _: u8) {}
     fn listed(&mut self, _: &Listed) {}
     fn dropped(&mut self, _: EngineId) {}
@@ -81,6 +84,10 @@
                 core.handle(now, Input::Left(id));
             }
         }
+        for (engine, id, attempt) in std::mem::take(&mut core.engines.1) {
+            let (report, news) = (LoadReport::default(), EngineNews::GivenUp(End::GivenUp));
+            core.handle(now, Input::Engine { engine, id, attempt, report, news });
+        }
         let held = core.held();
         if round == 999 {
             most = held;
@@ -132,3 +139,65 @@
     ask(&mut core, 6001.0, 3, 50.0);
     assert_eq!((core.open(), counters.refused.get()), (0, 1), "and what comes then is turned away");
 }
+
+/// Guard: an order to give up that got lost is given again; an end that nothing proves ends its request in time, and
+/// nothing follows. A client that leaves or comes back under the same name meanwhile changes nothing.
+#[test]
+fn without_a_proof_nothing_follows() {
+    let text = r#"{"nInstances":1,"classes":[{"name":"a","effect":"repeatable","promiseMs":9000,"giveUpMs":20000}],
+        "guarantees":{"coldMs":1000,"coldShare":0.3,"overloadForMs":1500,"tipMultiple":3},
+        "limits":{"attemptsCap":6,"cancel":true},"shapes":["std-8c"],"specifics":{"sizeCores":[8],"progressMs":500}}"#;
+    let parsed = settings::parse(text.as_bytes()).expect("settings");
+    let limits = Arc::new(Limits::new(256, 32, true, &parsed));
+    let counters: Arc<Counters> = Arc::default();
+    let class = parsed.classes[0].clone();
+    let mut core = Core::new(parsed.settings, 7, Silent::default(), limits, counters.clone()).expect("core");
+    let line = |n| Listed {
+        entry: EngineEntry {
+            engine: engine_id(n),
+            state: ListState::Ready,
+            nominal: 1.0,
+            ..EngineEntry::default()
+        },
+        address: ([127, 0, 0, 1], 1).into(),
+    };
+    core.handle(
+        0.0,
+        Input::List(ListEvent { number: 1, kind: ListKind::Full, entries: vec![line(1), line(2)] }),
+    );
+    let ask = |id: u32| {
+        Input::Take(Taken {
+            id,
+            name: Bytes::from_static(b"one name"),
+            class: class.clone(),
+            due_ms: 15_000.0,
+            cost_ms: Some(900.0),
+            memory_mb: None,
+            dataset: 0,
+            statement: Bytes::new(),
+            kind: Kind::Query,
+            client: Arc::new(Nobody),
+        })
+    };
+    core.handle(0.0, ask(1));
+    // No engine says anything: the attempt is given up for its silence.
+    core.alarms(3001.0);
+    assert_eq!((core.engines.0.len(), core.engines.1.len()), (1, 1), "nothing goes out before the proof");
+    core.alarms(3100.0);
+    assert!(core.engines.1.len() > 1, "the order is given again");
+    core.handle(3200.0, ask(2));
+    assert_eq!(counters.failed.get(), 1, "the name is taken as long as its attempt may be out");
+    core.alarms(4990.0);
+    assert_eq!((core.open(), counters.unproven.get()), (1, 0));
+    core.alarms(5100.0);
+    assert_eq!((core.open(), core.engines.0.len()), (0, 1), "it ends, and nothing follows");
+    assert_eq!((counters.failed.get(), counters.unproven.get(), core.held().0[0]), (2, 1, 0));
+    // A client that leaves is owed nothing, and its name is held until the proof.
+    core.handle(6000.0, ask(3));
+    core.handle(6001.0, Input::Left(3));
+    assert_eq!((core.open(), core.held().0[..2] == [1, 1]), (0, true));
+    let (engine, id, attempt) = *core.engines.1.last().expect("quit");
+    let (report, news) = (LoadReport::default(), EngineNews::GivenUp(End::GivenUp));
+    core.handle(6002.0, Input::Engine { engine, id, attempt, report, news });
+    assert_eq!(core.held().0[..2], [0, 0]);
+}
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -2,15 +2,21 @@
 //! exit, told at the operations address, and read by the SNMP agent in the order that stands here.
 
 use crate::core::Answer;
+use hdrhistogram::Histogram;
 use std::fmt::{self, Write};
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, PoisonError, RwLock};
+use std::sync::{Arc, Mutex, PoisonError, RwLock};
 
 macro_rules! counters {
     ($($(#[$doc:meta])* $name:ident,)*) => {
         /// One table of counters, shared by all actors of a process.
         #[derive(Debug, Default)]
-        pub struct Counters { $($(#[$doc])* pub $name: Count,)* by_class: ByClass }
+        pub struct Counters {
+            $($(#[$doc])* pub $name: Count,)*
+            /// From giving an attempt up to the proof of its end.
+            pub proofs: Spans,
+            by_class: ByClass,
+        }
 
         impl Counters {
             /// All counters with their names, in the order of the MIB.
@@ -158,6 +164,50 @@
     beside,
     /// States of calls by hand that could not be read or written.
     states_bad,
+    /// Attempts given up whose end was proven by the word for that, or as they were never sent.
+    given_up,
+    /// Attempts given up whose end nothing proved in its time; their requests ended.
+    unproven,
+    /// Connections to engines closed as the word for what was given up did not leave in its time.
+    quits_stuck,
+}
+
+/// Times from the shortest to the longest, in a histogram of fixed size.
+pub struct Spans(Mutex<Histogram<u32>>);
+
+impl Default for Spans {
+    fn default() -> Self {
+        // 1 us to a minute at two digits: some 12 kB.
+        let empty = Histogram::new_with_bounds(1, 60_000_000, 2);
+        Spans(Mutex::new(empty.unwrap_or_else(|_| unreachable!("fixed bounds"))))
+    }
+}
+
+impl fmt::Debug for Spans {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
+
+impl Spans {
+    /// Takes one time in.
+    pub fn see(&self, ms: f64) {
+        let us = (ms.clamp(0.0, 60_000.0) * 1000.0) as u64;
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).saturating_record(us.max(1));
+    }
+
+    /// How many there are, and in microseconds the one that this share of all do not pass.
+    pub fn at(&self, share: f64) -> (u64, u64) {
+        let all = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        (all.len(), if all.is_empty() { 0 } else { all.value_at_quantile(share) })
+    }
+}
+
+impl fmt::Display for Spans {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let us = |share| self.at(share).1;
+        write!(f, "n:{},p50_us:{},p99_us:{},max_us:{}", self.at(1.0).0, us(0.5), us(0.99), us(1.0))
+    }
 }
 
 /// Ends of one class's requests, as their clients were told.
@@ -241,6 +291,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "counters")?;
         self.all().iter().try_for_each(|(name, value)| write!(f, " {name}={value}"))?;
+        write!(f, " proofs={}", self.proofs)?;
         self.classes().iter().try_for_each(|(name, [passed, dropped, bad_gateway])| {
             write!(f, " {name}=passed:{passed},dropped:{dropped},bad_gateway:{bad_gateway}")
         })
--- a/src/engines/flight.rs
+++ b/src/engines/flight/mod.rs
@@ -1,7 +1,10 @@
-//! Engines that speak Arrow Flight SQL: one actor an engine, one channel to it, one task an attempt. Dropping a
-//! task resets its stream, which is how an attempt is given up.
+//! Engines that speak Arrow Flight SQL: one actor an engine, one connection to it, one task an attempt. Dropping a
+//! task resets its stream, which is how an attempt is given up; it is over once that reset has left.
+
+mod wire;
 
 use super::{House, Order};
+use crate::attempt::{End, Life};
 use crate::clients::flight::{CLASS, REF};
 use crate::core::{Ask, Body, EngineNews, Flow, Form, Input, Kind};
 use crate::interface::{EngineId, ListState, LoadReport, Outcome, RequestId};
@@ -15,15 +18,15 @@
 use prost::Message;
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 use tokio::sync::{Mutex, mpsc};
-use tokio::task::{AbortHandle, JoinSet};
+use tokio::task::{AbortHandle, Id, JoinSet};
 use tokio::time::{Instant, sleep_until, timeout};
 use tonic::metadata::MetadataMap;
-use tonic::transport::{Channel, Endpoint};
-use tonic::{Code, ConnectError, Request, Status};
+use tonic::{Code, Request, Status};
+use wire::{Untaken, Wire};
 
 /// Names of the metadata in which an engine tells its load and what a query needed.
 const INFLIGHT: &str = "magpiechute-inflight";
@@ -33,6 +36,19 @@
 const MEMORY_MB: &str = "magpiechute-memory-mb";
 const PRIORITY: &str = "magpiechute-priority";
 
+/// An attempt's name within its engine's actor.
+type Key = (RequestId, u16);
+
+/// An attempt at work.
+struct Running {
+    key: Key,
+    task: AbortHandle,
+    /// The connection that it is on, once it is on one.
+    wire: Arc<OnceLock<Wire>>,
+    /// The core gave it up; and whether another attempt may follow.
+    quit: Option<bool>,
+}
+
 /// Runs one engine until the list drops it and its attempts are over.
 pub(crate) async fn run(
     engine: EngineId,
@@ -41,22 +57,25 @@
     house: House,
     banned: Arc<AtomicBool>,
 ) {
-    let (channel, drained) = Default::default();
-    let link = Arc::new(Link { engine, address, house, channel, drained, banned });
+    let (wire, drained) = Default::default();
+    let link = Arc::new(Link { engine, address, house, wire, drained, banned });
     let mut tasks = JoinSet::new();
-    let mut running: HashMap<(RequestId, u16), AbortHandle> = HashMap::new();
+    let mut running: HashMap<Id, Running> = HashMap::new();
     let (mut listed, mut cut) = (true, None);
     while listed || !tasks.is_empty() {
         let until = cut.unwrap_or_else(|| Instant::now() + link.house.limits.engine_idle);
         tokio::select! {
             order = orders.recv(), if listed => match order {
                 Some(Order::Ask(ask)) => {
-                    let key = (ask.id, ask.attempt);
-                    let task = tasks.spawn(attempt(link.clone(), ask));
-                    running.insert(key, task);
+                    let (key, wire) = ((ask.id, ask.attempt), Arc::<OnceLock<Wire>>::default());
+                    let task = tasks.spawn(attempt(link.clone(), ask, wire.clone()));
+                    running.insert(task.id(), Running { key, task, wire, quit: None });
                 }
-                Some(Order::Quit(id, attempt)) => {
-                    running.remove(&(id, attempt)).into_iter().for_each(|task| task.abort());
+                Some(Order::Quit(id, attempt, again)) => {
+                    for one in running.values_mut().filter(|r| r.key == (id, attempt)) {
+                        one.quit = one.quit.or(Some(again));
+                        one.task.abort();
+                    }
                 }
                 // Flight SQL has no word for a query's new priority.
                 Some(Order::Priority(..) | Order::Banned) => {}
@@ -70,27 +89,75 @@
                     cut = cut.or(Some(Instant::now() + link.house.limits.gone_grace));
                 }
             },
-            Some(done) = tasks.join_next(), if !tasks.is_empty() => {
-                if let Ok(key) = done {
-                    running.remove(&key);
+            Some(done) = tasks.join_next_with_id(), if !tasks.is_empty() => {
+                let id = match &done {
+                    Ok((id, ())) => *id,
+                    Err(e) => e.id(),
+                };
+                // What ended by itself has told its end; what was dropped has told nothing.
+                if let Some(one) = running.remove(&id).filter(|_| done.is_err()) {
+                    tasks.spawn(prove(link.clone(), one.key, one.wire, one.quit));
                 }
             }
             () = sleep_until(until) => if cut.take().is_some() {
                 // The engine is gone and its connection was not reset: what it held may have run.
-                for ((id, attempt), task) in running.drain() {
-                    task.abort();
-                    link.ended(id, attempt, Outcome::Reset, &MetadataMap::new(), None).await;
-                }
+                link.wire.lock().await.take().inspect(Wire::cut);
+                running.values().for_each(|one| {
+                    one.wire.get().inspect(|wire| wire.cut());
+                    one.task.abort();
+                });
             }
         }
     }
 }
 
+/// Tells the end of an attempt whose task was dropped, once that is proven. Guard: a peer that takes no more would
+/// keep the attempt out for ever, so its connection is closed; what else is on it ends as on any broken one.
+async fn prove(link: Arc<Link>, key: Key, wire: Arc<OnceLock<Wire>>, quit: Option<bool>) {
+    let (limits, again) = (&link.house.limits, quit.unwrap_or(false));
+    let mut life = Life::default();
+    let end = match wire.get() {
+        None => life.give_up(again, || 0),
+        Some(wire) => {
+            let mut wire = wire.clone();
+            let mark = wire.mark();
+            // When the attempt itself left is not known: it may have, from the moment that it had a connection.
+            life.write(0);
+            life.give_up(again, || mark);
+            let mut end = match timeout(limits.quit_write, wire.left(mark)).await {
+                Ok(true) => life.left(mark),
+                _ => None,
+            };
+            if end.is_none() && again && matches!(timeout(limits.quit_heard, wire.heard()).await, Ok(true)) {
+                end = life.heard();
+            }
+            if end.is_none() && !wire.closed() {
+                link.house.counters.quits_stuck.up();
+                wire.cut();
+                let _ = wire.left(u64::MAX).await;
+            }
+            end.or_else(|| Some(life.closed(0)))
+        }
+    };
+    let end = end.unwrap_or(End::Broken);
+    let news = match (quit, end) {
+        (Some(_), end) => EngineNews::GivenUp(end),
+        (None, End::Unsent) => news(Outcome::NoConnection),
+        (None, _) => news(Outcome::Reset),
+    };
+    link.tell(key, LoadReport::default(), news).await;
+}
+
+/// An end without a result.
+fn news(outcome: Outcome) -> EngineNews {
+    EngineNews::Ended { outcome, billed_ms: None, billed_mb: None, body: None }
+}
+
 struct Link {
     engine: EngineId,
     address: SocketAddr,
     house: House,
-    channel: Mutex<Option<Channel>>,
+    wire: Mutex<Option<Wire>>,
     drained: AtomicBool,
     /// Staff took the engine out.
     banned: Arc<AtomicBool>,
@@ -102,36 +169,27 @@
         self.drained.load(Ordering::Relaxed) || self.banned.load(Ordering::Relaxed)
     }
 
-    /// The channel, which is up; `None` where it does not come up, so that nothing was sent.
-    async fn channel(&self) -> Option<Channel> {
-        let mut channel = self.channel.lock().await;
-        if channel.is_none() {
-            let limits = &self.house.limits;
-            let endpoint = Endpoint::from_shared(format!("http://{}", self.address))
-                .ok()?
-                .tcp_nodelay(true)
-                .connect_timeout(limits.connect)
-                .http2_keep_alive_interval(limits.keep_alive.0)
-                .keep_alive_timeout(limits.keep_alive.1);
-            *channel = Some(timeout(limits.connect, endpoint.connect()).await.ok()?.ok()?);
+    /// The connection, which is up; `None` where it does not come up, so that nothing was sent.
+    async fn wire(&self) -> Option<Wire> {
+        let mut wire = self.wire.lock().await;
+        if wire.as_ref().is_none_or(Wire::closed) {
+            *wire = None;
+            *wire = Some(Wire::connect(self.address, &self.house.limits).await?);
             self.house.counters.engine_conns.up();
         }
-        channel.clone()
+        wire.clone()
+    }
+
+    async fn tell(&self, (id, attempt): Key, report: LoadReport, news: EngineNews) {
+        self.house.core.tell(Input::Engine { engine: self.engine, id, attempt, report, news }).await;
     }
 
-    async fn ended(
-        &self,
-        id: RequestId,
-        attempt: u16,
-        outcome: Outcome,
-        told: &MetadataMap,
-        body: Option<Body>,
-    ) {
+    async fn ended(&self, key: Key, outcome: Outcome, told: &MetadataMap, body: Option<Body>) {
         let figure = |key| told.get(key).and_then(|v| crate::clients::figure(v.as_bytes()));
         let report = LoadReport { inflight: figure(INFLIGHT), ..LoadReport::default() };
         let news =
             EngineNews::Ended { outcome, billed_ms: figure(WORK_MS), billed_mb: figure(USED_MB), body };
-        self.house.core.tell(Input::Engine { engine: self.engine, id, attempt, report, news }).await;
+        self.tell(key, report, news).await;
     }
 }
 
@@ -142,10 +200,18 @@
 fn outcome(status: &Status) -> Outcome {
     let mut cause: Option<&(dyn std::error::Error + 'static)> = Some(status);
     while let Some(e) = cause {
-        // Refused connect: it never ran.
-        if e.downcast_ref::<ConnectError>().is_some() {
+        if e.downcast_ref::<Untaken>().is_some() {
             return Outcome::NoConnection;
         }
+        if let Some(broken) = e.downcast_ref::<h2::Error>() {
+            // RFC 9113, 8.7: a refused stream was not processed in any way.
+            if broken.is_remote() && broken.reason() == Some(h2::Reason::REFUSED_STREAM) {
+                return Outcome::NoConnection;
+            }
+            if broken.is_io() || broken.is_go_away() {
+                return Outcome::Reset;
+            }
+        }
         cause = e.source();
     }
     match status.code() {
@@ -162,26 +228,27 @@
     }
 }
 
-async fn attempt(link: Arc<Link>, ask: Ask) -> (RequestId, u16) {
+async fn attempt(link: Arc<Link>, ask: Ask, on: Arc<OnceLock<Wire>>) {
     let key = (ask.id, ask.attempt);
-    let (id, attempt) = key;
     let mut told = MetadataMap::new();
-    let done = match link.channel().await {
+    let done = match link.wire().await {
         // Guard: a drain that came while the connection did stops the attempt before its first byte.
-        Some(channel) if !link.shut() => send(&link, &ask, channel, &mut told).await,
+        Some(wire) if !link.shut() => {
+            let _ = on.set(wire.clone());
+            send(&link, &ask, wire, &mut told).await
+        }
         _ => Err(Lost(Outcome::NoConnection)),
     };
     match done {
-        Ok(body) => link.ended(id, attempt, Outcome::Ok, &told, body).await,
+        Ok(body) => link.ended(key, Outcome::Ok, &told, body).await,
         Err(Lost(lost)) => {
             if matches!(lost, Outcome::Reset | Outcome::NoConnection) {
                 // The next attempt connects anew and so learns for sure whether it was sent.
-                *link.channel.lock().await = None;
+                *link.wire.lock().await = None;
             }
-            link.ended(id, attempt, lost, &told, None).await;
+            link.ended(key, lost, &told, None).await;
         }
     }
-    key
 }
 
 /// A request with the metadata that every call of an attempt carries.
@@ -206,14 +273,11 @@
 }
 
 /// One attempt: a result that is held whole, or `None` where it streamed to the client.
-async fn send(
-    link: &Link,
-    ask: &Ask,
-    channel: Channel,
-    told: &mut MetadataMap,
-) -> Result<Option<Body>, Lost> {
+async fn send(link: &Link, ask: &Ask, wire: Wire, told: &mut MetadataMap) -> Result<Option<Body>, Lost> {
     let limits = &link.house.limits;
-    let mut client = FlightServiceClient::new(channel).max_decoding_message_size(limits.flight_message_bytes);
+    let origin = format!("http://{}", link.address).parse().map_err(|_| Lost(Outcome::NoConnection))?;
+    let mut client =
+        FlightServiceClient::with_origin(wire, origin).max_decoding_message_size(limits.flight_message_bytes);
     // The call follows at once; a stream hands over nothing that tells when its last byte has left.
     link.house.counters.written.up();
     let text = String::from_utf8(ask.statement.to_vec()).map_err(|_| Lost(Outcome::Moot))?;
@@ -289,3 +353,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/engines/lines/mod.rs
@@ -0,0 +1,106 @@
+//! The platform's engines: lines of words over TCP. One actor an engine hands attempts to its connections,
+//! each an actor too.
+
+mod answers;
+mod connection;
+
+use super::place::{Conn, Load, place};
+use super::{House, Order};
+use crate::core::{Ask, EngineNews, Input};
+use crate::interface::{Effect, EngineId, ListState, LoadReport, Outcome};
+use connection::Connection;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use tokio::sync::mpsc;
+
+/// Runs one engine until the list drops it and its attempts are over.
+pub(crate) async fn run(
+    engine: EngineId,
+    address: SocketAddr,
+    mut orders: mpsc::Receiver<Order>,
+    house: House,
+    banned: Arc<AtomicBool>,
+) {
+    let mut conns: Vec<Conn> = Vec::new();
+    let mut ready = true;
+    // Holds no more than the core's attempts on this engine.
+    let (asks, mut returned) = mpsc::unbounded_channel();
+    let back = Back { asks, broken: Arc::default() };
+    loop {
+        let order = tokio::select! {
+            biased;
+            // First: what a closed connection gave back is placed before an order that could take it back.
+            Some(ask) = returned.recv() => Order::Ask(ask),
+            order = orders.recv() => match order {
+                Some(order) => order,
+                None => return,
+            },
+        };
+        conns.retain(|c| !c.orders.is_closed());
+        if let Order::Listed(state) = &order {
+            ready = *state == ListState::Ready;
+        }
+        let Order::Ask(ask) = order else {
+            // Each connection knows its own attempts.
+            for conn in &conns {
+                let _ = conn.orders.try_send(order.clone());
+            }
+            continue;
+        };
+        // Guard: what a broken connection gave back finds no new one to what drains or was taken out meanwhile.
+        if !ready || banned.load(Ordering::Relaxed) {
+            ended(&house, engine, &ask, news(Outcome::NoConnection)).await;
+            continue;
+        }
+        let once = ask.class.class.effect == Effect::Once;
+        let place = place(&conns, once, &house);
+        let conn = match place {
+            Some(conn) => conn,
+            None => {
+                let (orders, mailbox) = mpsc::channel(house.limits.mailbox);
+                let load = Arc::new(Load::default());
+                let connection = Connection::new(
+                    engine,
+                    mailbox,
+                    back.clone(),
+                    load.clone(),
+                    house.clone(),
+                    banned.clone(),
+                );
+                house.counters.engine_conns_open.up();
+                tokio::spawn(connection.run(address));
+                conns.push(Conn { orders, load });
+                conns.len() - 1
+            }
+        };
+        conns[conn].load.add(once, house.core.now());
+        if let Err(refused) = conns[conn].orders.try_send(Order::Ask(ask)) {
+            conns[conn].load.take_off(once);
+            if let Order::Ask(ask) = refused.into_inner() {
+                ended(&house, engine, &ask, news(Outcome::NoConnection)).await;
+            }
+        }
+    }
+}
+
+/// The way back for attempts that a broken connection was never sent.
+#[derive(Clone)]
+struct Back {
+    asks: mpsc::UnboundedSender<Ask>,
+    /// Connections that ended since the engine last answered: where there are several, it is the engine's fault.
+    broken: Arc<AtomicUsize>,
+}
+
+/// An end without a result.
+fn news(outcome: Outcome) -> EngineNews {
+    EngineNews::Ended { outcome, billed_ms: None, billed_mb: None, body: None }
+}
+
+async fn ended(house: &House, engine: EngineId, ask: &Ask, news: EngineNews) {
+    let report = LoadReport::default();
+    house.core.tell(Input::Engine { engine, id: ask.id, attempt: ask.attempt, report, news }).await;
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/engines/lines/tests.rs
@@ -0,0 +1,240 @@
+//! Tests of one engine's actor against a peer that is a bare socket.
+
+use super::*;
+use crate::attempt::End;
+use crate::core::{Clock, Handle, Inputs};
+use crate::engines::tests::{ask, ask_of};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{sleep, timeout};
+
+/// More than the buffers of both sockets take.
+const LARGE: usize = 24 << 20;
+
+/// An engine's actor with the peer that it connects to.
+struct Rig {
+    listener: TcpListener,
+    orders: mpsc::Sender<Order>,
+    news: Inputs,
+    house: House,
+    banned: Arc<AtomicBool>,
+}
+
+impl Rig {
+    async fn new() -> Rig {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+        let address = listener.local_addr().expect("address");
+        let (core, news) = Handle::new(64, Clock::new());
+        let (house, banned) = (House::for_tests(core), Arc::<AtomicBool>::default());
+        let (orders, mailbox) = mpsc::channel(64);
+        tokio::spawn(run(EngineId::default(), address, mailbox, house.clone(), banned.clone()));
+        Rig { listener, orders, news, house, banned }
+    }
+
+    async fn tell(&self, order: Order) {
+        self.orders.send(order).await.expect("order");
+    }
+
+    async fn accept(&self) -> TcpStream {
+        self.listener.accept().await.expect("accept").0
+    }
+
+    /// The next end, with its attempt.
+    async fn end(&mut self) -> (u32, EngineNews) {
+        loop {
+            let next = timeout(Duration::from_secs(20), self.news.input()).await.expect("an end");
+            if let Some(Input::Engine { id, news, .. }) = next {
+                return (id, news);
+            }
+        }
+    }
+
+    /// Whether anything was told, after all actors had their turns.
+    async fn silent(&mut self) -> bool {
+        for _ in 0..100 {
+            tokio::task::yield_now().await;
+        }
+        timeout(Duration::ZERO, self.news.input()).await.is_err()
+    }
+}
+
+fn given_up(told: &(u32, EngineNews), id: u32, end: End) -> bool {
+    matches!(told, (at, EngineNews::GivenUp(e)) if *at == id && *e == end)
+}
+
+fn block<F: Future<Output = ()>>(test: F) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("runtime");
+    runtime.block_on(test);
+}
+
+/// Guard: what waits for a connection when staff take its engine out is given back, and nothing is connected.
+#[test]
+fn a_ban_reaches_what_waits() {
+    block(async {
+        let mut rig = Rig::new().await;
+        // Behind it in the mailbox: the flag is there before the order is read.
+        rig.tell(ask(1)).await;
+        rig.banned.store(true, Ordering::Relaxed);
+        assert!(matches!(rig.end().await, (1, EngineNews::Ended { outcome: Outcome::NoConnection, .. })));
+        tokio::select! {
+            biased;
+            _ = rig.listener.accept() => panic!("connected to an engine that was taken out"),
+            () = sleep(Duration::ZERO) => {}
+        }
+    });
+}
+
+/// What was never handed to a socket is over at once, and nothing of it is written.
+#[test]
+fn what_waits_is_over_at_once() {
+    block(async {
+        let mut rig = Rig::new().await;
+        rig.tell(ask(1)).await;
+        rig.tell(Order::Quit(1, 0, false)).await;
+        assert!(given_up(&rig.end().await, 1, End::Unsent));
+        rig.tell(ask(2)).await;
+        let mut peer = rig.accept().await;
+        let mut text = [0; 64];
+        let n = peer.read(&mut text).await.expect("bytes");
+        assert!(text[..n].starts_with(b"ASK 0000000000000002 "));
+        assert!(rig.silent().await, "given up once, told once");
+    });
+}
+
+/// An engine that reads a byte at a time has the attempt and the word in this order; the end is told once, also where
+/// the order is given again.
+#[test]
+fn an_engine_that_reads_slowly() {
+    block(async {
+        let mut rig = Rig::new().await;
+        rig.tell(ask(1)).await;
+        let mut peer = rig.accept().await;
+        let mut heard = vec![peer.read_u8().await.expect("a byte")];
+        rig.tell(Order::Quit(1, 0, false)).await;
+        rig.tell(Order::Quit(1, 0, false)).await;
+        while !heard.ends_with(b"QUIT 0000000000000001\r\n") {
+            heard.push(peer.read_u8().await.expect("a byte"));
+        }
+        assert!(heard.starts_with(b"ASK 0000000000000001 "));
+        assert!(given_up(&rig.end().await, 1, End::GivenUp));
+        assert!(rig.silent().await);
+    });
+}
+
+/// Guard: where another attempt may follow, a word that has left proves nothing, as connections are read in no order
+/// among each other; that the engine answers what stands behind it does. A note meanwhile proves nothing either.
+#[test]
+fn an_attempt_may_follow_once_the_word_is_read() {
+    block(async {
+        let mut rig = Rig::new().await;
+        rig.tell(ask(1)).await;
+        let mut peer = rig.accept().await;
+        rig.tell(Order::Quit(1, 0, true)).await;
+        let mut heard = Vec::new();
+        while !heard.ends_with(b"QUIT 0000000000000001\r\nNOOP 0000000000000001\r\n") {
+            heard.push(peer.read_u8().await.expect("a byte"));
+        }
+        peer.write_all(b"00000000000000aa green - 0\r\n\r\n").await.expect("answer");
+        assert!(rig.silent().await, "another tag");
+        peer.write_all(b"0000000000000001 green - 0\r\n\r\n").await.expect("answer");
+        assert!(given_up(&rig.end().await, 1, End::GivenUp));
+    });
+}
+
+/// Guard: an engine that reads and says nothing has its connection closed before another attempt may follow.
+#[test]
+fn a_peer_that_says_nothing_is_closed() {
+    block(async {
+        let mut rig = Rig::new().await;
+        rig.tell(ask(1)).await;
+        let mut peer = rig.accept().await;
+        rig.tell(Order::Quit(1, 0, true)).await;
+        let mut all = Vec::new();
+        while peer.read_buf(&mut all).await.is_ok_and(|n| n > 0) {}
+        assert!(given_up(&rig.end().await, 1, End::Broken));
+        assert_eq!(rig.house.counters.quits_stuck.get(), 1);
+    });
+}
+
+/// Guard: nothing is told before the word has left: a peer that does not read keeps the attempt out. Once it reads it
+/// finds the attempt whole and then the word.
+#[test]
+fn no_proof_before_the_word_has_left() {
+    block(async {
+        let mut rig = Rig::new().await;
+        rig.tell(ask_of(1, LARGE)).await;
+        let mut peer = rig.accept().await;
+        let mut first = [0; 4];
+        peer.read_exact(&mut first).await.expect("bytes");
+        rig.tell(Order::Quit(1, 0, false)).await;
+        assert!(rig.silent().await, "the word is still here");
+        let mut all = Vec::new();
+        while !all.ends_with(b"QUIT 0000000000000001\r\n") {
+            assert!(peer.read_buf(&mut all).await.expect("bytes") > 0);
+        }
+        assert!(all.len() > LARGE);
+        assert!(given_up(&rig.end().await, 1, End::GivenUp));
+    });
+}
+
+/// Guard: a peer that reads nothing is not waited for without a bound. Its connection is closed, so that it never has
+/// the attempt whole, and what waited behind goes over another connection.
+#[test]
+fn a_peer_that_reads_nothing_is_closed() {
+    block(async {
+        let mut rig = Rig::new().await;
+        rig.tell(ask_of(1, LARGE)).await;
+        let mut peer = rig.accept().await;
+        peer.read_exact(&mut [0; 4]).await.expect("bytes");
+        rig.tell(ask(2)).await;
+        rig.tell(Order::Quit(1, 0, false)).await;
+        let mut other = rig.accept().await;
+        assert!(given_up(&rig.end().await, 1, End::Unsent));
+        assert_eq!(rig.house.counters.quits_stuck.get(), 1);
+        let mut text = [0; 20];
+        other.read_exact(&mut text).await.expect("bytes");
+        assert_eq!(&text, b"ASK 0000000000000002");
+        let mut rest = Vec::new();
+        while peer.read_buf(&mut rest).await.is_ok_and(|n| n > 0) {}
+        assert!(rest.len() < LARGE, "it never has it whole");
+    });
+}
+
+/// Guard: a connection that breaks while the word is queued is an end that is told once, as the one that was asked for.
+#[test]
+fn a_break_with_the_word_queued() {
+    block(async {
+        let mut rig = Rig::new().await;
+        rig.tell(ask_of(1, LARGE)).await;
+        let mut peer = rig.accept().await;
+        peer.read_exact(&mut [0; 4]).await.expect("bytes");
+        rig.tell(Order::Quit(1, 0, false)).await;
+        assert!(rig.silent().await);
+        drop(peer);
+        assert!(given_up(&rig.end().await, 1, End::Unsent));
+        assert!(rig.silent().await);
+    });
+}
+
+/// A good answer that crosses the word is passed on; pages that the word let go are not asked for; and an answer that
+/// proves that nothing ran does so for what is given up too.
+#[test]
+fn answers_that_cross_the_word() {
+    block(async {
+        for (answer, page) in [("served batches=1 2\r\na\n", true), ("served batches=3 2\r\na\n", false)] {
+            let mut rig = Rig::new().await;
+            rig.tell(ask(1)).await;
+            rig.tell(ask_of(2, LARGE)).await;
+            let mut peer = rig.accept().await;
+            peer.read_exact(&mut [0; 20]).await.expect("bytes");
+            rig.tell(Order::Quit(1, 0, false)).await;
+            assert!(rig.silent().await, "the word stands behind what is not read");
+            peer.write_all(format!("0000000000000001 {answer}\r\n").as_bytes()).await.expect("answer");
+            match rig.end().await {
+                (1, EngineNews::Ended { outcome: Outcome::Ok, body: Some(_), .. }) => assert!(page),
+                told => assert!(!page && given_up(&told, 1, End::Answered), "{told:?}"),
+            }
+        }
+    });
+}
--- a/src/engines/mod.rs
+++ b/src/engines/mod.rs
@@ -4,6 +4,8 @@
 pub(crate) mod lines;
 mod place;
 mod reply;
+#[cfg(test)]
+mod tests;
 
 use crate::config::Listed;
 use crate::core::{Ask, EnginePort, Handle};
@@ -45,7 +47,8 @@
 #[derive(Clone, Debug)]
 pub(crate) enum Order {
     Ask(Ask),
-    Quit(RequestId, u16),
+    /// Given up; and whether another attempt may follow.
+    Quit(RequestId, u16, bool),
     Priority(RequestId, u16, u8),
     /// The list's word on it.
     Listed(ListState),
@@ -81,8 +84,8 @@
         self.tell(engine, Order::Ask(ask))
     }
 
-    fn quit(&mut self, engine: EngineId, id: RequestId, attempt: u16) {
-        self.tell(engine, Order::Quit(id, attempt));
+    fn quit(&mut self, engine: EngineId, id: RequestId, attempt: u16, again: bool) {
+        self.tell(engine, Order::Quit(id, attempt, again));
     }
 
     fn priority(&mut self, engine: EngineId, id: RequestId, attempt: u16, priority: u8) {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod attempt;
 mod choice;
 mod clients;
 pub mod config;
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -136,8 +136,16 @@
     pub late_arrivals: Duration,
     /// Before a client's deadline, in ms, at which an open attempt is given up and answered.
     pub answer_margin_ms: f64,
-    /// From giving an attempt up to calling it ended, in ms: it has then reached the socket.
-    pub quit_settle_ms: f64,
+    /// From giving an attempt up to the last byte of the word for that: a peer that takes it no sooner has its
+    /// connection closed.
+    pub quit_write: Duration,
+    /// The same to the engine's word that it has read it, where another attempt may follow: longer than engines are
+    /// known to stand still.
+    pub quit_heard: Duration,
+    /// The word is given again while nothing proves the end, at this interval in ms.
+    pub quit_again_ms: f64,
+    /// And without a proof for this long, in ms, the request ends.
+    pub unproven_ms: f64,
     /// An attempt on a repeatable class whose engine said nothing for this long, in ms, is given up.
     pub silence_ms: f64,
 }
@@ -216,7 +224,10 @@
             feed_retry: (Duration::from_millis(50), Duration::from_millis(500)),
             late_arrivals: Duration::from_millis(1000),
             answer_margin_ms: 10.0,
-            quit_settle_ms: 5.0,
+            quit_write: Duration::from_millis(250),
+            quit_heard: Duration::from_millis(400),
+            quit_again_ms: 50.0,
+            unproven_ms: 2000.0,
             silence_ms: if notes && progress > 0.0 { (progress * 6.0).max(3000.0) } else { f64::INFINITY },
         }
     }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -530,6 +530,18 @@
     c1 expect 1 served b\\n
 "
 )]
+#[case::what_hangs_is_called_off_and_sent_again(
+    "
+    c1 send 1 seat-check
+    e expect ASK c1.1
+    e expect QUIT c1.1
+    e expect ASK c1.1
+    wait given_up=1
+    e send c1.1 served batches=1 a\\n
+    c1 expect 1 served a\\n
+    wait sent=2
+"
+)]
 #[case::what_is_gone_ends_though_nothing_is_reset(
     "
     feed expect 1
@@ -620,7 +632,8 @@
 /// time here is the close of a silent client.)
 #[test]
 fn a_silent_connection_carries_nothing_new() {
-    let script = "c1 send 1 seat-check\ne expect ASK c1.1\nc2 expect closed\nc1 send 2 seat-check\n\
+    // Of an effort that lets it wait on for longer than this.
+    let script = "c1 send 1 usage-report effort=9000.0\ne expect ASK c1.1\nc2 expect closed\nc1 send 2 seat-check\n\
                   e expect ASK c1.2\ne send c1.2 served batches=1 a\\n\nc1 expect 2 served a\\n\n\
                   wait engine_conns=2\nc1 send cancel 1\ne expect QUIT c1.1\n";
     play(1, Speech::Lines, script);
@@ -725,6 +738,18 @@
     f1 expect 2 InvalidArgument
 "
 )]
+#[case::what_hangs_is_called_off_and_sent_again(
+    "
+    f1 send 1 seat-check
+    e expect ASK f1.1
+    e expect QUIT f1.1
+    e expect ASK f1.1
+    wait given_up=1
+    e send f1.1 served a\\tb\\tc\\n
+    f1 expect 1 served a\\tb\\tc\\n
+    wait sent=2
+"
+)]
 #[case::a_dropped_call_is_given_up(
     "
     f1 send 1 usage-report
@@ -848,7 +873,7 @@
     s expect $.2.0=0
     s send next $.41.0
     s expect $.42.0=0
-    s send next $.47.0
+    s send next $.50.0
     s expect $.100.1.2.1=seat-check
     s send next $.100.1.5.3
     s expect $.100.1.5.3=EndOfMibView
--- a/tests/scene/engines.rs
+++ b/tests/scene/engines.rs
@@ -300,6 +300,12 @@
                 }
                 let words: Vec<&str> = line.split_whitespace().collect();
                 let id = words[1].to_owned();
+                if words[0] == "NOOP" {
+                    let mut to = write.lock().await;
+                    let green = format!("{id} green - 0\r\n\r\n");
+                    to.as_mut().expect("connection").write_all(green.as_bytes()).await.expect("write");
+                    continue;
+                }
                 if words[0] == "ASK" {
                     let mut body = vec![0; words[3].parse::<usize>().expect("length") + 2];
                     read.read_exact(&mut body).await.expect("statement");
