Add policies of attempts by class and route, resolved by an index of cells

Need: the operators wish time-outs, repeats and second copies by route or class in their own file. Keys are laid key by key from the default over the class to the narrowest route; two routes that disagree with neither within the other are a fault, and all faults are told at once. Nothing sets or asks them yet, so the program acts as before.

The property test of interleavings draws bans and new settings too.

--- /dev/null
+++ b/src/attempts/mod.rs
@@ -0,0 +1,184 @@
+//! What a request's attempts may do, by class and route: time-outs, how often and after which ends to try again, how
+//! long to wait before, and how much of that all requests may do together. Decisions and state alone: no I/O, and no
+//! clock but the times handed in. The design is in `docs/attempts-design.md`.
+
+mod budget;
+mod latency;
+mod routes;
+
+pub use budget::{Budget, Spent};
+pub use latency::Latency;
+pub use routes::{Front, Match, Route, Routes, Where};
+
+use crate::core::never_ran;
+use crate::interface::{Millis, Outcome};
+use std::sync::Arc;
+
+/// The ends of an attempt that may be followed by another one, as a set.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Ends(u8);
+
+/// Those ends with their names in the operators' file.
+pub const ENDS: [(&str, Outcome); 6] = [
+    ("no-connection", Outcome::NoConnection),
+    ("full", Outcome::Full),
+    ("never-sent", Outcome::Moot),
+    ("reset", Outcome::Reset),
+    ("error", Outcome::Error),
+    ("timed-out", Outcome::TimedOut),
+];
+
+impl Ends {
+    /// All of them.
+    pub fn all() -> Ends {
+        ENDS.iter().fold(Ends::default(), |all, (_, end)| all.with(*end))
+    }
+
+    /// This set and one more. A called-off attempt counts as timed out: it took too long.
+    #[must_use]
+    pub fn with(self, end: Outcome) -> Ends {
+        Ends(self.0 | Ends::bit(end))
+    }
+
+    /// Whether it has this end.
+    pub fn has(self, end: Outcome) -> bool {
+        self.0 & Ends::bit(end) != 0
+    }
+
+    /// Those among them after which the attempt may have run.
+    pub fn that_may_have_run(self) -> impl Iterator<Item = &'static str> {
+        ENDS.iter().filter(move |(_, end)| self.has(*end) && !never_ran(*end)).map(|(name, _)| *name)
+    }
+
+    fn bit(end: Outcome) -> u8 {
+        let end = if end == Outcome::Cancelled { Outcome::TimedOut } else { end };
+        ENDS.iter().position(|(_, e)| *e == end).map_or(0, |at| 1 << at)
+    }
+}
+
+/// Waits before further attempts, in ms.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct BackOff {
+    /// Before the second attempt; twice as long before each further one.
+    pub base_ms: Millis,
+    /// At most.
+    pub max_ms: Millis,
+    /// The share of a wait, from 0 to 1, that chance may take off.
+    pub jitter: f64,
+}
+
+impl BackOff {
+    /// The wait before the next attempt, after so many (from 1); `chance` is from 0 to 1.
+    pub fn wait_ms(&self, made: u16, chance: f64) -> Millis {
+        let doublings = i32::from(made.saturating_sub(1).min(30));
+        let whole = (self.base_ms * 2f64.powi(doublings)).min(self.max_ms);
+        whole * (1.0 - self.jitter * chance.clamp(0.0, 1.0))
+    }
+
+    /// All waits of so many attempts, without jitter.
+    pub fn all_ms(&self, attempts: u32) -> Millis {
+        (1..attempts.min(64)).map(|made| self.wait_ms(made as u16, 0.0)).sum()
+    }
+}
+
+/// When a second copy of an attempt goes out.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum After {
+    /// Once the attempt has been out this long, in ms.
+    Ms(Millis),
+    /// Once it has been out for longer than this share of its class's usual ones, as 0.95.
+    Quantile(f64),
+}
+
+/// Second copies.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SecondCopy {
+    /// When.
+    pub after: After,
+    /// Copies against first attempts.
+    pub ratio: f64,
+}
+
+/// The keys that a table of the operators' file sets; none where it leaves one out.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Keys {
+    /// The whole request, in ms.
+    pub timeout_ms: Option<Millis>,
+    /// One attempt, in ms.
+    pub attempt_timeout_ms: Option<Millis>,
+    /// Attempts, the first included.
+    pub max_attempts: Option<u32>,
+    /// The ends that may be followed by another attempt.
+    pub retry_on: Option<Ends>,
+    /// Waits before further attempts.
+    pub backoff: Option<BackOff>,
+    /// Further attempts of all requests that take it from here.
+    pub budget: Option<Arc<Budget>>,
+    /// Second copies.
+    pub second_copy: Option<SecondCopy>,
+}
+
+impl Keys {
+    /// These, and those of `over` in the place of any that both set.
+    pub fn lay(&mut self, over: &Keys) {
+        fn one<T: Clone>(under: &mut Option<T>, over: &Option<T>) {
+            if over.is_some() {
+                under.clone_from(over);
+            }
+        }
+        one(&mut self.timeout_ms, &over.timeout_ms);
+        one(&mut self.attempt_timeout_ms, &over.attempt_timeout_ms);
+        one(&mut self.max_attempts, &over.max_attempts);
+        one(&mut self.retry_on, &over.retry_on);
+        one(&mut self.backoff, &over.backoff);
+        one(&mut self.budget, &over.budget);
+        one(&mut self.second_copy, &over.second_copy);
+    }
+
+    /// The names of the keys that both set, and to different values.
+    pub fn disagree(&self, other: &Keys) -> Vec<&'static str> {
+        fn differ<T: PartialEq>(a: &Option<T>, b: &Option<T>) -> bool {
+            matches!((a, b), (Some(a), Some(b)) if a != b)
+        }
+        let all = [
+            ("timeout_ms", differ(&self.timeout_ms, &other.timeout_ms)),
+            ("attempt_timeout_ms", differ(&self.attempt_timeout_ms, &other.attempt_timeout_ms)),
+            ("max_attempts", differ(&self.max_attempts, &other.max_attempts)),
+            ("retry_on", differ(&self.retry_on, &other.retry_on)),
+            ("backoff", differ(&self.backoff, &other.backoff)),
+            ("budget", differ(&self.budget, &other.budget)),
+            ("second_copy", differ(&self.second_copy, &other.second_copy)),
+        ];
+        all.into_iter().filter(|(_, differ)| *differ).map(|(name, _)| name).collect()
+    }
+}
+
+/// What may follow an end.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Next {
+    /// Another attempt, after this wait in ms.
+    After(Millis),
+    /// None: the policy has no attempt left, or none after such an end.
+    Ended,
+    /// None for now: the budget is spent.
+    Held,
+}
+
+impl Keys {
+    /// What may follow this end of an attempt, after so many, with `spent` of the budget at `now`. A key that nothing
+    /// sets bars nothing.
+    pub fn next(&self, made: u16, end: Outcome, spent: &mut Spent, now: Millis, chance: f64) -> Next {
+        if self.max_attempts.is_some_and(|most| u32::from(made) >= most)
+            || self.retry_on.is_some_and(|ends| !ends.has(end))
+        {
+            return Next::Ended;
+        }
+        if self.budget.as_ref().is_some_and(|budget| !spent.take(budget, now)) {
+            return Next::Held;
+        }
+        Next::After(self.backoff.map_or(0.0, |wait| wait.wait_ms(made, chance)))
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/attempts/routes.rs
@@ -0,0 +1,227 @@
+//! Which keys hold for a request: the default's, its class's, and those of the routes that match it, the narrower over
+//! the broader. An index of cells answers in a time that does not grow with the number of routes.
+
+use super::Keys;
+use std::collections::{BTreeSet, HashMap};
+use std::fmt;
+
+/// Cells that all routes together may take.
+const CELLS: usize = 1 << 18;
+
+/// The front over which a request came.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Front {
+    /// The platform's MessagePack-RPC.
+    Platform,
+    /// Arrow Flight SQL.
+    Flight,
+}
+
+/// What a request is, as far as routes ask. Classes and members by their positions in the settings.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Where {
+    /// Its class.
+    pub class: usize,
+    /// Its member.
+    pub member: usize,
+    /// Its front.
+    pub front: Front,
+    /// Its data set.
+    pub data_set: u32,
+}
+
+/// What a route matches. A set that is left out matches all.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Match {
+    /// Classes.
+    pub class: Option<BTreeSet<usize>>,
+    /// Members.
+    pub member: Option<BTreeSet<usize>>,
+    /// Fronts.
+    pub front: Option<BTreeSet<Front>>,
+    /// Data sets.
+    pub data_set: Option<BTreeSet<u32>>,
+}
+
+fn within<T: Ord>(a: &Option<BTreeSet<T>>, b: &Option<BTreeSet<T>>) -> bool {
+    match (a, b) {
+        (_, None) => true,
+        (None, Some(_)) => false,
+        (Some(a), Some(b)) => a.is_subset(b),
+    }
+}
+
+fn meets<T: Ord>(a: &Option<BTreeSet<T>>, b: &Option<BTreeSet<T>>) -> bool {
+    match (a, b) {
+        (Some(a), Some(b)) => !a.is_disjoint(b),
+        _ => true,
+    }
+}
+
+impl Match {
+    /// Whether all that it matches is matched by `other`.
+    pub fn within(&self, other: &Match) -> bool {
+        within(&self.class, &other.class)
+            && within(&self.member, &other.member)
+            && within(&self.front, &other.front)
+            && within(&self.data_set, &other.data_set)
+    }
+
+    /// Whether a request may match both.
+    pub fn meets(&self, other: &Match) -> bool {
+        meets(&self.class, &other.class)
+            && meets(&self.member, &other.member)
+            && meets(&self.front, &other.front)
+            && meets(&self.data_set, &other.data_set)
+    }
+
+    /// Whether nothing can match it.
+    pub fn empty(&self) -> bool {
+        self.class.as_ref().is_some_and(BTreeSet::is_empty)
+            || self.member.as_ref().is_some_and(BTreeSet::is_empty)
+            || self.front.as_ref().is_some_and(BTreeSet::is_empty)
+            || self.data_set.as_ref().is_some_and(BTreeSet::is_empty)
+    }
+
+    fn cells(&self) -> usize {
+        let all = [
+            self.class.as_ref().map(BTreeSet::len),
+            self.member.as_ref().map(BTreeSet::len),
+            self.front.as_ref().map(BTreeSet::len),
+            self.data_set.as_ref().map(BTreeSet::len),
+        ];
+        all.into_iter().flatten().fold(1, usize::saturating_mul)
+    }
+}
+
+/// A route of the operators' file.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Route {
+    /// Its name.
+    pub name: String,
+    /// What it matches.
+    pub matches: Match,
+    /// What it sets.
+    pub keys: Keys,
+}
+
+/// Why routes cannot be used.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// Nothing can match it.
+    Empty(String),
+    /// Both match some request, neither lies within the other, and they disagree on these keys.
+    Disagree(String, String, Vec<&'static str>),
+    /// The routes together name more combinations than the index takes.
+    TooMany(usize),
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Fault::Empty(name) => write!(f, "route {name:?} can match no request; name what it is to match"),
+            Fault::Disagree(a, b, keys) => write!(
+                f,
+                "routes {a:?} and {b:?} match the same requests and disagree on {}; let one lie within the other",
+                keys.join(", ")
+            ),
+            Fault::TooMany(cells) => {
+                write!(f, "routes name {cells} combinations of matchers, more than {CELLS}; leave some out")
+            }
+        }
+    }
+}
+
+/// A cell: the values of a request, and none where a route leaves the matcher out.
+type Cell = (Option<usize>, Option<usize>, Option<Front>, Option<u32>);
+
+fn cell(at: &Where, pattern: u8) -> Cell {
+    let has = |bit: u8| pattern & bit != 0;
+    (
+        has(1).then_some(at.class),
+        has(2).then_some(at.member),
+        has(4).then_some(at.front),
+        has(8).then_some(at.data_set),
+    )
+}
+
+fn each<T: Copy>(set: &Option<BTreeSet<T>>) -> Vec<Option<T>> {
+    set.as_ref().map_or(vec![None], |all| all.iter().copied().map(Some).collect())
+}
+
+/// All keys, ready to be looked up.
+#[derive(Clone, Debug, Default)]
+pub struct Routes {
+    /// By class: the default's keys with the class's over them.
+    classes: Vec<Keys>,
+    cells: HashMap<Cell, Keys>,
+    /// The patterns that some route has, from fewest values to most.
+    patterns: Vec<u8>,
+}
+
+impl Routes {
+    /// An index over these tables; `classes` by position, none where the file has no table for one. All faults at once.
+    pub fn new(default: &Keys, classes: &[Option<Keys>], routes: &[Route]) -> Result<Routes, Vec<Fault>> {
+        let mut faults: Vec<Fault> =
+            routes.iter().filter(|r| r.matches.empty()).map(|r| Fault::Empty(r.name.clone())).collect();
+        for (i, a) in routes.iter().enumerate() {
+            for b in routes[i + 1..].iter().filter(|b| a.matches.meets(&b.matches)) {
+                // Two that match the same lie within each other, and neither is the narrower.
+                let (inner, outer) = (a.matches.within(&b.matches), b.matches.within(&a.matches));
+                let keys = if inner == outer { a.keys.disagree(&b.keys) } else { Vec::new() };
+                if !keys.is_empty() {
+                    faults.push(Fault::Disagree(a.name.clone(), b.name.clone(), keys));
+                }
+            }
+        }
+        let cells = routes.iter().map(|r| r.matches.cells()).fold(0, usize::saturating_add);
+        if cells > CELLS {
+            faults.push(Fault::TooMany(cells));
+        }
+        if !faults.is_empty() {
+            return Err(faults);
+        }
+        let mut index = Routes::default();
+        for class in classes {
+            let mut keys = default.clone();
+            class.iter().for_each(|over| keys.lay(over));
+            index.classes.push(keys);
+        }
+        // The broader first, so that the narrower of one cell is laid over it: whoever lies within another matches no
+        // more combinations of it, or the same with fewer values left open.
+        let mut order: Vec<&Route> = routes.iter().collect();
+        order.sort_by(|a, b| {
+            let breadth = |m: &Match| m.cells();
+            breadth(&b.matches).cmp(&breadth(&a.matches))
+        });
+        let mut patterns = BTreeSet::new();
+        for route in order {
+            let m = &route.matches;
+            let bits = [m.class.is_some(), m.member.is_some(), m.front.is_some(), m.data_set.is_some()];
+            let pattern = bits.iter().enumerate().fold(0u8, |all, (i, set)| all | u8::from(*set) << i);
+            patterns.insert((pattern.count_ones(), pattern));
+            for class in each(&m.class) {
+                for member in each(&m.member) {
+                    for front in each(&m.front) {
+                        for data_set in each(&m.data_set) {
+                            index.cells.entry((class, member, front, data_set)).or_default().lay(&route.keys);
+                        }
+                    }
+                }
+            }
+        }
+        index.patterns = patterns.into_iter().map(|(_, pattern)| pattern).collect();
+        Ok(index)
+    }
+
+    /// The keys that hold for a request.
+    pub fn resolve(&self, at: &Where) -> Keys {
+        let mut keys = self.classes.get(at.class).cloned().unwrap_or_default();
+        for pattern in &self.patterns {
+            if let Some(over) = self.cells.get(&cell(at, *pattern)) {
+                keys.lay(over);
+            }
+        }
+        keys
+    }
+}
--- a/src/core/interleavings.rs
+++ b/src/core/interleavings.rs
@@ -243,6 +243,7 @@
     let limits = Arc::new(Limits::new(256, 32, true, &parsed));
     let counters = Arc::<Counters>::default();
     let (port, told, classes) = (Port::default(), Arc::<Told>::default(), parsed.classes);
+    let usual = parsed.settings.clone();
     let mut core = Core::new(parsed.settings, 7, port.clone(), limits, counters.clone()).expect("core");
     let (mut now, mut next) = (1000.0, 1);
     core.begin(now);
@@ -287,6 +288,15 @@
                 [ListState::Draining, ListState::Ready][pick / 8 % 2],
             ),
             6 => port.world().dropped = pick % 4 == 0,
+            19 if pick % 16 == 0 => {
+                let (done, _) = tokio::sync::oneshot::channel();
+                let (engine, out) = (engine_id(1 + pick as u32 / 64 % ENGINES), pick & 16 == 0);
+                core.urgent(now, Urgent::Ban { engine, out, at: now, told: true, done });
+            }
+            20 if pick % 16 == 0 => {
+                let attempts_cap = 1 + pick as u32 / 32 % 6;
+                core.handle(now, Input::Settings(Box::new(Settings { attempts_cap, ..usual.clone() })));
+            }
             7 if conns > 0 && pick % 32 == 0 => port.world().close(at),
             8 if conns > 0 && pick % 8 == 0 => {
                 let all = [Outcome::Ok, Outcome::Error, Outcome::Full, Outcome::Moot];
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 #![warn(missing_docs)]
 
 pub mod attempt;
+pub mod attempts;
 mod choice;
 mod clients;
 pub mod config;
