Say once what both engine speeches, the core and their tests wrote twice

Need: reading the change again showed the same pieces in two places. Behaviour stays as it is.

- A result let go (too large, or a page late): `Connection::free`; a whole result ends its attempt through `over`.
- Requests that owe an answer were counted in a field beside the gauge that says the same; the field is gone, as is a look-up done twice where an end is unproven, and an unused question to an attempt's life.
- A route that can match nothing is one that names no combination, so one sum serves both.
- Tests of engines' actors share one rig, and those of the core one engine and one request.
Their assertions are the same.

--- a/src/attempt.rs
+++ b/src/attempt.rs
@@ -76,11 +76,6 @@
         None
     }
 
-    /// Whether nothing of it has been handed to a connection.
-    pub fn waiting(&self) -> bool {
-        self.0 == Phase::Waiting
-    }
-
     /// Whether it is being given up.
     pub fn giving_up(&self) -> bool {
         matches!(self.0, Phase::GivingUp(..) | Phase::Unheard)
--- a/src/attempts/routes.rs
+++ b/src/attempts/routes.rs
@@ -2,6 +2,7 @@
 //! the broader. An index of cells answers in a time that does not grow with the number of routes.
 
 use super::Keys;
+use std::cmp::Reverse;
 use std::collections::{BTreeSet, HashMap};
 use std::fmt;
 
@@ -77,12 +78,10 @@
 
     /// Whether nothing can match it.
     pub fn empty(&self) -> bool {
-        self.class.as_ref().is_some_and(BTreeSet::is_empty)
-            || self.member.as_ref().is_some_and(BTreeSet::is_empty)
-            || self.front.as_ref().is_some_and(BTreeSet::is_empty)
-            || self.data_set.as_ref().is_some_and(BTreeSet::is_empty)
+        self.cells() == 0
     }
 
+    /// Combinations of the values that it names.
     fn cells(&self) -> usize {
         let all = [
             self.class.as_ref().map(BTreeSet::len),
@@ -187,13 +186,10 @@
             class.iter().for_each(|over| keys.lay(over));
             index.classes.push(keys);
         }
-        // The broader first, so that the narrower of one cell is laid over it: whoever lies within another matches no
-        // more combinations of it, or the same with fewer values left open.
+        // The broader first, so that the narrower of one cell is laid over it: of two routes that name values of the same
+        // matchers, the one within the other names fewer combinations.
         let mut order: Vec<&Route> = routes.iter().collect();
-        order.sort_by(|a, b| {
-            let breadth = |m: &Match| m.cells();
-            breadth(&b.matches).cmp(&breadth(&a.matches))
-        });
+        order.sort_by_key(|route| Reverse(route.matches.cells()));
         let mut patterns = BTreeSet::new();
         for route in order {
             let m = &route.matches;
--- a/src/core/ends.rs
+++ b/src/core/ends.rs
@@ -123,17 +123,15 @@
     /// nothing may follow, so the request ends.
     pub(super) fn unproven(&mut self, now: Millis, id: RequestId, attempt: u16) {
         let Some(open) = self.requests.get_mut(&id) else { return };
-        let Some((out, since)) =
-            open.tries.out_as(attempt, None).and_then(|o| o.quitting.map(|(since, _)| (*o, since)))
-        else {
-            return;
-        };
+        let (over, streaming) = (open.over, open.streaming);
+        let Some(out) = open.tries.out_as(attempt, None) else { return };
+        let (engine, Some((since, _))) = (out.engine, out.quitting) else { return };
         if now - since < self.limits.unproven_ms {
-            self.engines.quit(out.engine, id, attempt, !open.over);
+            self.engines.quit(engine, id, attempt, !over);
             return self.arm(now + self.limits.quit_again_ms, Alarm::Quit(id, attempt));
         }
         self.counters.unproven.up();
-        if !self.requests.get(&id).is_none_or(|o| o.over || o.streaming) {
+        if !over && !streaming {
             self.answer(now, id, Answer::Failed(Why::Lost), Outcome::TimedOut);
             self.tell(now, Event::ClientGone { id });
         }
@@ -161,7 +159,6 @@
         let open = self.requests.get_mut(&id).filter(|o| !o.over)?;
         open.over = true;
         let (client, out) = (open.taken.client.clone(), open.tries.out().is_some());
-        self.owed -= 1;
         self.counters.open.down();
         match out {
             true => self.give_up(now, id, as_what),
@@ -175,7 +172,6 @@
         self.names.remove(&open.taken.name);
         self.held_bytes -= open.taken.statement.len();
         if !open.over {
-            self.owed -= 1;
             self.counters.open.down();
         }
     }
--- a/src/core/interleavings.rs
+++ b/src/core/interleavings.rs
@@ -2,6 +2,7 @@
 //! their turns, no engine has an attempt of a request while another one may be running, and what may run once only
 //! runs once. Connections are modelled round the real [`Life`]; the core and the module are the real ones.
 
+use super::tests::{listed, taken};
 use super::*;
 use crate::attempt::{End, Life};
 use crate::config::{Listed, engine_id};
@@ -178,8 +179,7 @@
             let given_up = attempt.life.giving_up();
             let end = attempt.life.closed(conn.written);
             let outcome = if end == End::Unsent { Outcome::NoConnection } else { Outcome::Reset };
-            let ended = EngineNews::Ended { outcome, billed_ms: None, billed_mb: None, body: None };
-            let news = if given_up { EngineNews::GivenUp(end) } else { ended };
+            let news = if given_up { EngineNews::GivenUp(end) } else { EngineNews::end(outcome) };
             self.news.push_back((engine, key, news));
         }
     }
@@ -228,8 +228,7 @@
 }
 
 fn ready(core: &mut Core<Port>, now: Millis, n: u32, state: ListState) {
-    let entry = EngineEntry { engine: engine_id(n), state, nominal: 1.0, ..EngineEntry::default() };
-    let entries = vec![Listed { entry, address: ([127, 0, 0, 1], 1).into() }];
+    let entries = vec![listed(n, state)];
     core.handle(now, Input::List(ListEvent { number: 0, kind: ListKind::Delta, entries }));
 }
 
@@ -254,24 +253,13 @@
         let at = if conns > 0 { pick % conns } else { 0 };
         match what {
             0 if pick < 48 => {
-                let class = classes[pick % 2].clone();
                 if pick % 2 == 1 {
                     port.world().once.insert(next);
                 }
-                let taken = Taken {
-                    id: next,
-                    name: next.to_be_bytes().to_vec().into(),
-                    class,
-                    due_ms: now + 2000.0 + 20.0 * pick as f64,
-                    cost_ms: Some(30.0),
-                    memory_mb: None,
-                    dataset: 0,
-                    statement: Bytes::new(),
-                    kind: Kind::Query,
-                    client: told.clone(),
-                };
+                let due = now + 2000.0 + 20.0 * pick as f64;
+                let one = taken(next, &classes[pick % 2], due, 30.0, told.clone());
                 next += 1;
-                core.handle(now, Input::Take(taken));
+                core.handle(now, Input::Take(one));
             }
             1 if next > 1 && pick % 4 == 0 => {
                 core.handle(now, Input::Left(1 + pick as u32 % (next - 1)));
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -77,8 +77,6 @@
     requests: HashMap<RequestId, Open>,
     /// Clients' names of the requests that are open.
     names: HashSet<Bytes>,
-    /// Those among them that still owe an answer.
-    owed: usize,
     /// Bytes of their statements.
     held_bytes: usize,
     ready: BTreeMap<EngineId, bool>,
@@ -109,7 +107,6 @@
             counters,
             requests: HashMap::new(),
             names: HashSet::new(),
-            owed: 0,
             held_bytes: 0,
             ready: BTreeMap::new(),
             known: BTreeSet::new(),
@@ -125,9 +122,9 @@
         self.tell(now, Event::Started);
     }
 
-    /// Requests open now.
+    /// Requests open now: those that owe an answer.
     pub fn open(&self) -> usize {
-        self.owed
+        self.counters.open.get() as usize
     }
 
     /// How many entries are held for requests, engines and alarms: here, and in the module.
@@ -274,7 +271,6 @@
             priority: 1,
         };
         self.counters.open.up();
-        self.owed += 1;
         self.held_bytes = bytes;
         self.names.insert(open.taken.name.clone());
         self.requests.insert(id, open);
--- a/src/core/ports.rs
+++ b/src/core/ports.rs
@@ -168,6 +168,13 @@
     },
 }
 
+impl EngineNews {
+    /// An end that brings neither a result nor figures.
+    pub fn end(outcome: Outcome) -> EngineNews {
+        EngineNews::Ended { outcome, billed_ms: None, billed_mb: None, body: None }
+    }
+}
+
 /// What comes into the core's mailbox.
 pub enum Input {
     /// A client's request.
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -3,7 +3,7 @@
 use super::*;
 use crate::attempt::End;
 use crate::config::{Listed, engine_id};
-use crate::settings;
+use crate::settings::{self, Named};
 
 /// Engines that take attempts and say nothing; what they are told to give up is kept.
 #[derive(Default)]
@@ -29,6 +29,34 @@
     fn answer(&self, _: RequestId, _: Answer) {}
 }
 
+/// An engine as the list has it.
+pub(super) fn listed(n: u32, state: ListState) -> Listed {
+    let entry = EngineEntry { engine: engine_id(n), state, nominal: 1.0, ..EngineEntry::default() };
+    Listed { entry, address: ([127, 0, 0, 1], 1).into() }
+}
+
+/// A request of this class and effort.
+pub(super) fn taken(
+    id: RequestId,
+    class: &Arc<Named>,
+    due_ms: Millis,
+    cost_ms: f64,
+    client: Arc<dyn ClientPort>,
+) -> Taken {
+    Taken {
+        id,
+        name: id.to_be_bytes().to_vec().into(),
+        class: class.clone(),
+        due_ms,
+        cost_ms: Some(cost_ms),
+        memory_mb: None,
+        dataset: 0,
+        statement: Bytes::new(),
+        kind: Kind::Query,
+        client,
+    }
+}
+
 /// Guard: nothing grows with what was ever seen. A long day in which engines are replaced, some left out of a
 /// whole list and never told gone, and clients leave, time out or are served.
 #[test]
@@ -42,38 +70,22 @@
     let classes = parsed.classes;
     let mut core = Core::new(parsed.settings, 7, Silent::default(), limits, Arc::default()).expect("core");
     core.begin(0.0);
-    let line = |n: u32, state| Listed {
-        entry: EngineEntry { engine: engine_id(n), state, nominal: 1.0, ..EngineEntry::default() },
-        address: ([127, 0, 0, 1], 1).into(),
-    };
     let (mut now, mut most) = (0.0, ([0; 4], [0; 4]));
     for round in 0..3000 {
         now += 20.0;
         core.alarms(now);
         let next = round / 10 + 1;
         let (kind, entries) = match round % 10 {
-            0 if next % 2 == 0 => (ListKind::Full, vec![line(next, ListState::Ready)]),
-            0 => (ListKind::Delta, vec![line(next, ListState::Ready), line(next - 1, ListState::Gone)]),
+            0 if next % 2 == 0 => (ListKind::Full, vec![listed(next, ListState::Ready)]),
+            0 => (ListKind::Delta, vec![listed(next, ListState::Ready), listed(next - 1, ListState::Gone)]),
             _ => (ListKind::Delta, Vec::new()),
         };
         core.handle(now, Input::List(ListEvent { number: 0, kind, entries }));
         for n in 0..20 {
             let id = round * 20 + n;
-            core.handle(
-                now,
-                Input::Take(Taken {
-                    id,
-                    name: id.to_be_bytes().to_vec().into(),
-                    class: classes[(n % 2) as usize].clone(),
-                    due_ms: now + if n < 5 { 300.0 } else { 20_000.0 },
-                    cost_ms: Some(50.0),
-                    memory_mb: None,
-                    dataset: id,
-                    statement: Bytes::new(),
-                    kind: Kind::Query,
-                    client: Arc::new(Nobody),
-                }),
-            );
+            let due = now + if n < 5 { 300.0 } else { 20_000.0 };
+            let one = taken(id, &classes[(n % 2) as usize], due, 50.0, Arc::new(Nobody));
+            core.handle(now, Input::Take(Taken { dataset: id, ..one }));
             if n >= 10 {
                 core.handle(now, Input::Left(id));
             } else if let (5.., Some(engine)) = (n, core.engines.0.last().copied()) {
@@ -111,24 +123,11 @@
     let counters: Arc<Counters> = Arc::default();
     let class = parsed.classes[0].clone();
     let mut core = Core::new(parsed.settings, 7, Silent::default(), limits, counters.clone()).expect("core");
-    let entry =
-        EngineEntry { engine: engine_id(1), state: ListState::Ready, nominal: 1.0, ..EngineEntry::default() };
-    let entries = vec![Listed { entry, address: ([127, 0, 0, 1], 1).into() }];
+    let entries = vec![listed(1, ListState::Ready)];
     core.handle(0.0, Input::List(ListEvent { number: 1, kind: ListKind::Full, entries }));
     let ask = |core: &mut Core<Silent>, now: f64, id: u32, cost| {
-        let taken = Taken {
-            id,
-            name: id.to_be_bytes().to_vec().into(),
-            class: class.clone(),
-            due_ms: now + 20_000.0,
-            cost_ms: Some(cost),
-            memory_mb: None,
-            dataset: 0,
-            statement: Bytes::new(),
-            kind: Kind::Query,
-            client: Arc::new(Nobody),
-        };
-        core.handle(now, Input::Take(taken));
+        let one = taken(id, &class, now + 20_000.0, cost, Arc::new(Nobody));
+        core.handle(now, Input::Take(one));
     };
     ask(&mut core, 1000.0, 1, 50.0);
     core.urgent(1000.0, Urgent::Ends(6000.0));
@@ -152,32 +151,11 @@
     let counters: Arc<Counters> = Arc::default();
     let class = parsed.classes[0].clone();
     let mut core = Core::new(parsed.settings, 7, Silent::default(), limits, counters.clone()).expect("core");
-    let line = |n| Listed {
-        entry: EngineEntry {
-            engine: engine_id(n),
-            state: ListState::Ready,
-            nominal: 1.0,
-            ..EngineEntry::default()
-        },
-        address: ([127, 0, 0, 1], 1).into(),
-    };
-    core.handle(
-        0.0,
-        Input::List(ListEvent { number: 1, kind: ListKind::Full, entries: vec![line(1), line(2)] }),
-    );
+    let entries = [1, 2].map(|n| listed(n, ListState::Ready)).to_vec();
+    core.handle(0.0, Input::List(ListEvent { number: 1, kind: ListKind::Full, entries }));
     let ask = |id: u32| {
-        Input::Take(Taken {
-            id,
-            name: Bytes::from_static(b"one name"),
-            class: class.clone(),
-            due_ms: 15_000.0,
-            cost_ms: Some(900.0),
-            memory_mb: None,
-            dataset: 0,
-            statement: Bytes::new(),
-            kind: Kind::Query,
-            client: Arc::new(Nobody),
-        })
+        let one = taken(id, &class, 15_000.0, 900.0, Arc::new(Nobody));
+        Input::Take(Taken { name: Bytes::from_static(b"one name"), ..one })
     };
     core.handle(0.0, ask(1));
     // No engine says anything: the attempt is given up for its silence.
--- a/src/engines/flight/mod.rs
+++ b/src/engines/flight/mod.rs
@@ -6,7 +6,7 @@
 use super::{House, Order};
 use crate::attempt::{End, Life};
 use crate::clients::flight::{CLASS, REF};
-use crate::core::{Ask, Body, EngineNews, Flow, Form, Input, Kind};
+use crate::core::{Ask, Body, EngineNews, Flow, Form, Kind};
 use crate::interface::{EngineId, ListState, LoadReport, Outcome, RequestId};
 use crate::limits::Hold;
 use crate::rows;
@@ -142,17 +142,12 @@
     let end = end.unwrap_or(End::Broken);
     let news = match (quit, end) {
         (Some(_), end) => EngineNews::GivenUp(end),
-        (None, End::Unsent) => news(Outcome::NoConnection),
-        (None, _) => news(Outcome::Reset),
+        (None, End::Unsent) => EngineNews::end(Outcome::NoConnection),
+        (None, _) => EngineNews::end(Outcome::Reset),
     };
     link.tell(key, LoadReport::default(), news).await;
 }
 
-/// An end without a result.
-fn news(outcome: Outcome) -> EngineNews {
-    EngineNews::Ended { outcome, billed_ms: None, billed_mb: None, body: None }
-}
-
 struct Link {
     engine: EngineId,
     address: SocketAddr,
@@ -180,8 +175,8 @@
         wire.clone()
     }
 
-    async fn tell(&self, (id, attempt): Key, report: LoadReport, news: EngineNews) {
-        self.house.core.tell(Input::Engine { engine: self.engine, id, attempt, report, news }).await;
+    async fn tell(&self, key: Key, report: LoadReport, news: EngineNews) {
+        self.house.tell(self.engine, key, report, news).await;
     }
 
     async fn ended(&self, key: Key, outcome: Outcome, told: &MetadataMap, body: Option<Body>) {
@@ -326,10 +321,8 @@
             if size > limits.flight_held_bytes {
                 let (to, rest) = mpsc::channel(limits.flight_pieces);
                 let body = Body { form: Form::Arrow, pieces: std::mem::take(&mut held), rest: Some(rest) };
-                let news = EngineNews::Streaming(body);
-                let report = LoadReport::default();
-                let (id, attempt) = (ask.id, ask.attempt);
-                link.house.core.tell(Input::Engine { engine: link.engine, id, attempt, report, news }).await;
+                let (key, news) = ((ask.id, ask.attempt), EngineNews::Streaming(body));
+                link.tell(key, LoadReport::default(), news).await;
                 flow = Some(to);
                 hold.set(0, limits.share(limits.held_bytes));
             }
--- a/src/engines/lines/answers.rs
+++ b/src/engines/lines/answers.rs
@@ -1,9 +1,8 @@
 //! What an engine answers on a connection: ends, pages of results and notes.
 
 use super::connection::{Attempt, Connection, Pages, once};
-use super::news;
 use crate::attempt::End;
-use crate::core::{Body, EngineNews, Form, Input, never_ran};
+use crate::core::{Body, EngineNews, Form, never_ran};
 use crate::engines::reply::{Broken, Reply, number_of, rows_of, take};
 use crate::interface::{LoadReport, Note, Outcome};
 use crate::limits::Hold;
@@ -49,7 +48,7 @@
             self.house.counters.engine_unasked.up();
             return Ok(());
         };
-        let (id, number) = (attempt.ask.id, attempt.ask.attempt);
+        let key = (attempt.ask.id, attempt.ask.attempt);
         let given_up = attempt.life.giving_up();
         let outcome = match reply.word.as_ref() {
             // Guard: a good answer may come twice. The copy says nothing, and what else is open goes on.
@@ -64,7 +63,7 @@
                 }
                 // Of one that is being given up the engine has let its pages go; what fits the answer is a result.
                 if !attempt.life.tell() && all > 1 {
-                    return self.over(reply.name, report, EngineNews::GivenUp(End::Answered)).await;
+                    return self.over(&reply.name, report, EngineNews::GivenUp(End::Answered)).await;
                 }
                 let mut got = vec![None; all];
                 got[0] = Some(reply.body.clone());
@@ -98,9 +97,7 @@
                     // Nor where all results together outgrow the memory.
                     let fits = pages.hold.set(size, self.house.limits.share(self.house.limits.held_bytes));
                     if size > self.house.limits.answer_bytes || !fits {
-                        let Some(attempt) = self.attempts.remove(&reply.name) else { return Ok(()) };
-                        self.line("FREE", &reply.name, None);
-                        self.end(attempt.ask, news(Outcome::Error));
+                        self.free(&reply.name, Outcome::Error);
                         return Ok(());
                     }
                 }
@@ -117,10 +114,7 @@
                 };
                 self.house.counters.notes.up();
                 let news = EngineNews::Note(note);
-                self.house
-                    .core
-                    .tell(Input::Engine { engine: self.engine, id, attempt: number, report, news })
-                    .await;
+                self.house.tell(self.engine, key, report, news).await;
                 return Ok(());
             }
             // An answer after the pages began says that they are lost, and the query has run.
@@ -131,16 +125,15 @@
             _ => return Err(self.malformed()),
         };
         let end = attempt.life.answered(!never_ran(outcome));
-        let told = if given_up { EngineNews::GivenUp(end) } else { news(outcome) };
-        self.over(reply.name, report, told).await
+        let told = if given_up { EngineNews::GivenUp(end) } else { EngineNews::end(outcome) };
+        self.over(&reply.name, report, told).await
     }
 
     /// The engine told the end of an attempt.
-    async fn over(&mut self, name: Bytes, report: LoadReport, news: EngineNews) -> Result<(), Broken> {
-        let Some(attempt) = self.answered(&name) else { return Ok(()) };
+    async fn over(&mut self, name: &Bytes, report: LoadReport, news: EngineNews) -> Result<(), Broken> {
+        let Some(attempt) = self.answered(name) else { return Ok(()) };
         self.load.take_off(once(&attempt.ask));
-        let (id, attempt) = (attempt.ask.id, attempt.ask.attempt);
-        self.house.core.tell(Input::Engine { engine: self.engine, id, attempt, report, news }).await;
+        self.house.tell(self.engine, (attempt.ask.id, attempt.ask.attempt), report, news).await;
         Ok(())
     }
 
@@ -151,12 +144,9 @@
 
     /// Passes a result on once all its pages are in.
     async fn whole(&mut self, name: &Bytes) -> Result<(), Broken> {
-        let pages = self.attempts.get(name).and_then(|a| a.pages.as_ref());
-        if !pages.is_some_and(|p| p.got.iter().all(Option::is_some)) {
-            return Ok(());
-        }
-        let Some(Attempt { ask, pages: Some(pages), .. }) = self.answered(name) else { return Ok(()) };
-        self.load.take_off(once(&ask));
+        let pages = self.attempts.get_mut(name).map(|a| &mut a.pages);
+        let whole = |p: &mut Pages| p.got.iter().all(Option::is_some);
+        let Some(pages) = pages.and_then(|pages| pages.take_if(whole)) else { return Ok(()) };
         let pieces: Vec<Bytes> = pages.got.into_iter().flatten().collect();
         let fits = pages.all == pieces.len()
             && pieces.iter().map(Bytes::len).sum::<usize>() <= self.house.limits.answer_bytes;
@@ -164,9 +154,7 @@
             if fits { (Outcome::Ok, Some(Body::whole(Form::Text, pieces))) } else { (Outcome::Error, None) };
         let (billed_ms, billed_mb) = (pages.billed_ms, pages.billed_mb);
         let news = EngineNews::Ended { outcome, billed_ms, billed_mb, body };
-        let (id, attempt, report) = (ask.id, ask.attempt, pages.report);
-        self.house.core.tell(Input::Engine { engine: self.engine, id, attempt, report, news }).await;
-        Ok(())
+        self.over(name, pages.report, news).await
     }
 
     /// Gives up results whose next page does not come.
@@ -175,10 +163,7 @@
         let names: Vec<Bytes> =
             self.attempts.iter().filter(|(_, a)| late(a)).map(|(n, _)| n.clone()).collect();
         for name in names {
-            if let Some(attempt) = self.attempts.remove(&name) {
-                self.line("FREE", &name, None);
-                self.end(attempt.ask, news(Outcome::TimedOut));
-            }
+            self.free(&name, Outcome::TimedOut);
         }
     }
 
--- a/src/engines/lines/connection.rs
+++ b/src/engines/lines/connection.rs
@@ -1,6 +1,6 @@
 //! One connection to an engine: an actor that writes attempts and the words for them, and hears the answers.
 
-use super::{Back, ended, news};
+use super::{Back, ended};
 use crate::attempt::{End, Life};
 use crate::core::{Ask, EngineNews};
 use crate::engines::place::Load;
@@ -161,8 +161,8 @@
             let told = match attempt.life.closed(written) {
                 end if given_up => EngineNews::GivenUp(end),
                 // An attempt that was not written whole provably never ran; any other may have.
-                End::Unsent => news(Outcome::NoConnection),
-                _ => news(Outcome::Reset),
+                End::Unsent => EngineNews::end(Outcome::NoConnection),
+                _ => EngineNews::end(Outcome::Reset),
             };
             self.end(attempt.ask, told);
         }
@@ -175,10 +175,18 @@
         self.ends.push((ask, told));
     }
 
+    /// Lets a result go that is not wanted any more; its attempt ends as this.
+    pub(super) fn free(&mut self, name: &Bytes, outcome: Outcome) {
+        if let Some(attempt) = self.attempts.remove(name) {
+            line(&mut self.out, "FREE", name, None);
+            self.end(attempt.ask, EngineNews::end(outcome));
+        }
+    }
+
     /// What waits is not sent at all.
     fn unsent(&mut self) {
         for ask in std::mem::take(&mut self.waiting) {
-            self.end(ask, news(Outcome::NoConnection));
+            self.end(ask, EngineNews::end(Outcome::NoConnection));
         }
     }
 
@@ -333,7 +341,7 @@
 
     fn order(&mut self, order: Order) {
         match order {
-            Order::Ask(ask) if self.shut() => self.end(ask, news(Outcome::NoConnection)),
+            Order::Ask(ask) if self.shut() => self.end(ask, EngineNews::end(Outcome::NoConnection)),
             Order::Ask(ask) => self.waiting.push_back(ask),
             Order::Quit(id, attempt, again) => self.quit(id, attempt, again),
             Order::Priority(id, attempt, n) => {
--- a/src/engines/lines/mod.rs
+++ b/src/engines/lines/mod.rs
@@ -6,7 +6,7 @@
 
 use super::place::{Conn, Load, place};
 use super::{House, Order};
-use crate::core::{Ask, EngineNews, Input};
+use crate::core::{Ask, EngineNews};
 use crate::interface::{Effect, EngineId, ListState, LoadReport, Outcome};
 use connection::Connection;
 use std::net::SocketAddr;
@@ -50,7 +50,7 @@
         };
         // Guard: what a broken connection gave back finds no new one to what drains or was taken out meanwhile.
         if !ready || banned.load(Ordering::Relaxed) {
-            ended(&house, engine, &ask, news(Outcome::NoConnection)).await;
+            ended(&house, engine, &ask, EngineNews::end(Outcome::NoConnection)).await;
             continue;
         }
         let once = ask.class.class.effect == Effect::Once;
@@ -78,7 +78,7 @@
         if let Err(refused) = conns[conn].orders.try_send(Order::Ask(ask)) {
             conns[conn].load.take_off(once);
             if let Order::Ask(ask) = refused.into_inner() {
-                ended(&house, engine, &ask, news(Outcome::NoConnection)).await;
+                ended(&house, engine, &ask, EngineNews::end(Outcome::NoConnection)).await;
             }
         }
     }
@@ -92,14 +92,8 @@
     broken: Arc<AtomicUsize>,
 }
 
-/// An end without a result.
-fn news(outcome: Outcome) -> EngineNews {
-    EngineNews::Ended { outcome, billed_ms: None, billed_mb: None, body: None }
-}
-
 async fn ended(house: &House, engine: EngineId, ask: &Ask, news: EngineNews) {
-    let report = LoadReport::default();
-    house.core.tell(Input::Engine { engine, id: ask.id, attempt: ask.attempt, report, news }).await;
+    house.tell(engine, (ask.id, ask.attempt), LoadReport::default(), news).await;
 }
 
 #[cfg(test)]
--- a/src/engines/lines/tests.rs
+++ b/src/engines/lines/tests.rs
@@ -2,77 +2,16 @@
 
 use super::*;
 use crate::attempt::End;
-use crate::core::{Clock, Handle, Inputs};
-use crate::engines::tests::{ask, ask_of};
+use crate::engines::tests::{LARGE, Rig, ask, ask_of, block, given_up};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
-use tokio::time::{sleep, timeout};
-
-/// More than the buffers of both sockets take.
-const LARGE: usize = 24 << 20;
-
-/// An engine's actor with the peer that it connects to.
-struct Rig {
-    listener: TcpListener,
-    orders: mpsc::Sender<Order>,
-    news: Inputs,
-    house: House,
-    banned: Arc<AtomicBool>,
-}
-
-impl Rig {
-    async fn new() -> Rig {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
-        let address = listener.local_addr().expect("address");
-        let (core, news) = Handle::new(64, Clock::new());
-        let (house, banned) = (House::for_tests(core), Arc::<AtomicBool>::default());
-        let (orders, mailbox) = mpsc::channel(64);
-        tokio::spawn(run(EngineId::default(), address, mailbox, house.clone(), banned.clone()));
-        Rig { listener, orders, news, house, banned }
-    }
-
-    async fn tell(&self, order: Order) {
-        self.orders.send(order).await.expect("order");
-    }
-
-    async fn accept(&self) -> TcpStream {
-        self.listener.accept().await.expect("accept").0
-    }
-
-    /// The next end, with its attempt.
-    async fn end(&mut self) -> (u32, EngineNews) {
-        loop {
-            let next = timeout(Duration::from_secs(20), self.news.input()).await.expect("an end");
-            if let Some(Input::Engine { id, news, .. }) = next {
-                return (id, news);
-            }
-        }
-    }
-
-    /// Whether anything was told, after all actors had their turns.
-    async fn silent(&mut self) -> bool {
-        for _ in 0..100 {
-            tokio::task::yield_now().await;
-        }
-        timeout(Duration::ZERO, self.news.input()).await.is_err()
-    }
-}
-
-fn given_up(told: &(u32, EngineNews), id: u32, end: End) -> bool {
-    matches!(told, (at, EngineNews::GivenUp(e)) if *at == id && *e == end)
-}
-
-fn block<F: Future<Output = ()>>(test: F) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("runtime");
-    runtime.block_on(test);
-}
+use tokio::time::sleep;
 
 /// Guard: what waits for a connection when staff take its engine out is given back, and nothing is connected.
 #[test]
 fn a_ban_reaches_what_waits() {
     block(async {
-        let mut rig = Rig::new().await;
+        let mut rig = Rig::lines().await;
         // Behind it in the mailbox: the flag is there before the order is read.
         rig.tell(ask(1)).await;
         rig.banned.store(true, Ordering::Relaxed);
@@ -89,7 +28,7 @@
 #[test]
 fn what_waits_is_over_at_once() {
     block(async {
-        let mut rig = Rig::new().await;
+        let mut rig = Rig::lines().await;
         rig.tell(ask(1)).await;
         rig.tell(Order::Quit(1, 0, false)).await;
         assert!(given_up(&rig.end().await, 1, End::Unsent));
@@ -107,7 +46,7 @@
 #[test]
 fn an_engine_that_reads_slowly() {
     block(async {
-        let mut rig = Rig::new().await;
+        let mut rig = Rig::lines().await;
         rig.tell(ask(1)).await;
         let mut peer = rig.accept().await;
         let mut heard = vec![peer.read_u8().await.expect("a byte")];
@@ -127,7 +66,7 @@
 #[test]
 fn an_attempt_may_follow_once_the_word_is_read() {
     block(async {
-        let mut rig = Rig::new().await;
+        let mut rig = Rig::lines().await;
         rig.tell(ask(1)).await;
         let mut peer = rig.accept().await;
         rig.tell(Order::Quit(1, 0, true)).await;
@@ -146,7 +85,7 @@
 #[test]
 fn a_peer_that_says_nothing_is_closed() {
     block(async {
-        let mut rig = Rig::new().await;
+        let mut rig = Rig::lines().await;
         rig.tell(ask(1)).await;
         let mut peer = rig.accept().await;
         rig.tell(Order::Quit(1, 0, true)).await;
@@ -162,7 +101,7 @@
 #[test]
 fn no_proof_before_the_word_has_left() {
     block(async {
-        let mut rig = Rig::new().await;
+        let mut rig = Rig::lines().await;
         rig.tell(ask_of(1, LARGE)).await;
         let mut peer = rig.accept().await;
         let mut first = [0; 4];
@@ -183,7 +122,7 @@
 #[test]
 fn a_peer_that_reads_nothing_is_closed() {
     block(async {
-        let mut rig = Rig::new().await;
+        let mut rig = Rig::lines().await;
         rig.tell(ask_of(1, LARGE)).await;
         let mut peer = rig.accept().await;
         peer.read_exact(&mut [0; 4]).await.expect("bytes");
@@ -205,7 +144,7 @@
 #[test]
 fn a_break_with_the_word_queued() {
     block(async {
-        let mut rig = Rig::new().await;
+        let mut rig = Rig::lines().await;
         rig.tell(ask_of(1, LARGE)).await;
         let mut peer = rig.accept().await;
         peer.read_exact(&mut [0; 4]).await.expect("bytes");
@@ -223,7 +162,7 @@
 fn answers_that_cross_the_word() {
     block(async {
         for (answer, page) in [("served batches=1 2\r\na\n", true), ("served batches=3 2\r\na\n", false)] {
-            let mut rig = Rig::new().await;
+            let mut rig = Rig::lines().await;
             rig.tell(ask(1)).await;
             rig.tell(ask_of(2, LARGE)).await;
             let mut peer = rig.accept().await;
--- a/src/engines/mod.rs
+++ b/src/engines/mod.rs
@@ -8,9 +8,9 @@
 mod tests;
 
 use crate::config::Listed;
-use crate::core::{Ask, EnginePort, Handle};
+use crate::core::{Ask, EngineNews, EnginePort, Handle, Input};
 use crate::counters::Counters;
-use crate::interface::{EngineId, ListState, RequestId};
+use crate::interface::{EngineId, ListState, LoadReport, RequestId};
 use crate::limits::{Limits, Stock};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -30,6 +30,19 @@
     pub(crate) held: Arc<Stock>,
 }
 
+impl House {
+    /// Tells the core news of an attempt.
+    pub(crate) async fn tell(
+        &self,
+        engine: EngineId,
+        (id, attempt): (RequestId, u16),
+        report: LoadReport,
+        news: EngineNews,
+    ) {
+        self.core.tell(Input::Engine { engine, id, attempt, report, news }).await;
+    }
+}
+
 #[cfg(test)]
 impl House {
     /// One for tests of a single engine's actor.
--- a/src/engines/tests.rs
+++ b/src/engines/tests.rs
@@ -1,8 +1,86 @@
-//! What the tests of engines' actors share.
+//! What the tests of engines' actors share: an actor of either speech and the bare socket that it connects to.
 
-use super::Order;
-use crate::core::{Ask, Kind};
+use super::{House, Order, flight, lines};
+use crate::attempt::End;
+use crate::core::{Ask, Clock, EngineNews, Handle, Input, Inputs, Kind};
+use crate::interface::EngineId;
 use bytes::Bytes;
+use std::future::Future;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+
+/// More than the buffers of both sockets take.
+pub(super) const LARGE: usize = 24 << 20;
+
+/// An engine's actor with the peer that it connects to.
+pub(super) struct Rig {
+    pub(super) listener: TcpListener,
+    orders: mpsc::Sender<Order>,
+    news: Inputs,
+    pub(super) house: House,
+    pub(super) banned: Arc<AtomicBool>,
+}
+
+impl Rig {
+    pub(super) async fn lines() -> Rig {
+        Rig::new(false).await
+    }
+
+    pub(super) async fn flight() -> Rig {
+        Rig::new(true).await
+    }
+
+    async fn new(speaks_flight: bool) -> Rig {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+        let address = listener.local_addr().expect("address");
+        let (core, news) = Handle::new(64, Clock::new());
+        let (house, banned) = (House::for_tests(core), Arc::<AtomicBool>::default());
+        let (orders, mailbox) = mpsc::channel(64);
+        let (engine, shut) = (EngineId::default(), banned.clone());
+        match speaks_flight {
+            true => tokio::spawn(flight::run(engine, address, mailbox, house.clone(), shut)),
+            false => tokio::spawn(lines::run(engine, address, mailbox, house.clone(), shut)),
+        };
+        Rig { listener, orders, news, house, banned }
+    }
+
+    pub(super) async fn tell(&self, order: Order) {
+        self.orders.send(order).await.expect("order");
+    }
+
+    pub(super) async fn accept(&self) -> TcpStream {
+        self.listener.accept().await.expect("accept").0
+    }
+
+    /// The next end, with its attempt.
+    pub(super) async fn end(&mut self) -> (u32, EngineNews) {
+        match timeout(Duration::from_secs(20), self.news.input()).await.expect("an end") {
+            Some(Input::Engine { id, news, .. }) => (id, news),
+            _ => panic!("no end"),
+        }
+    }
+
+    /// Whether nothing was told, after all actors had their turns.
+    pub(super) async fn silent(&mut self) -> bool {
+        for _ in 0..100 {
+            tokio::task::yield_now().await;
+        }
+        timeout(Duration::ZERO, self.news.input()).await.is_err()
+    }
+}
+
+pub(super) fn given_up(told: &(u32, EngineNews), id: u32, end: End) -> bool {
+    matches!(told, (at, EngineNews::GivenUp(e)) if *at == id && *e == end)
+}
+
+pub(super) fn block<F: Future<Output = ()>>(test: F) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("runtime");
+    runtime.block_on(test);
+}
 
 /// An attempt on a small statement.
 pub(super) fn ask(id: u32) -> Order {
