--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,6 +26,7 @@
 mod operations;
 mod rows;
 pub mod settings;
+pub mod signals;
 mod snmp;
 mod sql;
 mod successor;
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -167,7 +167,7 @@
             estimate: 1e8,
             grant_mb: parsed.grant_mb,
             open_per_client: 32,
-            client_conns: sockets / 2 - 12 - ops_callers,
+            client_conns: sockets / 2 - 14 - ops_callers,
             open: parsed.max_open.min(4096),
             input_bytes: part(10),
             output_bytes: part(10),
@@ -307,7 +307,7 @@
         let all = [l.client_conns, l.flight_conns, l.ops_callers, l.engine_conns, l.engines];
         let all = all.iter().map(|n| l.share(*n)).sum::<usize>() + 16;
         assert!(sockets < 256 || 2 * all <= sockets, "twice {all} descriptors of {sockets}");
-        let program = 16; // standard ones, the runtime's, signals, listeners, the agent, the feed twice, files
+        let program = 18; // standard ones, the runtime's, five for signals, listeners, the agent, the feed twice, files
         let all = l.client_conns + l.flight_conns + l.ops_callers + engine_conns + program;
         assert!(all <= sockets, "{all} descriptors of {sockets}");
     }
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,9 +3,10 @@
 
 use magpiechute::config::{Config, ConfigError, Fronts};
 use magpiechute::node::Node;
+use magpiechute::signals::{Heard, Signals};
+use std::io::Write;
 use std::path::Path;
 use std::process::ExitCode;
-use tokio::signal::unix::{SignalKind, signal};
 
 fn main() -> ExitCode {
     let done = tokio::runtime::Builder::new_current_thread()
@@ -25,24 +26,25 @@
 async fn run() -> Result<(), ConfigError> {
     let path = std::env::var_os("NODE_CONFIG")
         .ok_or_else(|| ConfigError("NODE_CONFIG does not name a configuration".to_owned()))?;
-    let hear = |kind| signal(kind).map_err(|e| ConfigError(format!("cannot hear signals: {e}")));
     // Guard: heard from the first moment on, as SIGHUP would end a program that does not hear it.
-    let mut hup = hear(SignalKind::hangup())?;
+    let mut signals = Signals::hear().map_err(|e| ConfigError(format!("cannot hear signals: {e}")))?;
     let config = load(Path::new(&path))?;
     let fronts = std::env::var_os("MAGPIECHUTE_FRONTS").unwrap_or_else(|| "deploy/fronts.toml".into());
     let fronts = Fronts::load(Path::new(&fronts))?;
-    let (mut term, mut int) = (hear(SignalKind::terminate())?, hear(SignalKind::interrupt())?);
-    let mut print = hear(SignalKind::user_defined1())?;
     let name = config.name.clone();
     let node = Node::start(config, fronts).await?;
     let ops = node.ops.map_or(String::new(), |at| format!(", is operated at {at}"));
     eprintln!("magpiechute: {name} serves on {}{ops}", node.listen);
     loop {
-        tokio::select! {
-            _ = term.recv() => break,
-            _ = int.recv() => break,
-            _ = hup.recv() => node.reload(load(Path::new(&path))).await,
-            _ = print.recv() => eprintln!("magpiechute: {}", node.counters),
+        match signals.next().await {
+            Ok(Heard::Terminate | Heard::Interrupt) => break,
+            Ok(Heard::Reload) => node.reload(load(Path::new(&path))).await,
+            Ok(Heard::Print) => say(format!("magpiechute: {}", node.counters)),
+            Err(problem) => {
+                // A program that cannot be told to end would have to be killed: it ends now, as planned.
+                say(format!("magpiechute: no longer hears signals ({problem}), and ends as planned"));
+                break;
+            }
         }
     }
     let counters = node.counters.clone();
@@ -50,14 +52,26 @@
     loop {
         tokio::select! {
             () = &mut end => break,
-            // While it ends there is nothing left to change.
-            _ = hup.recv() => {}
+            // While it ends there is nothing left to change, and a second word to end changes nothing.
+            heard = signals.next() => {
+                if heard.is_err() {
+                    (&mut end).await;
+                    break;
+                }
+            }
         }
     }
-    eprintln!("magpiechute: {counters}");
+    say(format!("magpiechute: {counters}"));
     Ok(())
 }
 
+/// Writes a line to standard error in one write, as that is not buffered and a line of counters has hundreds of parts.
+fn say(mut line: String) {
+    line.push('\n');
+    // Guard: a log that cannot be written changes nothing of the service.
+    let _ = std::io::stderr().write_all(line.as_bytes());
+}
+
 /// The configuration, whole and checked, as a start or SIGHUP finds it.
 fn load(path: &Path) -> Result<Config, ConfigError> {
     let mut config = Config::load(path)?;
