Read and check the operators' file, with every fault and its line; add check and explain

Change: src/file reads a TOML file of 1 MiB at most (read again where it changes while read; folders, non-UTF-8 text and oversize files are faults), refuses unknown keys, checks ranges with garde and the rest in check.rs: routes without names or matchers, names twice, unknown ends, fronts, classes and members with the nearest name, second copies where the settings allow one attempt out or for a class that runs once, ends that may have run for such a class, time-outs longer than a class's give-up time or than the request, more attempts than the platform allows, back-off that alone outlasts the request, routes that disagree or match nothing. A sound file becomes an attempts::Policy; the default's copies and ends that may have run never reach a class that runs once. Budgets hold what they have spent and can carry it over a reload.

The program does not read the file yet: nothing changes on the platform.

--- a/src/attempts/budget.rs
+++ b/src/attempts/budget.rs
@@ -1,12 +1,13 @@
 //! A budget of further attempts against first ones, over a window that slides in ten steps.
 
 use crate::interface::Millis;
+use std::sync::Mutex;
 
 /// Steps of a window.
 const SLOTS: usize = 10;
 
-/// How many further attempts there may be.
-#[derive(Clone, Copy, Debug, PartialEq)]
+/// How many further attempts there may be, and what all requests that take it from one table have spent.
+#[derive(Debug)]
 pub struct Budget {
     /// For each first attempt of the window.
     pub ratio: f64,
@@ -14,6 +15,46 @@
     pub min_per_s: f64,
     /// The window, in ms.
     pub window_ms: Millis,
+    /// Shared by the requests of one table; the core's one thread alone takes it.
+    spent: Mutex<Spent>,
+}
+
+impl PartialEq for Budget {
+    /// Two budgets agree where their figures do; what each has spent is not a setting.
+    fn eq(&self, other: &Budget) -> bool {
+        (self.ratio, self.min_per_s, self.window_ms) == (other.ratio, other.min_per_s, other.window_ms)
+    }
+}
+
+impl Budget {
+    /// A budget with nothing spent.
+    pub fn new(ratio: f64, min_per_s: f64, window_ms: Millis) -> Budget {
+        Budget { ratio, min_per_s, window_ms, spent: Mutex::default() }
+    }
+
+    /// A first attempt goes out.
+    pub fn first(&self, now: Millis) {
+        self.with(|spent, budget| spent.first(budget, now));
+    }
+
+    /// A further attempt would go out: whether it may, which counts it.
+    pub fn take(&self, now: Millis) -> bool {
+        self.with(|spent, budget| spent.take(budget, now))
+    }
+
+    /// Takes over what an earlier budget of the same table and figures has spent, so that a reload saves nothing up.
+    pub fn carry(&self, earlier: &Budget) {
+        if self == earlier {
+            let spent = earlier.with(|spent, _| spent.clone());
+            self.with(|mine, _| *mine = spent);
+        }
+    }
+
+    fn with<T>(&self, what: impl FnOnce(&mut Spent, &Budget) -> T) -> T {
+        // Guard: a panic elsewhere while it was held leaves counts that are still counts.
+        let mut spent = self.spent.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        what(&mut spent, self)
+    }
 }
 
 /// What has been spent of a budget. Its size is fixed, whatever passes.
--- a/src/attempts/mod.rs
+++ b/src/attempts/mod.rs
@@ -4,11 +4,13 @@
 
 mod budget;
 mod latency;
+mod policy;
 mod routes;
 
 pub use budget::{Budget, Spent};
 pub use latency::Latency;
-pub use routes::{Front, Match, Route, Routes, Where};
+pub use policy::{Policy, Source};
+pub use routes::{Fault as RouteFault, Front, Match, Route, Routes, Where};
 
 use crate::core::never_ran;
 use crate::interface::{Millis, Outcome};
@@ -137,22 +139,45 @@
 
     /// The names of the keys that both set, and to different values.
     pub fn disagree(&self, other: &Keys) -> Vec<&'static str> {
-        fn differ<T: PartialEq>(a: &Option<T>, b: &Option<T>) -> bool {
-            matches!((a, b), (Some(a), Some(b)) if a != b)
-        }
-        let all = [
-            ("timeout_ms", differ(&self.timeout_ms, &other.timeout_ms)),
-            ("attempt_timeout_ms", differ(&self.attempt_timeout_ms, &other.attempt_timeout_ms)),
-            ("max_attempts", differ(&self.max_attempts, &other.max_attempts)),
-            ("retry_on", differ(&self.retry_on, &other.retry_on)),
-            ("backoff", differ(&self.backoff, &other.backoff)),
-            ("budget", differ(&self.budget, &other.budget)),
-            ("second_copy", differ(&self.second_copy, &other.second_copy)),
-        ];
-        all.into_iter().filter(|(_, differ)| *differ).map(|(name, _)| name).collect()
+        let differ = |((key, a), (_, b)): (Shown, Shown)| {
+            matches!((a, b), (Some(a), Some(b)) if a != b).then_some(key)
+        };
+        self.shown().into_iter().zip(other.shown()).filter_map(differ).collect()
+    }
+
+    /// Each key with its value as the file writes it, none where this table leaves it out.
+    pub fn shown(&self) -> [Shown; 7] {
+        let ends = |ends: &Ends| {
+            let names: Vec<String> =
+                ENDS.iter().filter(|(_, e)| ends.has(*e)).map(|(n, _)| format!("{n:?}")).collect();
+            format!("[{}]", names.join(", "))
+        };
+        let wait = |b: &BackOff| {
+            format!("{{ base_ms = {}, max_ms = {}, jitter = {} }}", b.base_ms, b.max_ms, b.jitter)
+        };
+        let budget = |b: &Arc<Budget>| {
+            let window_s = b.window_ms / 1000.0;
+            format!("{{ ratio = {}, min_per_s = {}, window_s = {window_s} }}", b.ratio, b.min_per_s)
+        };
+        let copy = |c: &SecondCopy| match c.after {
+            After::Ms(ms) => format!("{{ after_ms = {ms}, ratio = {} }}", c.ratio),
+            After::Quantile(q) => format!("{{ after = \"p{}\", ratio = {} }}", q * 100.0, c.ratio),
+        };
+        [
+            ("timeout_ms", self.timeout_ms.map(|ms| ms.to_string())),
+            ("attempt_timeout_ms", self.attempt_timeout_ms.map(|ms| ms.to_string())),
+            ("max_attempts", self.max_attempts.map(|n| n.to_string())),
+            ("retry_on", self.retry_on.as_ref().map(ends)),
+            ("backoff", self.backoff.as_ref().map(wait)),
+            ("budget", self.budget.as_ref().map(budget)),
+            ("second_copy", self.second_copy.as_ref().map(copy)),
+        ]
     }
 }
 
+/// A key with its value as the file writes it, none where a table leaves it out.
+pub type Shown = (&'static str, Option<String>);
+
 /// What may follow an end.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Next {
@@ -165,15 +190,15 @@
 }
 
 impl Keys {
-    /// What may follow this end of an attempt, after so many, with `spent` of the budget at `now`. A key that nothing
-    /// sets bars nothing.
-    pub fn next(&self, made: u16, end: Outcome, spent: &mut Spent, now: Millis, chance: f64) -> Next {
+    /// What may follow this end of an attempt, after so many, at `now`; a further attempt is counted against the
+    /// budget. `chance` is from 0 to 1. A key that nothing sets bars nothing.
+    pub fn next(&self, made: u16, end: Outcome, now: Millis, chance: f64) -> Next {
         if self.max_attempts.is_some_and(|most| u32::from(made) >= most)
             || self.retry_on.is_some_and(|ends| !ends.has(end))
         {
             return Next::Ended;
         }
-        if self.budget.as_ref().is_some_and(|budget| !spent.take(budget, now)) {
+        if self.budget.as_ref().is_some_and(|budget| !budget.take(now)) {
             return Next::Held;
         }
         Next::After(self.backoff.map_or(0.0, |wait| wait.wait_ms(made, chance)))
--- /dev/null
+++ b/src/attempts/policy.rs
@@ -0,0 +1,118 @@
+//! The policy of attempts in force: the index of the tables, and the tables themselves for telling where each value
+//! of a request's keys comes from.
+
+use super::routes::{Fault, Route, Routes, Where};
+use super::{Ends, Keys};
+use std::cmp::Reverse;
+
+/// Where a value of a request's keys comes from, as `POLICY` and `explain` tell it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Source {
+    /// The key, as the file names it.
+    pub key: &'static str,
+    /// Its value, as the file would write it; `-` where nothing sets it.
+    pub value: String,
+    /// `default`, `class NAME`, `route NAME`, or `-` where nothing sets it.
+    pub from: String,
+}
+
+/// All tables of attempts of one file, ready to be asked. Without a file it sets nothing, and nothing is barred.
+#[derive(Clone, Debug, Default)]
+pub struct Policy {
+    routes: Routes,
+    default: Keys,
+    /// By the position of the class in the settings, with its name.
+    classes: Vec<(String, Option<Keys>)>,
+    listed: Vec<Route>,
+}
+
+impl Policy {
+    /// A policy of these tables. `classes` by position in the settings, with each class's name and whether it may run
+    /// once only: there the default's second copies, and its ends after which the attempt may have run, do not
+    /// reach. Errors: the faults between routes, all at once.
+    pub fn new(
+        default: Keys,
+        classes: Vec<(String, bool, Option<Keys>)>,
+        routes: Vec<Route>,
+    ) -> Result<Policy, Vec<Fault>> {
+        let mut laid = Vec::new();
+        for (_, once, own) in &classes {
+            let mut keys = if *once { default.for_once() } else { default.clone() };
+            own.iter().for_each(|over| keys.lay(over));
+            laid.push(Some(keys));
+        }
+        let routes_index = Routes::new(&Keys::default(), &laid, &routes)?;
+        let classes = classes.into_iter().map(|(name, _, own)| (name, own)).collect();
+        Ok(Policy { routes: routes_index, default, classes, listed: routes })
+    }
+
+    /// Whether the file set anything at all.
+    pub fn is_empty(&self) -> bool {
+        self.default == Keys::default()
+            && self.classes.iter().all(|(_, own)| own.is_none())
+            && self.listed.is_empty()
+    }
+
+    /// The keys that hold for a request: a lookup whose cost does not grow with the routes.
+    pub fn resolve(&self, at: &Where) -> Keys {
+        self.routes.resolve(at)
+    }
+
+    /// Each key that holds for a request, with the table that it comes from. Walks all routes: for staff, not for
+    /// the path of a request.
+    pub fn explain(&self, at: &Where) -> Vec<Source> {
+        let held = self.resolve(at);
+        let (name, own) =
+            self.classes.get(at.class).map_or(("", None), |(n, own)| (n.as_str(), own.as_ref()));
+        let mut tables: Vec<(String, &Keys)> = vec![("default".to_owned(), &self.default)];
+        tables.extend(own.map(|keys| (format!("class {name}"), keys)));
+        let mut mine: Vec<&Route> = self.listed.iter().filter(|r| r.matches.holds(at)).collect();
+        mine.sort_by_key(|r| {
+            (r.matches.pattern().count_ones(), r.matches.pattern(), Reverse(r.matches.size()))
+        });
+        tables.extend(mine.into_iter().map(|r| (format!("route {}", r.name), &r.keys)));
+        let shown = held.shown();
+        shown
+            .into_iter()
+            .map(|(key, value)| {
+                let from = tables
+                    .iter()
+                    .rev()
+                    .find(|(_, keys)| keys.shown().iter().any(|(k, v)| *k == key && v.is_some()));
+                let from = value.as_ref().and(from).map_or("-".to_owned(), |(table, _)| table.clone());
+                Source { key, value: value.unwrap_or_else(|| "-".to_owned()), from }
+            })
+            .collect()
+    }
+
+    /// Takes over what the budgets of an earlier policy have spent, table by table.
+    pub fn carry(&self, earlier: &Policy) {
+        let pairs = [(&self.default, &earlier.default)].into_iter();
+        let classes = self.classes.iter().filter_map(|(name, own)| {
+            let before = earlier.classes.iter().find(|(n, _)| n == name)?.1.as_ref()?;
+            Some((own.as_ref()?, before))
+        });
+        let routes = self.listed.iter().filter_map(|r| {
+            let before = earlier.listed.iter().find(|e| e.name == r.name)?;
+            Some((&r.keys, &before.keys))
+        });
+        for (now, before) in pairs.chain(classes).chain(routes) {
+            if let (Some(now), Some(before)) = (&now.budget, &before.budget) {
+                now.carry(before);
+            }
+        }
+    }
+}
+
+impl Keys {
+    /// These keys as they may reach a class that runs once only: no second copies, and no further attempt after an
+    /// end at which the attempt may have run.
+    pub fn for_once(&self) -> Keys {
+        let never = |ends: Ends| {
+            let kept = super::ENDS.iter().filter(move |(_, e)| crate::core::never_ran(*e) && ends.has(*e));
+            kept.fold(Ends::default(), |all, (_, e)| all.with(*e))
+        };
+        let retry_on = self.retry_on.map(never);
+        Keys { second_copy: None, retry_on, ..self.clone() }
+    }
+}
--- a/src/attempts/routes.rs
+++ b/src/attempts/routes.rs
@@ -81,6 +81,29 @@
         self.cells() == 0
     }
 
+    /// Whether it matches a request.
+    pub fn holds(&self, at: &Where) -> bool {
+        fn has<T: Ord>(set: &Option<BTreeSet<T>>, value: &T) -> bool {
+            set.as_ref().is_none_or(|all| all.contains(value))
+        }
+        has(&self.class, &at.class)
+            && has(&self.member, &at.member)
+            && has(&self.front, &at.front)
+            && has(&self.data_set, &at.data_set)
+    }
+
+    /// Which matchers it names, as bits: class 1, member 2, front 4, data set 8.
+    pub fn pattern(&self) -> u8 {
+        let bits =
+            [self.class.is_some(), self.member.is_some(), self.front.is_some(), self.data_set.is_some()];
+        bits.iter().enumerate().fold(0u8, |all, (i, set)| all | u8::from(*set) << i)
+    }
+
+    /// How many combinations of values it names: the broader, the more.
+    pub fn size(&self) -> usize {
+        self.cells()
+    }
+
     /// Combinations of the values that it names.
     fn cells(&self) -> usize {
         let all = [
@@ -193,8 +216,7 @@
         let mut patterns = BTreeSet::new();
         for route in order {
             let m = &route.matches;
-            let bits = [m.class.is_some(), m.member.is_some(), m.front.is_some(), m.data_set.is_some()];
-            let pattern = bits.iter().enumerate().fold(0u8, |all, (i, set)| all | u8::from(*set) << i);
+            let pattern = m.pattern();
             patterns.insert((pattern.count_ones(), pattern));
             for class in each(&m.class) {
                 for member in each(&m.member) {
--- a/src/attempts/tests.rs
+++ b/src/attempts/tests.rs
@@ -123,7 +123,7 @@
 /// Guard: however many first attempts fail, further ones stay within the budget; and quiet times save nothing up.
 #[test]
 fn a_budget_bounds_a_storm() {
-    let budget = Budget { ratio: 0.1, min_per_s: 3.0, window_ms: 10_000.0 };
+    let budget = Budget::new(0.1, 3.0, 10_000.0);
     let mut spent = Spent::default();
     let (mut now, mut last) = (100_000.0, Vec::new());
     for n in 0..60_000 {
@@ -153,20 +153,19 @@
 
 #[test]
 fn what_may_follow_an_end() {
-    let mut spent = Spent::default();
     let held = Keys {
         retry_on: Some(Ends::default().with(Outcome::Full).with(Outcome::TimedOut)),
-        budget: Some(Arc::new(Budget { ratio: 0.0, min_per_s: 1.0, window_ms: 1000.0 })),
+        budget: Some(Arc::new(Budget::new(0.0, 1.0, 1000.0))),
         backoff: Some(BackOff { base_ms: 10.0, max_ms: 90.0, jitter: 0.0 }),
         ..keys(None, Some(3))
     };
-    let mut next = |made, end, now| held.next(made, end, &mut spent, now, 0.0);
+    let next = |made, end, now| held.next(made, end, now, 0.0);
     assert_eq!(next(1, Outcome::Error, 0.0), Next::Ended);
     assert_eq!(next(1, Outcome::Cancelled, 0.0), Next::After(10.0), "what took too long counts as timed out");
     assert_eq!(next(2, Outcome::Full, 5.0), Next::Held);
     assert_eq!(next(2, Outcome::Full, 1100.0), Next::After(20.0));
     assert_eq!(next(3, Outcome::Full, 9000.0), Next::Ended);
-    assert_eq!(Keys::default().next(9, Outcome::Reset, &mut spent, 0.0, 0.0), Next::After(0.0));
+    assert_eq!(Keys::default().next(9, Outcome::Reset, 0.0, 0.0), Next::After(0.0));
     let ran: Vec<&str> = Ends::all().that_may_have_run().collect();
     assert_eq!(ran, ["reset", "error", "timed-out"]);
 }
--- a/src/config.rs
+++ b/src/config.rs
@@ -282,7 +282,7 @@
 }
 
 /// The Flight SQL front.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, schemars::JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct FlightFront {
     /// Where it listens.
@@ -293,7 +293,7 @@
 }
 
 /// What the engines of a list speak.
-#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Eq, schemars::JsonSchema)]
 #[serde(rename_all = "lowercase")]
 pub enum Speech {
     /// The platform's lines.
@@ -304,7 +304,7 @@
 }
 
 /// The SNMP agent.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, schemars::JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Agent {
     /// Where it listens.
--- /dev/null
+++ b/src/file/mod.rs
@@ -0,0 +1,197 @@
+//! The operators' own file, `deploy/magpiechute.toml`: read whole and with bounds, every fault found at once with
+//! its line, the key, what is wrong and what would be right. `check` holds it against the platform's settings and
+//! makes the [`Policy`](crate::attempts::Policy) of attempts; `docs/attempts.md` is its page for operators.
+
+mod check;
+mod lines;
+pub mod text;
+
+pub use check::Known;
+pub use text::FileText;
+
+use crate::attempts::Policy;
+use garde::Validate;
+use std::fmt;
+use std::io::Read;
+use std::path::Path;
+
+/// The largest file that is read, in bytes.
+pub const LARGEST: u64 = 1 << 20;
+/// Reads of a file that changes while it is read, before it is turned down.
+const READS: usize = 3;
+
+/// One thing wrong with the file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// The line, from 1, where one can be named.
+    pub line: Option<usize>,
+    /// The key, as a dotted path; empty for the file as a whole.
+    pub key: String,
+    /// What is wrong.
+    pub what: String,
+    /// What would be right.
+    pub mend: String,
+}
+
+impl Fault {
+    /// A fault of the file as a whole.
+    pub fn whole(what: impl Into<String>, mend: impl Into<String>) -> Fault {
+        Fault { line: None, key: String::new(), what: what.into(), mend: mend.into() }
+    }
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if let Some(line) = self.line {
+            write!(f, "line {line}: ")?;
+        }
+        if !self.key.is_empty() {
+            write!(f, "{}: ", self.key)?;
+        }
+        write!(f, "{}; {}", self.what, self.mend)
+    }
+}
+
+/// All faults of a file, with its name.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Faults {
+    /// The file, as it was named.
+    pub file: String,
+    /// Each fault, in the order of the file where lines are known.
+    pub all: Vec<Fault>,
+}
+
+impl fmt::Display for Faults {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let n = self.all.len();
+        write!(f, "{} cannot be used ({n} fault{}):", self.file, if n == 1 { "" } else { "s" })?;
+        self.all.iter().try_for_each(|fault| write!(f, "\n  {}: {fault}", self.file))
+    }
+}
+
+impl std::error::Error for Faults {}
+
+/// Reads a file whole, at most [`LARGEST`] bytes. None where there is no such file. Errors: the file cannot be read,
+/// is a folder, too large, not UTF-8, or changes while it is read; each says what to do.
+pub fn read(path: &Path) -> Result<Option<String>, Fault> {
+    let fault = |what: String| Fault::whole(what, "give the path of a readable TOML file of 1 MiB at most");
+    let mut before = None;
+    for _ in 0..READS {
+        let mut file = match std::fs::File::open(path) {
+            Ok(file) => file,
+            Err(e) if e.kind() == std::io::ErrorKind::NotFound => return Ok(None),
+            Err(e) => return Err(fault(format!("cannot be opened: {e}"))),
+        };
+        let seen = file.metadata().map_err(|e| fault(format!("cannot be looked at: {e}")))?;
+        if seen.is_dir() {
+            return Err(fault("is a folder".to_owned()));
+        }
+        let mut bytes = Vec::new();
+        let taken = file.by_ref().take(LARGEST + 1).read_to_end(&mut bytes);
+        taken.map_err(|e| fault(format!("cannot be read: {e}")))?;
+        if bytes.len() as u64 > LARGEST {
+            return Err(fault(format!("is larger than {LARGEST} bytes")));
+        }
+        // Guard: a file replaced or written while it was read is read again, lest half of two files be taken.
+        let stamp = |m: &std::fs::Metadata| (m.len(), m.modified().ok());
+        let after = std::fs::metadata(path).ok();
+        let steady =
+            after.as_ref().is_some_and(|a| stamp(a) == stamp(&seen) && a.len() == bytes.len() as u64);
+        if steady && before.as_ref().is_none_or(|b| *b == bytes) {
+            return String::from_utf8(bytes).map(Some).map_err(|e| {
+                let at = e.utf8_error().valid_up_to();
+                let line = e.as_bytes()[..at].iter().filter(|b| **b == b'\n').count() + 1;
+                Fault { line: Some(line), ..fault(format!("is not UTF-8 after byte {at}")) }
+            });
+        }
+        before = Some(bytes);
+    }
+    Err(Fault::whole("changed while it was read, three times", "write it elsewhere and move it into place"))
+}
+
+/// Parses a file's text and checks what it can judge alone. Errors: every fault, with its line.
+pub fn parse(source: &str) -> Result<FileText, Vec<Fault>> {
+    judge(source, None).map(|(text, _)| text)
+}
+
+/// Parses a file's text and checks all of it: alone, and against the settings where they are known, which makes its
+/// policy. Errors: every fault, with its line; a file that is no TOML of this form stops at its first.
+pub fn judge(source: &str, known: Option<&Known>) -> Result<(FileText, Option<Policy>), Vec<Fault>> {
+    let text: FileText = toml::from_str(source).map_err(|e| {
+        let line = e.span().map(|span| lines::line_at(source, span.start));
+        let message = e.message().trim_end_matches('\n').to_owned();
+        vec![Fault { line, key: String::new(), what: message, mend: mend_of_syntax(e.message()).to_owned() }]
+    })?;
+    let mut faults: Vec<Fault> = match text.validate() {
+        Ok(()) => Vec::new(),
+        Err(report) => report
+            .iter()
+            .map(|(path, error)| {
+                let key = path.to_string();
+                let line = lines::line_of(source, &key);
+                let what = error.message();
+                let what = if what.starts_with("greater") || what.starts_with("lower") {
+                    format!("is {what}")
+                } else {
+                    what.to_owned()
+                };
+                Fault { line, key, what, mend: "set it within its range".to_owned() }
+            })
+            .collect(),
+    };
+    faults.extend(check::alone(&text, source));
+    match known {
+        Some(known) => check::policy(&text, source, known, faults).map(|policy| (text, Some(policy))),
+        None => sorted(faults).map(|()| (text, None)),
+    }
+}
+
+/// Faults in the order of the file; none is an answer.
+fn sorted(mut faults: Vec<Fault>) -> Result<(), Vec<Fault>> {
+    if faults.is_empty() {
+        return Ok(());
+    }
+    faults.sort_by_key(|f| f.line.unwrap_or(usize::MAX));
+    Err(faults)
+}
+
+fn mend_of_syntax(message: &str) -> &'static str {
+    if message.contains("unknown field") {
+        "remove the key, or spell it as the page names it"
+    } else if message.contains("missing field") {
+        "add the key"
+    } else if message.contains("invalid type") || message.contains("expected") {
+        "give a value of the type that the page names"
+    } else {
+        "write it as TOML"
+    }
+}
+
+/// The JSON Schema of the file, as `magpiechute schema` prints it and `deploy/magpiechute.schema.json` keeps it.
+pub fn schema() -> String {
+    let schema = schemars::schema_for!(FileText);
+    let mut text = serde_json::to_string_pretty(&schema).unwrap_or_else(|_| unreachable!("a schema is JSON"));
+    text.push('\n');
+    text
+}
+
+#[cfg(test)]
+mod tests;
+
+/// A file read, sound, and held against the settings in use.
+#[derive(Clone, Debug, Default)]
+pub struct Loaded {
+    /// The file as written; what it leaves out is as without a file.
+    pub text: FileText,
+    /// Its policy of attempts.
+    pub policy: Policy,
+}
+
+/// Reads, parses and checks a file against the settings. `Ok(None)` where there is no such file. Errors: every
+/// fault, with the file's name.
+pub fn load(path: &Path, known: &Known) -> Result<Option<Loaded>, Faults> {
+    let named = |all| Faults { file: path.display().to_string(), all };
+    let Some(source) = read(path).map_err(|fault| named(vec![fault]))? else { return Ok(None) };
+    let (text, policy) = judge(&source, Some(known)).map_err(named)?;
+    Ok(Some(Loaded { text, policy: policy.unwrap_or_default() }))
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,14 +1,90 @@
 //! The workload manager on real sockets.
 #![forbid(unsafe_code)]
 
+use clap::{Parser, Subcommand, ValueEnum};
+use magpiechute::command::{self, Asked, Done};
 use magpiechute::config::{Config, ConfigError, Fronts};
 use magpiechute::node::Node;
 use magpiechute::signals::{Heard, Signals};
 use std::io::Write;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
+/// A workload manager: when, and on which shared SQL engine, each query runs.
+#[derive(Parser)]
+#[command(version, about)]
+struct Cli {
+    #[command(subcommand)]
+    command: Option<Command>,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Serve, with the configuration that NODE_CONFIG names (as without a command).
+    Run,
+    /// Check the operators' file: exit 0, or 2 with every fault on standard error.
+    Check {
+        /// The platform's configuration (JSON), to hold the file against its settings as well.
+        #[arg(long)]
+        config: Option<PathBuf>,
+        /// How faults are written.
+        #[arg(long, value_enum, default_value_t = Form::Text)]
+        format: Form,
+        /// The operators' file (TOML).
+        file: PathBuf,
+    },
+    /// Print the JSON Schema of the operators' file.
+    Schema,
+    /// Tell the keys of attempts that hold for a request, and the table that each comes from.
+    Explain {
+        /// The platform's configuration (JSON).
+        #[arg(long)]
+        config: PathBuf,
+        /// The operators' file (TOML).
+        file: PathBuf,
+        /// The request's class.
+        #[arg(long)]
+        class: String,
+        /// Its member.
+        #[arg(long)]
+        member: Option<String>,
+        /// Its front: platform or flight.
+        #[arg(long)]
+        front: Option<String>,
+        /// Its data set.
+        #[arg(long)]
+        data_set: Option<u32>,
+    },
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+enum Form {
+    Text,
+    Json,
+}
+
 fn main() -> ExitCode {
+    let done = match Cli::parse().command {
+        None | Some(Command::Run) => return serve(),
+        Some(Command::Check { config, format, file }) => {
+            command::check(config.as_deref(), &file, matches!(format, Form::Json))
+        }
+        Some(Command::Schema) => command::schema(),
+        Some(Command::Explain { config, file, class, member, front, data_set }) => {
+            command::explain(&config, &file, &Asked { class, member, front, data_set })
+        }
+    };
+    print(&done);
+    ExitCode::from(done.code)
+}
+
+fn print(done: &Done) {
+    // Guard: a closed pipe to a pager changes nothing of the verdict.
+    let _ = std::io::stdout().write_all(done.out.as_bytes());
+    let _ = std::io::stderr().write_all(done.err.as_bytes());
+}
+
+fn serve() -> ExitCode {
     let done = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -110,6 +110,8 @@
     streams_per_conn: usize,
     #[serde(default = "max_open")]
     max_open: usize,
+    #[serde(default)]
+    parallel_tries: bool,
 }
 
 fn connect_timeout() -> f64 {
@@ -196,6 +198,8 @@
     pub grant_mb: f64,
     /// Requests that may be open at once.
     pub max_open: usize,
+    /// A request may have two attempts out at once.
+    pub parallel_tries: bool,
 }
 
 /// Reads a settings message.
@@ -292,5 +296,6 @@
         streams_per_conn: s.limits.streams_per_conn.max(1),
         grant_mb: if grant_mb >= 1.0 { grant_mb } else { 1e6 },
         max_open: s.limits.max_open.max(1),
+        parallel_tries: s.limits.parallel_tries,
     })
 }
