Hold each request to the operators' policy of attempts in the core, and read it at start

Change: the file is deploy/magpiechute.toml or what MAGPIECHUTE_FILE names; its flight and snmp tables take the place of deploy/fronts.toml, which is read for this version with a warning where there is no such file. In src/core/narrow.rs the core holds back a further attempt that the policy ends (number or end), whose budget is spent (answered at once by the module), or that waits out a back-off (an attempt that provably never ran goes at once to another engine); a waiting attempt dies with its request and the module hears of it; an attempt that has had attempt_timeout_ms is given up and proven over as any other; a call-off that nothing may follow is not carried out. SIGHUP checks the platform's file and the operators' file together and takes both or neither; a new policy lowers the attempts of what is open, and budgets carry what they spent. Seven counters with their MIB objects.

--- a/src/attempts/mod.rs
+++ b/src/attempts/mod.rs
@@ -178,6 +178,14 @@
 /// A key with its value as the file writes it, none where a table leaves it out.
 pub type Shown = (&'static str, Option<String>);
 
+impl Keys {
+    /// Whether another attempt may follow this end after so many, budget aside.
+    pub fn may_follow(&self, made: u16, end: Outcome) -> bool {
+        self.max_attempts.is_none_or(|most| u32::from(made) < most)
+            && self.retry_on.is_none_or(|ends| ends.has(end))
+    }
+}
+
 /// What may follow an end.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Next {
@@ -193,9 +201,7 @@
     /// What may follow this end of an attempt, after so many, at `now`; a further attempt is counted against the
     /// budget. `chance` is from 0 to 1. A key that nothing sets bars nothing.
     pub fn next(&self, made: u16, end: Outcome, now: Millis, chance: f64) -> Next {
-        if self.max_attempts.is_some_and(|most| u32::from(made) >= most)
-            || self.retry_on.is_some_and(|ends| !ends.has(end))
-        {
+        if !self.may_follow(made, end) {
             return Next::Ended;
         }
         if self.budget.as_ref().is_some_and(|budget| !budget.take(now)) {
--- a/src/attempts/policy.rs
+++ b/src/attempts/policy.rs
@@ -24,6 +24,8 @@
     /// By the position of the class in the settings, with its name.
     classes: Vec<(String, Option<Keys>)>,
     listed: Vec<Route>,
+    /// Members by position.
+    members: Vec<String>,
 }
 
 impl Policy {
@@ -34,6 +36,7 @@
         default: Keys,
         classes: Vec<(String, bool, Option<Keys>)>,
         routes: Vec<Route>,
+        members: Vec<String>,
     ) -> Result<Policy, Vec<Fault>> {
         let mut laid = Vec::new();
         for (_, once, own) in &classes {
@@ -43,7 +46,12 @@
         }
         let routes_index = Routes::new(&Keys::default(), &laid, &routes)?;
         let classes = classes.into_iter().map(|(name, _, own)| (name, own)).collect();
-        Ok(Policy { routes: routes_index, default, classes, listed: routes })
+        Ok(Policy { routes: routes_index, default, classes, listed: routes, members })
+    }
+
+    /// A member's position by its name, as routes match it; `usize::MAX` for one that no route can name.
+    pub fn member(&self, name: &[u8]) -> usize {
+        self.members.iter().position(|m| m.as_bytes() == name).unwrap_or(usize::MAX)
     }
 
     /// Whether the file set anything at all.
--- a/src/bin/magpiechute-simhost/host.rs
+++ b/src/bin/magpiechute-simhost/host.rs
@@ -136,6 +136,7 @@
                 cost_ms: (r.u8(42) & 1 != 0).then(|| r.f64(26)),
                 dataset: r.u32(38),
                 memory_mb: Some(r.f32(34)).filter(|mb| *mb > 0.0),
+                attempts_cap: None,
             }),
             8 => Event::Streaming { id: r.u32(3), attempt: r.u16(7) },
             4 => Event::Timer { token: r.u64(3) },
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -85,6 +85,7 @@
     dataset: u32,
     memory: f64, // estimated, MB; 0 for none
     attempts: u32,
+    cap: u32, // attempts that it may have
     out: Option<Try>,
     done: bool,                     // answered or left; kept until its attempt's outcome is in
     ran: Option<(u8, u16, Millis)>, // zone, cell, time of the first send that may have run
@@ -330,7 +331,7 @@
         let est = q.cost_ms.filter(|w| w.is_finite() && *w > 0.0 && *w < 1e9);
         let memory = q.memory_mb.filter(|mb| mb.is_finite() && *mb > 0.0).unwrap_or(0.0);
         self.seq += 1;
-        let (seq, key) = (self.seq, q.key);
+        let (seq, key, cap) = (self.seq, q.key, q.attempts_cap.unwrap_or(self.set.attempts_cap));
         if c.ordered && key != 0 {
             self.keys.entry(key).or_default().0.insert(seq, id);
         }
@@ -339,7 +340,7 @@
         // (id20f69). Its aim runs from there. Harms where a class's clients differ in patience.
         s.window = s.window.max((due - now).min(c.give_up_ms));
         let arrived = now.min(due - s.window);
-        let r = Req { seq, class, key, arrived, due, est, dataset: q.dataset, memory, ..Req::default() };
+        let r = Req { seq, class, key, cap, arrived, due, est, dataset: q.dataset, memory, ..Req::default() };
         self.line.insert(seq, id);
         self.reqs.insert(id, r);
         self.probes = (self.probes + 1.0).min(PROBES_SAVED);
@@ -359,8 +360,7 @@
         let crowd = self.engines.get(&ended.engine).map_or(1.0, crowd);
         let Some(r) = self.reqs.get_mut(&id) else { return };
         let Some(t) = r.out.take() else { return };
-        let (class, key, seq, done) = (r.class, r.key, r.seq, r.done || finished);
-        let hinted = r.est.is_some();
+        let (class, key, seq, done, hinted) = (r.class, r.key, r.seq, r.done || finished, r.est.is_some());
         if let Some(mb) = billed_mb.filter(|mb| mb.is_finite() && *mb > 0.0 && r.memory > 0.0) {
             self.stats[class].memory.see((mb / r.memory).ln());
         }
@@ -880,15 +880,13 @@
 
     /// Whether an attempt that is out may be given up for another.
     fn again(&self, r: &Req) -> bool {
-        self.repeatable(r) && r.attempts < self.set.attempts_cap && self.may_extra()
+        self.repeatable(r) && r.attempts < r.cap && self.may_extra()
     }
 
     fn may_repeat(&self, id: RequestId) -> bool {
         let r = &self.reqs[&id];
         let rule = r.ran.is_none() || self.repeatable(r);
-        rule && r.erred.len() < ERROR_ENGINES
-            && r.attempts < self.set.attempts_cap
-            && self.now + END_MARGIN_MS < r.due
+        rule && r.erred.len() < ERROR_ENGINES && r.attempts < r.cap && self.now + END_MARGIN_MS < r.due
     }
 
     /// Whether a waiter earns no place any more: in line once it would miss its aim, aside its client.
--- a/src/clients/flight.rs
+++ b/src/clients/flight.rs
@@ -158,6 +158,7 @@
 struct Call {
     name: Bytes,
     class: Arc<Named>,
+    member: Bytes,
     cost_ms: Option<f64>,
     memory_mb: Option<f64>,
     statement: Bytes,
@@ -275,9 +276,11 @@
         let text = |key: &str| metadata.get(key).map(|v| v.as_bytes());
         let class = text(CLASS).ok_or_else(|| invalid(format!("no {CLASS}")))?;
         let class = self.front.class(class).ok_or_else(|| invalid(format!("unknown {CLASS}")))?;
-        if !self.front.knows_tenant(text(TENANT).unwrap_or_default()) {
+        let member = text(TENANT).unwrap_or_default();
+        if !self.front.knows_tenant(member) {
             return Err(invalid(format!("unknown {TENANT}")));
         }
+        let member = Bytes::copy_from_slice(member);
         let estimate = |key: &str| match text(key) {
             None => Ok(None),
             Some(value) => {
@@ -296,6 +299,7 @@
         Ok(Call {
             name: name.into(),
             class,
+            member,
             cost_ms: estimate(EFFORT)?,
             memory_mb: estimate(NEED_MB)?,
             statement: statement.into(),
@@ -389,6 +393,8 @@
             cost_ms: call.cost_ms,
             memory_mb: call.memory_mb,
             dataset: sql::dataset(&call.statement).unwrap_or(0),
+            member: call.member,
+            front: crate::attempts::Front::Flight,
             statement: call.statement,
             kind,
             client: Arc::new(Port(Mutex::new(Some(port)))),
--- a/src/clients/platform.rs
+++ b/src/clients/platform.rs
@@ -286,9 +286,7 @@
         let name = fields.get("ref").filter(|r| is_ref(r)).ok_or("ArgumentError")?;
         let allow = fields.get("allow").and_then(|a| figure(a)).ok_or("ArgumentError")?;
         let due_ms = self.front.due(now, &class, allow);
-        if !fields.get("project").is_some_and(|p| self.front.knows_tenant(p)) {
-            return Err("ArgumentError");
-        }
+        let member = fields.get("project").filter(|p| self.front.knows_tenant(p)).ok_or("ArgumentError")?;
         let estimate = |field: &str| match fields.get(field) {
             None => Ok(None),
             Some(text) => self.front.estimate(text).map(Some).ok_or("ArgumentError"),
@@ -301,6 +299,8 @@
             cost_ms: estimate("effort")?,
             memory_mb: estimate("need_mb")?,
             dataset: sql::dataset(&statement).unwrap_or(0),
+            member: Bytes::copy_from_slice(member),
+            front: crate::attempts::Front::Platform,
             kind: if sql::reads(&statement) { Kind::Query } else { Kind::Update },
             statement,
             client: self.port.clone(),
--- a/src/core/ends.rs
+++ b/src/core/ends.rs
@@ -50,6 +50,7 @@
     ) {
         let Some(open) = self.requests.get_mut(&id) else { return };
         let Some(out) = open.tries.ended(attempt, ran) else { return };
+        open.last = Some((outcome, out.engine));
         // The client of a stream was told by the break in it.
         let finished = open.streaming || open.over;
         if finished {
@@ -158,12 +159,17 @@
     ) -> Option<Arc<dyn ClientPort>> {
         let open = self.requests.get_mut(&id).filter(|o| !o.over)?;
         open.over = true;
-        let (client, out) = (open.taken.client.clone(), open.tries.out().is_some());
+        let (client, out, waiting) =
+            (open.taken.client.clone(), open.tries.out().is_some(), open.waiting.take());
         self.counters.open.down();
         match out {
             true => self.give_up(now, id, as_what),
             false => self.remove(id),
         }
+        // Guard: the module holds a request until it hears how its attempt ended, and this one never went out.
+        if let Some((number, engine, _)) = waiting {
+            self.unsent(now, id, number, engine, Outcome::Moot);
+        }
         Some(client)
     }
 
--- a/src/core/interleavings.rs
+++ b/src/core/interleavings.rs
@@ -283,7 +283,8 @@
             }
             20 if pick % 16 == 0 => {
                 let attempts_cap = 1 + pick as u32 / 32 % 6;
-                core.handle(now, Input::Settings(Box::new(Settings { attempts_cap, ..usual.clone() })));
+                let settings = Some(Box::new(Settings { attempts_cap, ..usual.clone() }));
+                core.handle(now, Input::Settings { settings, policy: Arc::default() });
             }
             7 if conns > 0 && pick % 32 == 0 => port.world().close(at),
             8 if conns > 0 && pick % 8 == 0 => {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -8,6 +8,7 @@
 
 mod actor;
 mod ends;
+mod narrow;
 mod ports;
 
 pub use actor::{Clock, Handle, Inputs, start};
@@ -15,6 +16,7 @@
 pub use ports::*;
 
 use crate::attempt::Tries;
+use crate::attempts::{Keys, Policy, Where};
 use crate::config::ListEvent;
 use crate::counters::Counters;
 use crate::interface::*;
@@ -35,6 +37,12 @@
     over: bool,
     memory_mb: f64,
     priority: u8,
+    /// What its policy allows, resolved when it was taken; a reload may lower its attempts.
+    keys: Keys,
+    /// How, and where, its last attempt ended.
+    last: Option<(Outcome, EngineId)>,
+    /// An attempt that waits out its back-off: its number, engine and time-out.
+    waiting: Option<(u16, EngineId, Option<Millis>)>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -44,6 +52,10 @@
     /// Looks whether what is being given up is proven over.
     Quit(RequestId, u16),
     Silence(RequestId, u16),
+    /// The back-off of an attempt is over.
+    BackOff(RequestId, u16),
+    /// An attempt has had the time that its policy gives it.
+    AttemptDue(RequestId, u16),
 }
 
 /// Alarms kept at most, for each request that is open and besides.
@@ -87,6 +99,8 @@
     alarms: BinaryHeap<Reverse<(At, u64, Alarm)>>,
     armed: u64,
     actions: Vec<Action>,
+    /// The operators' policy of attempts; without their file it sets nothing.
+    policy: Arc<Policy>,
 }
 
 use crate::choice::Gateway;
@@ -114,9 +128,17 @@
             alarms: BinaryHeap::new(),
             armed: 0,
             actions: Vec::new(),
+            policy: Arc::default(),
         })
     }
 
+    /// The same with the operators' policy of attempts.
+    #[must_use]
+    pub fn with_policy(mut self, policy: Arc<Policy>) -> Self {
+        self.policy = policy;
+        self
+    }
+
     /// The first event: the module sets its timers.
     pub fn begin(&mut self, now: Millis) {
         self.tell(now, Event::Started);
@@ -150,6 +172,8 @@
                 Alarm::Deadline(id) => self.deadline(now, id),
                 Alarm::Quit(id, attempt) => self.unproven(now, id, attempt),
                 Alarm::Silence(id, attempt) => self.silence(now, id, attempt, at.0),
+                Alarm::BackOff(id, attempt) => self.backed_off(now, id, attempt),
+                Alarm::AttemptDue(id, attempt) => self.attempt_due(now, id, attempt),
             }
             // The module's timer comes often enough to publish what it believes.
             self.counters.engines_skipped.set(self.gateway.avoided());
@@ -162,7 +186,12 @@
             Input::Take(taken) => self.take(now, taken),
             Input::Left(id) => self.left(now, id),
             Input::List(event) => self.list(now, event),
-            Input::Settings(new) => self.tell(now, Event::Settings(new)),
+            Input::Settings { settings, policy } => {
+                if let Some(settings) = settings {
+                    self.tell(now, Event::Settings(settings));
+                }
+                self.policy_in_force(policy);
+            }
             Input::Engine { engine, id, attempt, report, news } => {
                 let Some(open) = self.requests.get_mut(&id) else { return };
                 let over = open.over;
@@ -252,6 +281,17 @@
             self.counters.refused.up();
             return taken.client.answer(id, Answer::Refused { hold_off_ms: 0.0 });
         };
+        let at = Where {
+            class,
+            member: self.policy.member(&taken.member),
+            front: taken.front,
+            data_set: taken.dataset,
+        };
+        let keys = self.policy.resolve(&at);
+        if let Some(whole) = keys.timeout_ms {
+            taken.due_ms = taken.due_ms.min(now + whole);
+        }
+        let cap = self.gateway.settings().attempts_cap;
         let request = Request {
             id,
             class,
@@ -260,6 +300,7 @@
             cost_ms: taken.cost_ms,
             dataset: taken.dataset,
             memory_mb: taken.memory_mb,
+            attempts_cap: keys.max_attempts.map(|most| most.min(cap)),
         };
         self.arm(taken.due_ms - self.limits.answer_margin_ms, Alarm::Deadline(id));
         let open = Open {
@@ -269,6 +310,9 @@
             over: false,
             memory_mb: 0.0,
             priority: 1,
+            keys,
+            last: None,
+            waiting: None,
         };
         self.counters.open.up();
         self.held_bytes = bytes;
@@ -325,9 +369,10 @@
             self.alarms.retain(|Reverse((.., alarm))| match alarm {
                 Alarm::Module(_) => true,
                 Alarm::Deadline(id) => requests.contains_key(id),
-                Alarm::Quit(id, n) | Alarm::Silence(id, n) => {
+                Alarm::Quit(id, n) | Alarm::Silence(id, n) | Alarm::AttemptDue(id, n) => {
                     requests.get(id).and_then(|r| r.tries.out()).is_some_and(|out| out.number == *n)
                 }
+                Alarm::BackOff(id, n) => requests.get(id).and_then(|r| r.waiting).is_some_and(|w| w.0 == *n),
             });
         }
     }
@@ -354,12 +399,7 @@
                     self.answer(now, id, answer, Outcome::Cancelled);
                 }
                 Action::Fail { id } => self.answer(now, id, Answer::Failed(Why::Lost), Outcome::Cancelled),
-                Action::Cancel { id, attempt } => {
-                    let open = self.requests.get_mut(&id).filter(|o| !o.streaming);
-                    if open.is_some_and(|o| o.tries.out_as(attempt, None).is_some()) {
-                        self.give_up(now, id, Outcome::Cancelled);
-                    }
-                }
+                Action::Cancel { id, attempt } => self.call_off(now, id, attempt),
                 Action::Timer { after_ms, token } => self.arm(now + after_ms.max(1.0), Alarm::Module(token)),
                 Action::Log { line } => eprintln!("magpiechute: {line}"),
                 // Engines may not be probed, and the feed pushes: nothing to do.
@@ -369,20 +409,28 @@
         self.actions = actions;
         for (id, engine, outcome) in moot {
             let attempt = self.requests.get(&id).map_or(0, |o| o.tries.made().saturating_sub(1));
-            self.count_end(outcome).up();
-            let ended = Ended {
-                id,
-                attempt,
-                engine,
-                outcome,
-                took_ms: 0.0,
-                finished: self.requests.get(&id).is_none_or(|o| o.over),
-                billed_ms: None,
-                billed_mb: None,
-                report: LoadReport::default(),
-            };
-            self.tell(now, Event::Ended(ended));
+            self.unsent(now, id, attempt, engine, outcome);
+        }
+    }
+
+    /// Tells the module that an attempt never went out, and why.
+    fn unsent(&mut self, now: Millis, id: RequestId, attempt: u16, engine: EngineId, outcome: Outcome) {
+        self.count_end(outcome).up();
+        if let Some(open) = self.requests.get_mut(&id) {
+            open.last = Some((outcome, engine));
         }
+        let ended = Ended {
+            id,
+            attempt,
+            engine,
+            outcome,
+            took_ms: 0.0,
+            finished: self.requests.get(&id).is_none_or(|o| o.over),
+            billed_ms: None,
+            billed_mb: None,
+            report: LoadReport::default(),
+        };
+        self.tell(now, Event::Ended(ended));
     }
 
     fn repeatable(&self, id: RequestId) -> bool {
@@ -401,15 +449,36 @@
         let ready = self.ready.contains_key(&engine) && !self.gateway.bans().contains(&engine);
         let cap = self.gateway.settings().attempts_cap;
         let open = self.requests.get_mut(&id)?;
-        // Guards: one attempt out at a time, no second run of what may run once, no more than the cap, none for who
-        // has an answer.
-        let next = open.tries.next(repeatable, cap).ok().filter(|_| !open.over);
+        // Guards: one attempt out at a time, also while one waits out its back-off; no second run of what may run
+        // once, no more than the cap, none for who has an answer.
+        let next = open.tries.next(repeatable, cap).ok().filter(|_| !open.over && open.waiting.is_none());
         let Some(number) = next.filter(|_| ready) else {
             self.counters.guarded.up();
             return Some(if next.is_none() { Outcome::Moot } else { Outcome::NoConnection });
         };
-        let due_ms =
-            timeout_ms.filter(|t| *t > 0.0).map_or(open.taken.due_ms, |t| (now + t).min(open.taken.due_ms));
+        match self.narrow(now, id, number, engine) {
+            Some(Ok(())) => self.launch(now, id, number, engine, timeout_ms),
+            Some(Err(wait)) => {
+                self.wait_out(now, id, (number, engine, timeout_ms), wait);
+                None
+            }
+            None => Some(Outcome::Moot),
+        }
+    }
+
+    /// Hands an attempt that may go out to its engine's actor.
+    fn launch(
+        &mut self,
+        now: Millis,
+        id: RequestId,
+        number: u16,
+        engine: EngineId,
+        timeout_ms: Option<Millis>,
+    ) -> Option<Outcome> {
+        let open = self.requests.get_mut(&id)?;
+        let own = open.keys.attempt_timeout_ms;
+        let timeout_ms = timeout_ms.filter(|t| *t > 0.0).or(own);
+        let due_ms = timeout_ms.map_or(open.taken.due_ms, |t| (now + t).min(open.taken.due_ms));
         let ask = Ask {
             id,
             attempt: number,
@@ -429,6 +498,9 @@
         if self.limits.silence_ms.is_finite() {
             self.arm(now + self.limits.silence_ms, Alarm::Silence(id, number));
         }
+        if let Some(own) = own {
+            self.arm(now + own, Alarm::AttemptDue(id, number));
+        }
         None
     }
 
--- /dev/null
+++ b/src/core/narrow.rs
@@ -0,0 +1,123 @@
+//! How the operators' policy of attempts narrows what the module may do: which further attempts may go out, after
+//! which wait, within which budget, for how long, and which attempts may be called off. The decisions are those of
+//! `attempts`; here they meet requests, timers and counters.
+
+use super::*;
+use crate::attempts::Next;
+
+impl<E: EnginePort> Core<E> {
+    /// Whether an attempt may go out now: `Some(Ok)`; after a back-off of so many ms: `Some(Err(wait))`; or not at
+    /// all, as its policy has no attempt left, none after the last end, or its budget is spent: `None`.
+    pub(super) fn narrow(
+        &mut self,
+        now: Millis,
+        id: RequestId,
+        number: u16,
+        engine: EngineId,
+    ) -> Option<Result<(), Millis>> {
+        let open = self.requests.get_mut(&id)?;
+        if number == 0 {
+            open.keys.budget.iter().for_each(|budget| budget.first(now));
+            return Some(Ok(()));
+        }
+        let (end, before) = open.last.unwrap_or((Outcome::Moot, engine));
+        match open.keys.next(number, end, now, chance(id, number)) {
+            Next::Ended => {
+                self.counters.policy_ended.up();
+                None
+            }
+            Next::Held => {
+                self.counters.budget_held.up();
+                None
+            }
+            // Guard: what provably never ran loaded nobody; elsewhere it goes at once.
+            Next::After(wait) if wait > 0.0 && !(never_ran(end) && before != engine) => Some(Err(wait)),
+            Next::After(_) => Some(Ok(())),
+        }
+    }
+
+    /// Holds an attempt back until its back-off is over; the module takes it as out meanwhile.
+    pub(super) fn wait_out(
+        &mut self,
+        now: Millis,
+        id: RequestId,
+        attempt: (u16, EngineId, Option<Millis>),
+        wait: Millis,
+    ) {
+        let Some(open) = self.requests.get_mut(&id) else { return };
+        open.waiting = Some(attempt);
+        self.counters.backed_off.up();
+        self.arm(now + wait, Alarm::BackOff(id, attempt.0));
+    }
+
+    /// The back-off is over: the attempt goes out where its engine still takes it, else the module hears why not.
+    pub(super) fn backed_off(&mut self, now: Millis, id: RequestId, number: u16) {
+        let Some(open) = self.requests.get_mut(&id) else { return };
+        let Some((_, engine, timeout_ms)) = open.waiting.take_if(|w| w.0 == number) else { return };
+        let ready = self.ready.contains_key(&engine) && !self.gateway.bans().contains(&engine);
+        // Guard: an engine that drains, or was taken out, meanwhile gets nothing.
+        let unsent = if ready {
+            self.launch(now, id, number, engine, timeout_ms)
+        } else {
+            Some(Outcome::NoConnection)
+        };
+        if let Some(outcome) = unsent {
+            self.unsent(now, id, number, engine, outcome);
+        }
+    }
+
+    /// An attempt has had its time: it is given up as timed out, and its end proven as for any other.
+    pub(super) fn attempt_due(&mut self, now: Millis, id: RequestId, number: u16) {
+        let Some(open) = self.requests.get_mut(&id).filter(|o| !o.streaming && !o.over) else { return };
+        if open.tries.out_as(number, None).is_some_and(|out| out.quitting.is_none()) {
+            self.counters.attempt_timeouts.up();
+            self.give_up(now, id, Outcome::TimedOut);
+        }
+    }
+
+    /// The module calls an attempt off to send another. Guard: where the policy allows none after it, the attempt goes
+    /// on, as it may still answer.
+    pub(super) fn call_off(&mut self, now: Millis, id: RequestId, attempt: u16) {
+        let Some(open) = self.requests.get_mut(&id).filter(|o| !o.streaming) else { return };
+        if open.tries.out_as(attempt, None).is_none() {
+            return;
+        }
+        if open.keys.may_follow(open.tries.made(), Outcome::Cancelled) {
+            self.give_up(now, id, Outcome::Cancelled);
+        } else {
+            self.counters.policy_kept.up();
+        }
+    }
+
+    /// A new policy: requests keep the one they were taken under, but none has more attempts than the new one allows.
+    pub(super) fn policy_in_force(&mut self, policy: Arc<Policy>) {
+        policy.carry(&self.policy);
+        for open in self.requests.values_mut() {
+            let at = Where {
+                class: self
+                    .gateway
+                    .settings()
+                    .position(&open.taken.class.name, &open.taken.class.class)
+                    .unwrap_or(usize::MAX),
+                member: policy.member(&open.taken.member),
+                front: open.taken.front,
+                data_set: open.taken.dataset,
+            };
+            if let Some(lower) = policy.resolve(&at).max_attempts {
+                open.keys.max_attempts = Some(open.keys.max_attempts.map_or(lower, |held| held.min(lower)));
+            }
+        }
+        self.policy = policy;
+    }
+}
+
+/// A number from 0 to 1 that follows from the request and attempt alone, so that plays can be repeated.
+fn chance(id: RequestId, number: u16) -> f64 {
+    let mut x = (u64::from(id) << 16 | u64::from(number)).wrapping_add(0x9e37_79b9_7f4a_7c15);
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    (x ^ (x >> 31)) as f64 / u64::MAX as f64
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/core/narrow/tests.rs
@@ -0,0 +1,246 @@
+//! Tests of the operators' policy in the core: each guard is seen to hold against a module that would do more.
+
+use super::super::*;
+use crate::attempt::End;
+use crate::config::{Listed, engine_id};
+use crate::file::{self, Known};
+use crate::settings::{self, Named};
+use std::sync::Mutex;
+
+/// Engines that take every attempt and say nothing of themselves.
+#[derive(Default)]
+struct Engines {
+    asked: Vec<(EngineId, RequestId, u16)>,
+    quits: Vec<(EngineId, RequestId, u16)>,
+}
+
+impl EnginePort for Engines {
+    fn ask(&mut self, engine: EngineId, ask: Ask) -> bool {
+        self.asked.push((engine, ask.id, ask.attempt));
+        true
+    }
+    fn quit(&mut self, engine: EngineId, id: RequestId, attempt: u16, _: bool) {
+        self.quits.push((engine, id, attempt));
+    }
+    fn priority(&mut self, _: EngineId, _: RequestId, _: u16, _: u8) {}
+    fn listed(&mut self, _: &Listed) {}
+    fn dropped(&mut self, _: EngineId) {}
+    fn banned(&mut self, _: EngineId, _: bool) {}
+}
+
+/// A client that writes its answers down, with the time of the core's clock when they came.
+#[derive(Default)]
+struct Client(Mutex<Vec<(RequestId, &'static str)>>);
+
+impl ClientPort for Client {
+    fn answer(&self, id: RequestId, answer: Answer) {
+        let kind = match answer {
+            Answer::Served(_) => "served",
+            Answer::Refused { .. } => "refused",
+            Answer::Failed(_) => "failed",
+        };
+        self.0.lock().expect("answers").push((id, kind));
+    }
+}
+
+const SETTINGS: &str = r#"{"nInstances":1,"classes":[
+    {"name":"seat-check","effect":"repeatable","promiseMs":9000,"giveUpMs":15000},
+    {"name":"log-load","effect":"once","promiseMs":9000,"giveUpMs":15000}],
+    "guarantees":{"coldMs":1,"coldShare":0.3,"overloadForMs":1500,"tipMultiple":3},
+    "limits":{"attemptsCap":6,"cancel":true},"shapes":["std-8c"],"specifics":{"sizeCores":[8]}}"#;
+
+struct Rig {
+    core: Core<Engines>,
+    counters: Arc<Counters>,
+    client: Arc<Client>,
+    classes: Vec<Arc<Named>>,
+    known: Known,
+}
+
+fn policy(known: &Known, text: &str) -> Arc<Policy> {
+    let (_, policy) = file::judge(text, Some(known)).unwrap_or_else(|faults| panic!("{faults:?}"));
+    Arc::new(policy.expect("a policy"))
+}
+
+impl Rig {
+    /// A core with two ready engines and this file.
+    fn new(text: &str) -> Rig {
+        let parsed = settings::parse(SETTINGS.as_bytes()).expect("settings");
+        let known = Known::of(&parsed);
+        let limits = Arc::new(Limits::new(256, 32, false, &parsed));
+        let counters: Arc<Counters> = Arc::default();
+        let core = Core::new(parsed.settings, 7, Engines::default(), limits, counters.clone()).expect("core");
+        let mut core = core.with_policy(policy(&known, text));
+        let entries = [1, 2]
+            .map(|n| {
+                let entry = EngineEntry {
+                    engine: engine_id(n),
+                    state: ListState::Ready,
+                    nominal: 8.0,
+                    ..EngineEntry::default()
+                };
+                Listed { entry, address: ([127, 0, 0, 1], 1).into() }
+            })
+            .to_vec();
+        core.handle(0.0, Input::List(ListEvent { number: 1, kind: ListKind::Full, entries }));
+        Rig { core, counters, client: Arc::default(), classes: parsed.classes, known }
+    }
+
+    fn take(&mut self, now: Millis, id: RequestId, class: usize) {
+        let taken = Taken {
+            id,
+            name: format!("{id:016x}").into(),
+            class: self.classes[class].clone(),
+            due_ms: now + 15_000.0,
+            cost_ms: Some(50.0),
+            memory_mb: None,
+            dataset: 0,
+            member: Bytes::new(),
+            front: crate::attempts::Front::Platform,
+            statement: Bytes::from_static(b"select 1"),
+            kind: Kind::Query,
+            client: self.client.clone(),
+        };
+        self.core.handle(now, Input::Take(taken));
+    }
+
+    /// The last attempt asked of an engine ends so.
+    fn ends(&mut self, now: Millis, outcome: Outcome) {
+        let (engine, id, attempt) = *self.core.engines.asked.last().expect("an attempt");
+        let news = EngineNews::end(outcome);
+        self.core.handle(now, Input::Engine { engine, id, attempt, report: LoadReport::default(), news });
+    }
+
+    fn asked(&self) -> usize {
+        self.core.engines.asked.len()
+    }
+
+    fn answers(&self) -> Vec<(RequestId, &'static str)> {
+        self.client.0.lock().expect("answers").clone()
+    }
+}
+
+#[test]
+fn no_attempt_beyond_the_policy_and_the_answer_at_once() {
+    let mut rig = Rig::new("version = 1\n[attempts.default]\nmax_attempts = 1\n");
+    rig.take(0.0, 1, 0);
+    assert_eq!(rig.asked(), 1);
+    rig.ends(10.0, Outcome::Error);
+    // The module reads the request's own number and sends nothing more.
+    assert_eq!((rig.asked(), rig.answers()), (1, vec![(1, "refused")]));
+    assert_eq!(rig.core.open(), 0);
+}
+
+#[test]
+fn only_after_the_ends_that_the_policy_names() {
+    let mut rig = Rig::new("version = 1\n[attempts.default]\nretry_on = [\"full\"]\n");
+    rig.take(0.0, 1, 0);
+    rig.ends(10.0, Outcome::Full);
+    assert_eq!(rig.asked(), 2, "full may be followed");
+    rig.ends(20.0, Outcome::Error);
+    assert_eq!((rig.asked(), rig.answers().len()), (2, 1), "an error may not, and the request ends");
+}
+
+#[test]
+fn a_back_off_delays_what_may_have_run_and_not_what_never_did_elsewhere() {
+    let mut rig = Rig::new("version = 1\n[attempts.default]\nbackoff = { base_ms = 100, max_ms = 100 }\n");
+    rig.take(0.0, 1, 0);
+    rig.ends(10.0, Outcome::Reset);
+    assert_eq!((rig.asked(), rig.counters.backed_off.get()), (1, 1), "a reset may have loaded the engine");
+    rig.core.alarms(109.0);
+    assert_eq!(rig.asked(), 1);
+    rig.core.alarms(110.0);
+    assert_eq!(rig.asked(), 2, "the wait is over");
+    let first = rig.core.engines.asked[1].0;
+    rig.ends(120.0, Outcome::Full);
+    let (second, _, _) = *rig.core.engines.asked.last().expect("sent");
+    // Full never ran: on another engine it goes at once; on the same one it waits.
+    let waited = rig.counters.backed_off.get() == 2;
+    assert_eq!(waited, second == first && rig.asked() == 2, "{first} {second} {}", rig.asked());
+}
+
+#[test]
+fn a_budget_that_is_spent_ends_requests_at_once() {
+    let text = "version = 1\n[attempts.default]\nbudget = { ratio = 0.0, min_per_s = 0.1, window_s = 10 }\n";
+    let mut rig = Rig::new(text);
+    rig.take(0.0, 1, 0);
+    rig.ends(10.0, Outcome::Error);
+    assert_eq!(rig.asked(), 2, "one further attempt in ten seconds");
+    rig.take(20.0, 2, 0);
+    rig.ends(30.0, Outcome::Error);
+    assert_eq!((rig.asked(), rig.counters.budget_held.get()), (3, 1));
+    assert_eq!(rig.answers(), [(2, "refused")], "held is answered at once");
+}
+
+#[test]
+fn an_attempt_has_its_time_and_then_another_goes() {
+    let mut rig = Rig::new("version = 1\n[attempts.default]\nattempt_timeout_ms = 500\n");
+    rig.take(0.0, 1, 0);
+    rig.core.alarms(499.0);
+    assert!(rig.core.engines.quits.is_empty());
+    rig.core.alarms(500.0);
+    assert_eq!((rig.core.engines.quits.len(), rig.counters.attempt_timeouts.get()), (1, 1));
+    assert_eq!(rig.asked(), 1, "nothing before the end is proven");
+    let (engine, id, attempt) = rig.core.engines.quits[0];
+    let news = EngineNews::GivenUp(End::GivenUp);
+    rig.core.handle(510.0, Input::Engine { engine, id, attempt, report: LoadReport::default(), news });
+    assert_eq!(rig.asked(), 2);
+}
+
+#[test]
+fn the_deadline_in_a_back_off_leaves_nothing_behind() {
+    let text =
+        "version = 1\n[attempts.default]\nmax_attempts = 2\nbackoff = { base_ms = 10000, max_ms = 10000 }\n";
+    let mut rig = Rig::new(text);
+    rig.take(0.0, 1, 0);
+    rig.ends(6000.0, Outcome::Reset);
+    assert_eq!(rig.counters.backed_off.get(), 1);
+    rig.core.alarms(15_000.0);
+    assert_eq!(rig.answers(), [(1, "failed")]);
+    rig.core.alarms(30_000.0);
+    assert_eq!(rig.asked(), 1, "the waiting attempt died with its request");
+    assert_eq!(
+        (rig.core.held().0[0], rig.core.held().1[0]),
+        (0, 0),
+        "neither the core nor the module holds it"
+    );
+}
+
+#[test]
+fn a_reload_lowers_the_attempts_of_what_is_open() {
+    let mut rig = Rig::new("version = 1\n[attempts.default]\nmax_attempts = 5\n");
+    rig.take(0.0, 1, 0);
+    let lower = policy(&rig.known, "version = 1\n[attempts.default]\nmax_attempts = 1\n");
+    rig.core.handle(5.0, Input::Settings { settings: None, policy: lower });
+    rig.ends(10.0, Outcome::Full);
+    assert_eq!((rig.asked(), rig.answers().len()), (1, 1));
+}
+
+#[test]
+fn what_may_run_once_and_may_have_run_is_not_sent_again_whatever_the_policy() {
+    // Built by hand, as no file can say this: every end may be followed, for every class.
+    let keys = crate::attempts::Keys { retry_on: Some(crate::attempts::Ends::all()), ..Default::default() };
+    let classes = vec![("seat-check".into(), false, None), ("log-load".into(), false, None)];
+    let policy = Policy::new(keys, classes, Vec::new(), Vec::new()).expect("policy");
+    let mut rig = Rig::new("version = 1\n");
+    rig.core.handle(0.0, Input::Settings { settings: None, policy: Arc::new(policy) });
+    rig.take(0.0, 1, 1);
+    rig.ends(10.0, Outcome::Reset);
+    assert_eq!((rig.asked(), rig.answers()), (1, vec![(1, "failed")]));
+    // One that was refused before it ran may go again.
+    rig.take(20.0, 2, 1);
+    rig.ends(30.0, Outcome::Full);
+    assert_eq!(rig.asked(), 3);
+}
+
+#[test]
+fn a_call_off_that_nothing_may_follow_is_not_carried_out() {
+    let mut rig = Rig::new("version = 1\n[attempts.default]\nretry_on = [\"full\", \"error\"]\n");
+    rig.take(0.0, 1, 0);
+    rig.core.call_off(10.0, 1, 0);
+    assert_eq!((rig.core.engines.quits.len(), rig.counters.policy_kept.get()), (0, 1));
+    let mut rig = Rig::new("version = 1\n");
+    rig.take(0.0, 1, 0);
+    rig.core.call_off(10.0, 1, 0);
+    assert_eq!(rig.core.engines.quits.len(), 1, "without the file it is");
+}
--- a/src/core/ports.rs
+++ b/src/core/ports.rs
@@ -98,6 +98,10 @@
     pub memory_mb: Option<f64>,
     /// Its group of tables.
     pub dataset: u32,
+    /// Its member's name; empty where the platform names none.
+    pub member: Bytes,
+    /// The front that it came over.
+    pub front: crate::attempts::Front,
     /// The statement.
     pub statement: Bytes,
     /// What its client wants of it.
@@ -196,8 +200,14 @@
     },
     /// An event of the list.
     List(ListEvent),
-    /// New settings: in the mailbox's order, so that what came under the old ones is taken under them.
-    Settings(Box<Settings>),
+    /// New settings and policy of attempts, swapped together: in the mailbox's order, so that what came under the
+    /// old ones is taken under them.
+    Settings {
+        /// The platform's settings, where they changed.
+        settings: Option<Box<Settings>>,
+        /// The operators' policy of attempts.
+        policy: Arc<crate::attempts::Policy>,
+    },
 }
 
 /// What overtakes the mailbox.
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -51,6 +51,8 @@
         cost_ms: Some(cost_ms),
         memory_mb: None,
         dataset: 0,
+        member: Bytes::new(),
+        front: crate::attempts::Front::Platform,
         statement: Bytes::new(),
         kind: Kind::Query,
         client,
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -170,6 +170,20 @@
     unproven,
     /// Connections to engines closed as the word for what was given up did not leave in its time.
     quits_stuck,
+    /// Further attempts that the operators' policy allowed no more, by their number or after that end.
+    policy_ended,
+    /// Further attempts held back as their budget was spent.
+    budget_held,
+    /// Further attempts that waited out a back-off.
+    backed_off,
+    /// Attempts given up as they had the time that their policy gives one.
+    attempt_timeouts,
+    /// Attempts that the module would have called off, kept as their policy allows none after them.
+    policy_kept,
+    /// Operators' files read and put in force, at the start and at SIGHUP.
+    file_loads,
+    /// Operators' files turned down; the policy in force stays.
+    file_refused,
 }
 
 /// Times from the shortest to the longest, in a histogram of fixed size.
--- a/src/file/check.rs
+++ b/src/file/check.rs
@@ -296,7 +296,7 @@
             .classes
             .iter()
             .map(|c| (c.name.clone(), c.once, text.attempts.class.get(&c.name).map(keys)));
-        match Policy::new(default, classes.collect(), routes) {
+        match Policy::new(default, classes.collect(), routes, known.members.clone()) {
             Ok(policy) => return Ok(policy),
             Err(between) => between.into_iter().for_each(|fault| route_fault(fault, &all, &mut faults)),
         }
--- a/src/file/mod.rs
+++ b/src/file/mod.rs
@@ -178,6 +178,48 @@
 #[cfg(test)]
 mod tests;
 
+/// What the operators' files set at a start: fronts and policy, and where to read them again at SIGHUP.
+#[derive(Clone, Debug, Default)]
+pub struct Operators {
+    /// The further fronts.
+    pub fronts: crate::config::Fronts,
+    /// The policy of attempts; without a file it sets nothing.
+    pub policy: std::sync::Arc<Policy>,
+    /// The file, where there is one, read again at SIGHUP.
+    pub path: Option<std::path::PathBuf>,
+}
+
+impl From<crate::config::Fronts> for Operators {
+    fn from(fronts: crate::config::Fronts) -> Operators {
+        Operators { fronts, ..Operators::default() }
+    }
+}
+
+impl Operators {
+    /// Reads the operators' file at `path`, held against these settings; where there is none, the older file of
+    /// fronts at `fronts`, with a warning, for one version. Errors: a file that cannot be used, with all its faults.
+    pub fn load(path: &Path, fronts: &Path, known: &Known) -> Result<Operators, String> {
+        match load(path, known).map_err(|faults| faults.to_string())? {
+            Some(loaded) => {
+                let fronts = crate::config::Fronts { flight: loaded.text.flight, snmp: loaded.text.snmp };
+                let policy = std::sync::Arc::new(loaded.policy);
+                Ok(Operators { fronts, policy, path: Some(path.to_owned()) })
+            }
+            None => {
+                let old = crate::config::Fronts::load(fronts).map_err(|e| e.to_string())?;
+                if fronts.exists() {
+                    eprintln!(
+                        "magpiechute: {} is read for this version only: move its tables into {}",
+                        fronts.display(),
+                        path.display()
+                    );
+                }
+                Ok(Operators { fronts: old, policy: std::sync::Arc::default(), path: Some(path.to_owned()) })
+            }
+        }
+    }
+}
+
 /// A file read, sound, and held against the settings in use.
 #[derive(Clone, Debug, Default)]
 pub struct Loaded {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -336,6 +336,8 @@
     pub dataset: u32,
     /// Estimated memory in MB, if given.
     pub memory_mb: Option<f64>,
+    /// Attempts that it may have, the first included, where its own policy says so; none for the settings' cap.
+    pub attempts_cap: Option<u32>,
 }
 
 /// How an attempt ended.
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,7 +3,8 @@
 
 use clap::{Parser, Subcommand, ValueEnum};
 use magpiechute::command::{self, Asked, Done};
-use magpiechute::config::{Config, ConfigError, Fronts};
+use magpiechute::config::{Config, ConfigError};
+use magpiechute::file::{Known, Operators};
 use magpiechute::node::Node;
 use magpiechute::signals::{Heard, Signals};
 use std::io::Write;
@@ -106,9 +107,11 @@
     let mut signals = Signals::hear().map_err(|e| ConfigError(format!("cannot hear signals: {e}")))?;
     let config = load(Path::new(&path))?;
     let fronts = std::env::var_os("MAGPIECHUTE_FRONTS").unwrap_or_else(|| "deploy/fronts.toml".into());
-    let fronts = Fronts::load(Path::new(&fronts))?;
+    let file = std::env::var_os("MAGPIECHUTE_FILE").unwrap_or_else(|| "deploy/magpiechute.toml".into());
+    let known = Known::of(&config.parsed);
+    let operators = Operators::load(Path::new(&file), Path::new(&fronts), &known).map_err(ConfigError)?;
     let name = config.name.clone();
-    let node = Node::start(config, fronts).await?;
+    let node = Node::start(config, operators).await?;
     let ops = node.ops.map_or(String::new(), |at| format!(", is operated at {at}"));
     eprintln!("magpiechute: {name} serves on {}{ops}", node.listen);
     loop {
--- a/src/node.rs
+++ b/src/node.rs
@@ -1,11 +1,13 @@
 //! One running workload manager: its actors, put together from a configuration, and its end.
 
+use crate::attempts::Policy;
 use crate::clients::{Front, flight, platform};
-use crate::config::{Config, ConfigError, Fronts, Speech, loopback};
+use crate::config::{Config, ConfigError, Speech, loopback};
 use crate::core::{Clock, Core, Handle, Input, start};
 use crate::counters::Counters;
 use crate::duty::Duty;
 use crate::engines::{Fleet, House};
+use crate::file::{self, Known, Operators};
 use crate::limits::Limits;
 use crate::list;
 use crate::operations::{self, Desk};
@@ -39,6 +41,8 @@
     /// The configuration in use, as values.
     used: Mutex<Value>,
     parsed: watch::Sender<Arc<Parsed>>,
+    /// The operators' file, and the policy of attempts in force.
+    operators: (Option<std::path::PathBuf>, Mutex<Arc<Policy>>),
     feed: watch::Sender<SocketAddr>,
     duty: Arc<Duty>,
     core: Handle,
@@ -48,8 +52,9 @@
 }
 
 impl Node {
-    /// Starts everything that the configuration and the file of further fronts name.
-    pub async fn start(config: Config, fronts: Fronts) -> Result<Node, ConfigError> {
+    /// Starts everything that the configuration and the operators' file name.
+    pub async fn start(config: Config, operators: impl Into<Operators>) -> Result<Node, ConfigError> {
+        let Operators { fronts, policy, path } = operators.into();
         let parsed = Arc::new(config.parsed);
         let speech = fronts.flight.as_ref().map(|f| f.engines).unwrap_or_default();
         let limits =
@@ -105,7 +110,11 @@
             limits.clone(),
             counters.clone(),
         );
-        tokio::spawn(start(made.map_err(|e| ConfigError(e.to_string()))?, inputs, clock));
+        let made = made.map_err(|e| ConfigError(e.to_string()))?.with_policy(policy.clone());
+        if path.as_ref().is_some_and(|p| p.exists()) {
+            counters.file_loads.up();
+        }
+        tokio::spawn(start(made, inputs, clock));
         let mut last = config.known;
         for event in config.events {
             last = last.max(event.number);
@@ -164,6 +173,7 @@
             fixed,
             used,
             parsed,
+            operators: (path, Mutex::new(policy)),
             feed,
             duty,
             core,
@@ -183,8 +193,19 @@
                 Some(key) => Err(ConfigError(format!("configuration: {key} is missing"))),
             }
         });
-        let config = match whole {
-            Ok(config) => config,
+        // Guard: the operators' file is held against the new settings, and both are taken or neither.
+        let whole = whole.and_then(|config| match &self.operators.0 {
+            Some(path) => match file::load(path, &Known::of(&config.parsed)) {
+                Ok(loaded) => Ok((config, loaded.map(|l| Arc::new(l.policy)).unwrap_or_default())),
+                Err(faults) => {
+                    self.counters.file_refused.up();
+                    Err(ConfigError(faults.to_string()))
+                }
+            },
+            None => Ok((config, Arc::default())),
+        });
+        let (config, policy) = match whole {
+            Ok(both) => both,
             Err(problem) => {
                 self.counters.reloads_bad.up();
                 return eprintln!("magpiechute: goes on with the old configuration: {problem}");
@@ -204,17 +225,22 @@
         for (name, _) in kept.iter().filter(|(_, differs)| *differs) {
             eprintln!("magpiechute: {name} in the new configuration waits for the next start");
         }
-        if *old != *new {
-            // One step: nothing comes between the fronts' settings and the core's place in its mailbox, so that
-            // what came under the old ones is taken under them, and what comes next under the new.
-            if let Some(place) = self.core.place().await {
+        // One step: nothing comes between the fronts' settings and the core's place in its mailbox, so that what
+        // came under the old ones is taken under them, and what comes next under the new.
+        if let Some(place) = self.core.place().await {
+            let settings = (*old != *new).then(|| Box::new(new.settings.clone()));
+            if settings.is_some() {
                 for class in &new.classes {
                     self.counters.class(&class.name);
                 }
                 self.parsed.send_replace(Arc::new(new.clone()));
-                place.send(Input::Settings(Box::new(new.settings.clone())));
                 eprintln!("magpiechute: goes by new settings");
             }
+            *self.operators.1.lock().unwrap_or_else(PoisonError::into_inner) = policy.clone();
+            place.send(Input::Settings { settings, policy });
+            if self.operators.0.as_ref().is_some_and(|p| p.exists()) {
+                self.counters.file_loads.up();
+            }
         }
         *self.used.lock().unwrap_or_else(PoisonError::into_inner) = config.values;
         self.feed.send_if_modified(|at| std::mem::replace(at, config.feed) != config.feed);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -93,7 +93,16 @@
     ) -> Vec<Action> {
         let due_ms = self.now + left;
         let (dataset, memory_mb) = (id % 3, None);
-        self.event(Event::Request(Request { id, class, key, due_ms, cost_ms: cost, dataset, memory_mb }))
+        self.event(Event::Request(Request {
+            id,
+            class,
+            key,
+            due_ms,
+            cost_ms: cost,
+            dataset,
+            memory_mb,
+            attempts_cap: None,
+        }))
     }
 
     pub fn ended(&mut self, id: u32, attempt: u16, engine: EngineId, outcome: Outcome) -> Vec<Action> {
@@ -126,7 +135,7 @@
 
 /// A request of data set 7 with the given estimates.
 pub fn query(id: u32, class: usize, due_ms: f64, cost_ms: Option<f64>, memory_mb: Option<f64>) -> Event {
-    Event::Request(Request { id, class, key: 0, due_ms, cost_ms, dataset: 7, memory_mb })
+    Event::Request(Request { id, class, key: 0, due_ms, cost_ms, dataset: 7, memory_mb, attempts_cap: None })
 }
 
 /// A served attempt with its bill and report.
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -874,6 +874,8 @@
     s send next $.41.0
     s expect $.42.0=0
     s send next $.50.0
+    s expect $.51.0=0
+    s send next $.57.0
     s expect $.100.1.2.1=seat-check
     s send next $.100.1.5.3
     s expect $.100.1.5.3=EndOfMibView
@@ -1163,6 +1165,29 @@
     play(8, speech, &format!("{script}wait open=0\nwait taken=192\nwait served=144\nwait failed=48\n"));
 }
 
+/// A child that is ended with its test, also where the test fails: it would hold the test's output open.
+struct Reaped(Child);
+
+impl std::ops::Deref for Reaped {
+    type Target = Child;
+    fn deref(&self) -> &Child {
+        &self.0
+    }
+}
+
+impl std::ops::DerefMut for Reaped {
+    fn deref_mut(&mut self) -> &mut Child {
+        &mut self.0
+    }
+}
+
+impl Drop for Reaped {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
 /// The program itself, with these files.
 fn program(name: &str, config: &str, fronts: &str) -> Child {
     let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
@@ -1172,7 +1197,9 @@
         path
     };
     let mut program = Command::new(env!("CARGO_BIN_EXE_magpiechute"));
-    program.env("NODE_CONFIG", file("json", config)).env("MAGPIECHUTE_FRONTS", file("toml", fronts));
+    let operators = format!("version = 1\n{fronts}");
+    program.env("NODE_CONFIG", file("json", config)).env("MAGPIECHUTE_FILE", file("toml", &operators));
+    program.env("MAGPIECHUTE_FRONTS", folder.join("no-fronts.toml"));
     for unset in ["NODE_LISTEN", "NODE_OPS", "NODE_LISTEN_FD", "TMPDIR"] {
         program.env_remove(unset);
     }
@@ -1190,6 +1217,7 @@
         .args(["-c", "exec \"$0\" 4<&0 0</dev/null", env!("CARGO_BIN_EXE_magpiechute")])
         .env("NODE_CONFIG", config)
         .env("MAGPIECHUTE_FRONTS", folder.join("no-fronts.toml"))
+        .env("MAGPIECHUTE_FILE", folder.join("no-file.toml"))
         .env("NODE_LISTEN_FD", "4")
         .env("TMPDIR", folder)
         .env_remove("NODE_LISTEN")
@@ -1312,7 +1340,7 @@
 /// A planned end of the program prints the counters and exits 0; so does SIGUSR1 in between.
 #[test]
 fn signals() {
-    let mut child = program("signals", &good(), "");
+    let mut child = Reaped(program("signals", &good(), ""));
     let mut said = BufReader::new(child.stderr.take().expect("stderr"));
     let mut line = String::new();
     let signal = |name: &str| {
