--- a/src/core/ends.rs
+++ b/src/core/ends.rs
@@ -72,6 +72,7 @@
     ) {
         self.count_end(outcome).up();
         let (attempt, engine, took_ms) = (out.number, out.engine, now - out.sent);
+        tracing::debug!(id, %engine, attempt, ?outcome, took_ms, finished, billed_ms, inflight = report.inflight, "ended");
         let ended = Ended { id, attempt, engine, outcome, took_ms, finished, billed_ms, billed_mb, report };
         self.tell(now, Event::Ended(ended));
     }
@@ -146,6 +147,7 @@
             Answer::Refused { .. } => self.counters.refused.up(),
             _ => self.counters.failed.up(),
         }
+        tracing::debug!(id, ?as_what, refused = matches!(answer, Answer::Refused { .. }), "answered");
         client.answer(id, answer);
     }
 
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -314,6 +314,9 @@
             last: None,
             waiting: None,
         };
+        let t = &open.taken;
+        let (name, member) = (|| crate::log::name(&t.name), || crate::log::name(&t.member));
+        tracing::debug!(id, r#ref = %name(), class = %t.class.name, member = %member(), due_ms = t.due_ms, cost_ms = t.cost_ms, data_set = t.dataset, "taken");
         self.counters.open.up();
         self.held_bytes = bytes;
         self.names.insert(open.taken.name.clone());
@@ -494,6 +497,7 @@
             return Some(Outcome::NoConnection);
         }
         open.tries.sent(number, engine, now);
+        tracing::debug!(id, %engine, attempt = number, due_ms, "sent");
         self.counters.sent.up();
         if self.limits.silence_ms.is_finite() {
             self.arm(now + self.limits.silence_ms, Alarm::Silence(id, number));
--- a/src/core/narrow.rs
+++ b/src/core/narrow.rs
@@ -23,10 +23,12 @@
         let (end, before) = open.last.unwrap_or((Outcome::Moot, engine));
         match open.keys.next(number, end, now, chance(id, number)) {
             Next::Ended => {
+                tracing::debug!(id, attempt = number, ?end, "no further attempt by the policy");
                 self.counters.policy_ended.up();
                 None
             }
             Next::Held => {
+                tracing::debug!(id, attempt = number, "held: the budget is spent");
                 self.counters.budget_held.up();
                 None
             }
@@ -46,6 +48,7 @@
     ) {
         let Some(open) = self.requests.get_mut(&id) else { return };
         open.waiting = Some(attempt);
+        tracing::debug!(id, attempt = attempt.0, wait_ms = wait, "backs off");
         self.counters.backed_off.up();
         self.arm(now + wait, Alarm::BackOff(id, attempt.0));
     }
--- a/src/core/narrow/tests.rs
+++ b/src/core/narrow/tests.rs
@@ -244,3 +244,49 @@
     rig.core.call_off(10.0, 1, 0);
     assert_eq!(rig.core.engines.quits.len(), 1, "without the file it is");
 }
+
+/// A writer of log lines into a shared buffer.
+#[derive(Clone, Default)]
+struct Lines(Arc<Mutex<Vec<u8>>>);
+
+impl std::io::Write for Lines {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        self.0.lock().expect("lines").extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn each_decision_is_a_line_with_its_fields_at_debug_and_none_at_the_usual_level() {
+    let lines = Lines::default();
+    // Guard: while there is one subscriber only, what other tests' threads meet first is switched off for all.
+    let _second = tracing::Dispatch::new(tracing_subscriber::fmt().with_writer(std::io::sink).finish());
+    let play = |level| {
+        let writer = lines.clone();
+        let json = tracing_subscriber::fmt().json().with_writer(move || writer.clone());
+        let subscriber = json.with_max_level(level).finish();
+        tracing::subscriber::with_default(subscriber, || {
+            let mut rig =
+                Rig::new("version = 1\n[attempts.default]\nmax_attempts = 2\nretry_on = [\"full\"]\n");
+            rig.take(0.0, 1, 0);
+            rig.ends(10.0, Outcome::Full);
+            rig.ends(20.0, Outcome::Error);
+        })
+    };
+    play(tracing::Level::INFO);
+    assert!(lines.0.lock().expect("lines").is_empty(), "nothing at the usual level");
+    play(tracing::Level::DEBUG);
+    let text = String::from_utf8(lines.0.lock().expect("lines").clone()).expect("text");
+    let events: Vec<serde_json::Value> =
+        text.lines().map(|l| serde_json::from_str(l).expect("JSON")).collect();
+    let said = |what: &str| events.iter().filter(|e| e["fields"]["message"] == what).count();
+    assert_eq!((said("taken"), said("sent"), said("ended"), said("answered")), (1, 2, 2, 1), "{text}");
+    let taken = events.iter().find(|e| e["fields"]["message"] == "taken").expect("taken");
+    assert_eq!(
+        (taken["fields"]["class"].as_str(), taken["fields"]["ref"].as_str()),
+        (Some("seat-check"), Some("0000000000000001"))
+    );
+}
--- a/src/file/check.rs
+++ b/src/file/check.rs
@@ -30,7 +30,7 @@
 pub struct KnownClass {
     /// Its name.
     pub name: String,
-    /// Whether it may run once only.
+    /// Whether a repeat may do harm: it may run once only, or once within a group of engines and a span of time.
     pub once: bool,
     /// How long its clients wait, in ms.
     pub give_up_ms: Millis,
@@ -42,7 +42,7 @@
         let s = &parsed.settings;
         let class = |(name, c): (&String, &crate::interface::Class)| KnownClass {
             name: name.clone(),
-            once: c.effect == Effect::Once,
+            once: c.effect != Effect::Repeatable,
             give_up_ms: c.give_up_ms,
         };
         Known {
@@ -363,6 +363,9 @@
             format!("class {name} may run once only, and a second copy could run it twice"),
             "remove second_copy, or narrow the route to other classes",
         );
+    } else if own.second_copy.is_some() {
+        // Guard: a key that the core does not carry out would be a promise that nothing keeps.
+        faults.at(path, "second_copy", "this version sends no second copies yet", "remove second_copy");
     }
     if let Some(ends) = own.retry_on.filter(|_| class.once && narrow) {
         let ran: Vec<&str> = ends.that_may_have_run().collect();
--- a/src/file/mod.rs
+++ b/src/file/mod.rs
@@ -187,6 +187,8 @@
     pub policy: std::sync::Arc<Policy>,
     /// The file, where there is one, read again at SIGHUP.
     pub path: Option<std::path::PathBuf>,
+    /// What is logged, and how.
+    pub log: text::LogText,
 }
 
 impl From<crate::config::Fronts> for Operators {
@@ -203,7 +205,7 @@
             Some(loaded) => {
                 let fronts = crate::config::Fronts { flight: loaded.text.flight, snmp: loaded.text.snmp };
                 let policy = std::sync::Arc::new(loaded.policy);
-                Ok(Operators { fronts, policy, path: Some(path.to_owned()) })
+                Ok(Operators { fronts, policy, path: Some(path.to_owned()), log: loaded.text.log })
             }
             None => {
                 let old = crate::config::Fronts::load(fronts).map_err(|e| e.to_string())?;
@@ -214,7 +216,13 @@
                         path.display()
                     );
                 }
-                Ok(Operators { fronts: old, policy: std::sync::Arc::default(), path: Some(path.to_owned()) })
+                let path = Some(path.to_owned());
+                Ok(Operators {
+                    fronts: old,
+                    policy: std::sync::Arc::default(),
+                    path,
+                    log: text::LogText::default(),
+                })
             }
         }
     }
--- a/src/file/tests.rs
+++ b/src/file/tests.rs
@@ -24,7 +24,6 @@
 retry_on = ["no-connection", "full", "never-sent", "reset", "error", "timed-out"]
 backoff = { base_ms = 20, max_ms = 400, jitter = 0.5 }
 budget = { ratio = 0.1, min_per_s = 3, window_s = 10 }
-second_copy = { after = "p95", ratio = 0.05 }
 
 [attempts.class.usage-report]
 attempt_timeout_ms = 4000
@@ -256,3 +255,22 @@
     let kept = include_str!("../../deploy/magpiechute.schema.json");
     assert_eq!(kept, schema(), "run `magpiechute schema > deploy/magpiechute.schema.json`");
 }
+
+#[test]
+fn a_second_copy_that_this_version_would_not_send_is_a_fault() {
+    let text = "version = 1\n[attempts.class.seat-check]\nsecond_copy = { after = \"p95\", ratio = 0.05 }\n";
+    let all = faults(text, &known(true));
+    assert_eq!(all.len(), 1);
+    assert!(
+        all[0]
+            .to_string()
+            .starts_with("line 3: attempts.class.seat-check.second_copy: this version sends no")
+    );
+}
+
+#[test]
+fn the_example_in_deploy_is_sound() {
+    let text = include_str!("../../deploy/magpiechute.example.toml");
+    let policy = policy(text, &known(false));
+    assert_eq!(policy.resolve(&AT).max_attempts, Some(2));
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,6 +23,7 @@
 mod interface;
 pub mod limits;
 mod list;
+pub mod log;
 mod net;
 pub mod node;
 mod operations;
--- a/src/main.rs
+++ b/src/main.rs
@@ -110,6 +110,7 @@
     let file = std::env::var_os("MAGPIECHUTE_FILE").unwrap_or_else(|| "deploy/magpiechute.toml".into());
     let known = Known::of(&config.parsed);
     let operators = Operators::load(Path::new(&file), Path::new(&fronts), &known).map_err(ConfigError)?;
+    magpiechute::log::init(&operators.log).map_err(ConfigError)?;
     let name = config.name.clone();
     let node = Node::start(config, operators).await?;
     let ops = node.ops.map_or(String::new(), |at| format!(", is operated at {at}"));
--- a/src/node.rs
+++ b/src/node.rs
@@ -42,7 +42,7 @@
     used: Mutex<Value>,
     parsed: watch::Sender<Arc<Parsed>>,
     /// The operators' file, and the policy of attempts in force.
-    operators: (Option<std::path::PathBuf>, Mutex<Arc<Policy>>),
+    operators: (Option<std::path::PathBuf>, Arc<Mutex<Arc<Policy>>>),
     feed: watch::Sender<SocketAddr>,
     duty: Arc<Duty>,
     core: Handle,
@@ -54,7 +54,7 @@
 impl Node {
     /// Starts everything that the configuration and the operators' file name.
     pub async fn start(config: Config, operators: impl Into<Operators>) -> Result<Node, ConfigError> {
-        let Operators { fronts, policy, path } = operators.into();
+        let Operators { fronts, policy, path, .. } = operators.into();
         let parsed = Arc::new(config.parsed);
         let speech = fronts.flight.as_ref().map(|f| f.engines).unwrap_or_default();
         let limits =
@@ -129,16 +129,19 @@
             store.pass_on(&core).await;
             tokio::spawn(successor::run(store, said, core.clone(), limits.clone()));
         }
+        let (parsed, settings) = watch::channel(parsed);
+        let in_force = Arc::new(Mutex::new(policy));
         let ops = desk.map(|(listener, at)| {
-            let (core, counters) = (core.clone(), counters.clone());
-            let desk = Desk { core, counters, limits: limits.clone(), duty: duty.clone(), scribe };
+            let (core, counters, limits, duty) =
+                (core.clone(), counters.clone(), limits.clone(), duty.clone());
+            let (policy, parsed) = (in_force.clone(), settings.clone());
+            let desk = Desk { core, counters, limits, duty, scribe, policy, parsed };
             tokio::spawn(operations::listen(listener, desk));
             at
         });
-        for class in &parsed.classes {
+        for class in &settings.borrow().classes {
             counters.class(&class.name); // so that a figure is there before its first request
         }
-        let (parsed, settings) = watch::channel(parsed);
         let front = Front {
             core: core.clone(),
             parsed: settings,
@@ -173,7 +176,7 @@
             fixed,
             used,
             parsed,
-            operators: (path, Mutex::new(policy)),
+            operators: (path, in_force),
             feed,
             duty,
             core,
--- a/src/operations.rs
+++ b/src/operations.rs
@@ -2,15 +2,17 @@
 //! place, a bound on its line and a time by which it is done. Nothing here waits for the core's ordinary mailbox:
 //! what is asked is read off published figures, and what is told goes past the queue.
 
+use crate::attempts::{Front, Policy, Where};
 use crate::config::engine_named;
 use crate::core::Handle;
 use crate::counters::Counters;
 use crate::duty::Duty;
 use crate::limits::Limits;
 use crate::net::linger;
+use crate::settings::Parsed;
 use crate::successor::{Mark, Scribe};
 use std::collections::VecDeque;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinHandle;
@@ -24,6 +26,9 @@
     pub(crate) limits: Arc<Limits>,
     pub(crate) duty: Arc<Duty>,
     pub(crate) scribe: Scribe,
+    /// The operators' policy of attempts in force, and the settings that it was held against.
+    pub(crate) policy: Arc<Mutex<Arc<Policy>>>,
+    pub(crate) parsed: tokio::sync::watch::Receiver<Arc<Parsed>>,
 }
 
 /// Takes callers until the program ends.
@@ -98,12 +103,33 @@
         Ok(())
     }
 
+    /// The keys of attempts that hold for a request of the platform's front, each with the table that it comes from.
+    fn policy(&self, class: &str, member: Option<&str>) -> String {
+        let parsed = self.parsed.borrow().clone();
+        let Some(class) = parsed.settings.names.iter().position(|name| name == class) else {
+            return "400 no class has such a name\n".to_owned();
+        };
+        if member.is_some_and(|m| !parsed.tenants.iter().any(|t| t == m)) {
+            return "400 no member has such a name\n".to_owned();
+        }
+        let policy = self.policy.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        let member = member.map_or(usize::MAX, |m| policy.member(m.as_bytes()));
+        let at = Where { class, member, front: Front::Platform, data_set: 0 };
+        let mut text = String::from("200 keys of attempts, their values and tables\n");
+        for source in policy.explain(&at) {
+            text.push_str(&format!("{} {} {}\n", source.key, source.value, source.from));
+        }
+        text + "EOF\n"
+    }
+
     async fn answer(&self, line: &str) -> String {
         let words: Vec<&str> = line.split_ascii_whitespace().collect();
         let said = match words[..] {
             ["READY"] if self.duty.fit() => Ok("ready"),
             ["READY"] => Err("not ready"),
             ["STATS"] => return format!("{}EOF\n", self.counters.figures()),
+            ["POLICY", class] => return self.policy(class, None),
+            ["POLICY", class, member] => return self.policy(class, Some(member)),
             ["DISABLE", id] => self.ban(id, true).await.map(|()| "taken out"),
             ["ENABLE", id] => self.ban(id, false).await.map(|()| "may serve again"),
             ["DRAIN"] => {
@@ -115,7 +141,9 @@
                 Ok("clients may come")
             }
             [] => Err("an empty line"),
-            _ => Err("no such call: READY, STATS, DISABLE ID, ENABLE ID, DRAIN, UNDRAIN"),
+            _ => Err(
+                "no such call: READY, STATS, POLICY CLASS [MEMBER], DISABLE ID, ENABLE ID, DRAIN, UNDRAIN",
+            ),
         };
         match said {
             Ok(what) => format!("200 {what}\n"),
