Send heavy queries to cold engines in turn, and stop taking those for crowded

At 22 s the cold time ends for all managers at once, and 286 reports fall on the new engines within 2 s.

Causes: (1) cold_room let in by chance only what was a sixth of 0.51 of the budget, 918 ms at 30% of 8 cores, and took each query for its class's mean (1,300 ms): no report passed for the first 7 s. (2) chance of room/w in each of 100 managers is a Poisson sum, so it could not simply be raised. (3) load() took an engine not heard of for the fleet's mean of others' queries (five a core from the survivors), so a cold one looked as crowded and drew nothing.

Ruled out: the gate alone.

Change: what is larger than a manager's part goes while its ordinal has the place that a shared clock and the engine's hash lead round the fleet, once a window; a quarter of the mean is the least that it is charged; a cold engine is taken at its own reports alone.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -42,7 +42,8 @@
 const FORGIVE_MS: f64 = 5000.0; // ms; time constant with which an unheard engine's slowness is forgotten
 const RETURN_MS: f64 = 4000.0; // ms taken as cold once back: the list may tell a restart that much later
 const COLD_MARGIN: f64 = 0.51; // of all cores' budget: capacity is at 85% busy, and the costs are estimates
-const COLD_PARTS: f64 = 6.0; // of the whole cold budget: a query that comes by chance is no larger part
+const COLD_PARTS: f64 = 6.0; // of the whole cold budget: a query that comes in turn is no larger part
+const COLD_TURNS: f64 = 3.0; // gateways that a window leads it on by
 const PROBE_MS: f64 = 400.0; // ms; news of an engine older than this is worth a probe
 const PROBES_SAVED: f64 = 12.0; // probes saved up at most, one earned a request: a small fleet's round
 const ASK_MS: f64 = 40.0; // ms that a request waits for the probes sent for it
@@ -636,7 +637,7 @@
         self.own += f64::from(threads);
         e.running.insert(id);
         e.cold_sends.retain(|(t, _)| now - t <= self.set.overload_for_ms);
-        e.cold_sends.push((now, usual.max(work)));
+        e.cold_sends.push((now, (usual / 4.0).max(work)));
         if e.fails > 0 {
             e.shut_until = now + e.pause();
         }
@@ -715,7 +716,8 @@
 
     /// Threads on an engine: own, and others' as reported. With no reports, latency alone tells of them.
     fn load(&self, e: &Engine) -> f64 {
-        let usual = self.fleet * self.cores(e);
+        let warm = e.cold.is_none_or(|(_, until)| self.now >= until);
+        let usual = if warm { self.fleet * self.cores(e) } else { 0.0 };
         f64::from(e.threads) + usual + (e.others - usual) * self.trust(e)
     }
 
@@ -850,16 +852,16 @@
             return true;
         }
         let window = self.set.overload_for_ms;
-        let w = self.stats[r.class].mean.max(self.work_of(r));
-        // Two processes of one gateway have its part together.
-        let parts = f64::from(self.set.instances) * self.beside.max(1.0);
-        let room = self.set.tip_multiple * self.cores(e) * window * COLD_MARGIN / parts;
+        let w = (self.stats[r.class].mean / 4.0).max(self.work_of(r));
+        let all = f64::from(self.set.instances);
+        let whole = self.set.tip_multiple * self.cores(e) * window;
         let sent: f64 = e.cold_sends.iter().filter(|(t, _)| self.now - t <= window).map(|(_, w)| w).sum();
-        // A share of less than one query comes as a turn by chance in some windows, and not for the heaviest:
-        // a few of those sent at once would be the whole budget.
-        let turn = mix(e.hash ^ self.seed ^ (self.now / window) as u64) as f64 / 2f64.powi(64);
-        let light = w * COLD_PARTS <= room * parts;
-        sent + w <= room || sent == 0.0 && light && turn < room / w
+        // A share of less than one query comes in turn: a clock and a hash that all have lead it round the
+        // gateways, so that no chance heaps up what many send.
+        let room = whole * COLD_MARGIN / all / self.beside.max(1.0); // two processes share one part
+        let at = self.now / window * COLD_TURNS + f64::from(self.set.ordinal);
+        let place = (at + (e.hash % 4096) as f64).rem_euclid(all);
+        sent + w <= room || sent == 0.0 && w * COLD_PARTS <= whole && place * w < room * all
     }
 
     /// Rule 7: whether a further attempt stays within its budget.
--- /dev/null
+++ b/tests/fleet.rs
@@ -0,0 +1,76 @@
+//! A hundred gateways side by side: what is harmless in one and harmful when all do it.
+
+mod common;
+use common::*;
+use magpiechute::*;
+
+const MANY: u32 = 100;
+
+/// As many gateways of one fleet, each with its place in it.
+fn fleet(classes: &[Class]) -> Vec<Rig> {
+    let one = |ordinal: u32| {
+        let large = Settings { instances: MANY, ordinal, ..settings(classes.to_vec()) };
+        let seed = u64::from(ordinal) * 7919 + 3;
+        let mut rig = Rig { gateway: Gateway::new(large, seed).expect("settings"), now: 1000.0 };
+        rig.event(Event::Started);
+        rig
+    };
+    (0..MANY).map(one).collect()
+}
+
+/// Work sent within a window from then on.
+fn within(sends: &[(f64, f64)], from: f64, window: f64) -> f64 {
+    sends.iter().filter(|(t, _)| (from..from + window).contains(t)).map(|(_, w)| w).sum()
+}
+
+/// A day of six in ten engines replaced: no query that is larger than one gateway's part of a cold engine's budget
+/// reached any, and the survivors drowned beside eighteen idle engines. Such queries go in turn: together the
+/// gateways keep the budget in every window, and use a good part of it.
+#[test]
+fn heavy_queries_reach_a_cold_engine_in_turn_and_keep_its_budget() {
+    let (work, window, whole) = (600.0, 1000.0, 2.0 * 0.3 * 8.0 * 1000.0);
+    let mut sends = Vec::new();
+    for (k, rig) in fleet(&[class(3, 1500.0, 1.0)]).iter_mut().enumerate() {
+        rig.list(vec![entry(0, ListState::Ready, 1000.0)]);
+        rig.now += k as f64 * 2.0;
+        for id in 0..40 {
+            rig.now += 100.0;
+            let mut actions = rig.tick(0.0);
+            actions.extend(rig.request_with(id, 0, 0, 4000.0, Some(work)));
+            for id in all_sent(&actions) {
+                sends.push((rig.now, work));
+                rig.ended_after(id, 0, engine(0), Outcome::Ok, 5.0);
+            }
+        }
+    }
+    for k in 0..50 {
+        let from = 1000.0 + f64::from(k) * 50.0;
+        let used = within(&sends, from, window);
+        assert!(used < whole, "window from {from}: {used} of {whole}");
+    }
+    let used = within(&sends, 1500.0, 2.0 * window) / 2.0;
+    assert!(used > 0.25 * whole, "starved: {used} of {whole} a window");
+}
+
+/// The cold budget takes a light query of a heavy class for what it is estimated at.
+#[test]
+fn a_light_query_of_a_heavy_class_passes_the_cold_budget() {
+    let mut rig = Rig::new(settings(vec![class(3, 6000.0, 1.0)]), 0); // usually 9,000 ms of work
+    rig.list(vec![entry(0, ListState::Ready, rig.now)]);
+    assert_eq!(sent(&rig.request_with(1, 0, 0, 9000.0, Some(300.0)), 1), Some(engine(0)));
+    assert_eq!(sent(&rig.request_with(2, 0, 0, 9000.0, Some(9000.0)), 2), None);
+}
+
+/// What has just started is not taken to be as crowded as those that were there before it.
+#[test]
+fn an_engine_that_just_started_is_not_thought_as_crowded_as_the_rest() {
+    let mut rig = Rig::new(Settings { instances: 2, ..settings(vec![class(1, 1000.0, 1.0)]) }, 3);
+    for id in 0..60 {
+        rig.now += 20.0;
+        let at = sent(&rig.request(id, 0, 0), id).expect("an engine");
+        let report = LoadReport { inflight: Some(60.0), ..LoadReport::default() };
+        rig.event(served(id, at, 150.0, Some((100.0, 8.0)), report));
+    }
+    rig.list(vec![entry(4, ListState::Ready, rig.now - 3000.0)]);
+    assert_eq!(sent(&rig.request_with(99, 0, 0, 9000.0, Some(100.0)), 99), Some(engine(4)));
+}
