Take unheard engines for as crowded as warm ones; count cold ones by their present cores

Causes: on_report let every answer into the fleet's mean alike, and cold engines answer the seat-checks of all, so they drowned the survivors' word; room() counted a cold engine's share of threads whole, so own threads that it could not take went to the survivors.

Ruled out: notes as news of the load (20,000 notes of a probe carry no report); the pooled bound (1.0 throughout).

Change: the mean takes warm engines' reports only, and the sooner the longer none came; shares go by present cores.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -177,7 +177,8 @@
     counted: bool,    // reports count queries
     bills: bool,      // answers bill the work
     held: (f64, f64), // faded sums of threads x time and of time: what a held query runs on
-    fleet: f64,       // mean of others' queries a core, as reported
+    fleet: f64,       // mean of others' queries a core, as warm engines report it
+    told: Millis,     // when one last did
     pool: Fit,        // over all engines: threads a core against START_PER_CORE
     stretch: f64,     // latency over work, all engines
     samples: u32,
@@ -294,13 +295,13 @@
             if fresh {
                 (e.fit, e.heard) = (Fit::new(start, now), now);
                 (e.reported, e.probed_at) = (f64::NEG_INFINITY, f64::NEG_INFINITY);
-                let at = line.engine;
-                e.banned = self.bans.contains(&at);
-                e.hash = mix(u64::from(u32::from_be_bytes(at.addr)) ^ u64::from(at.port) << 32);
+                e.banned = self.bans.contains(&line.engine);
+                let EngineId { addr, port } = line.engine;
+                e.hash = mix(u64::from(u32::from_be_bytes(addr)) ^ u64::from(port) << 32);
             }
-            let started = line.started_ms;
-            if started > 0.0 && (fresh || started != e.line.started_ms) {
-                e.restart(started, started + self.set.cold_ms, start, now);
+            let at = line.started_ms;
+            if at > 0.0 && (fresh || at != e.line.started_ms) {
+                e.restart(at, at + self.set.cold_ms, start, now);
             }
             (e.cores, e.share, e.line) = (cores, share, line);
         }
@@ -357,8 +358,7 @@
     fn on_ended(&mut self, ended: &Ended, actions: &mut Vec<Action>) {
         let Ended { id, outcome, took_ms: took, finished, billed_ms: billed, billed_mb, .. } = *ended;
         let now = self.now;
-        let crowd = |e: &Engine| (self.load(e) / self.cores(e)).max(1.0);
-        let crowd = self.engines.get(&ended.engine).map_or(1.0, crowd);
+        let crowd = self.engines.get(&ended.engine).map_or(1.0, |e| (self.load(e) / self.cores(e)).max(1.0));
         let Some(r) = self.reqs.get_mut(&id) else { return };
         let Some(t) = r.out.take() else { return };
         let (class, key, seq, done, hinted) = (r.class, r.key, r.seq, r.done || finished, r.est.is_some());
@@ -380,21 +380,19 @@
             Outcome::Ok => {
                 self.learn(class, &t, hinted, took, billed, crowd);
                 self.answers(t.engine, actions);
-                let served = self.engines.get_mut(&t.engine).into_iter();
-                served.for_each(|e| {
+                if let Some(e) = self.engines.get_mut(&t.engine) {
                     (e.stalls, e.stalled_until, e.proofs) = (0, 0.0, 0);
                     e.errors -= ERROR_GAIN * e.errors;
-                });
+                }
                 self.convict(id, actions);
             }
             Outcome::Error => {
-                let doubted = self.engines.get_mut(&t.engine).into_iter();
-                doubted.for_each(|e| {
+                if let Some(e) = self.engines.get_mut(&t.engine) {
                     e.errors += ERROR_GAIN * (1.0 - e.errors);
                     if e.proofs >= ERROR_PROOFS {
                         e.stall(now);
                     }
-                });
+                }
                 self.reqs.get_mut(&id).expect("ended").erred.push(t.engine);
             }
             Outcome::Full => {
@@ -434,13 +432,9 @@
         let took = if took.is_finite() { took.max(0.1) } else { return };
         let bill = bill.filter(|w| w.is_finite() && *w > 0.0);
         self.bills |= bill.is_some();
-        let s = &mut self.stats[class];
         // Guard: an estimate counts once its query is served: anyone may send one, engines serve no nonsense.
-        if hinted {
-            s.see(t.est);
-        } else {
-            s.see(bill.unwrap_or(took * threads / crowd)); // unbilled: latency less the crowding
-        }
+        let unbilled = took * threads / crowd; // latency less the crowding
+        self.stats[class].see(if hinted { t.est } else { bill.unwrap_or(unbilled) });
         let work = bill.unwrap_or(t.work);
         let ratio = (took * threads / work.max(0.1)).ln().clamp(-3.0, 5.0);
         if hinted {
@@ -461,11 +455,11 @@
         let e = &self.engines[&t.engine];
         let own = (t.seen.0 + f64::from(e.threads) + threads) / 2.0;
         let all = (t.seen.1 + (self.load(e) + threads) / self.cores(e)) / 2.0;
-        let (now, cores, warm) = (self.now, e.cores, e.cold.is_none_or(|(_, until)| self.now >= until));
+        let (now, cores) = (self.now, e.cores);
         let time = (took * threads).min(4.0 * work * self.usual_stretch()); // a giant: four usual queries
         let step = threads / START_PER_CORE / cores;
         self.pool.pair(all / START_PER_CORE, time, work, (now, POOL_FITS, step));
-        if let Some(e) = self.engines.get_mut(&t.engine).filter(|_| warm) {
+        if let Some(e) = self.engines.get_mut(&t.engine).filter(|e| e.warm(now)) {
             e.fit.pair(own / e.fit.start, time, work, (now, FIT_PAIRS, threads / e.fit.start));
         }
     }
@@ -488,7 +482,12 @@
         e.reported = self.now;
         if self.set.instances > 1 {
             e.others += gain * (others.max(0.0) - e.others);
-            self.fleet += LATENCY_GAIN * (others.max(0.0) / e.cores - self.fleet);
+            // Guard: what has just started answers soonest, and would hide who drowns.
+            if e.warm(self.now) {
+                let gain = LATENCY_GAIN.max(1.0 - (-(self.now - self.told) / NEWS_MS).exp());
+                self.fleet += gain * (others.max(0.0) / e.cores - self.fleet);
+                self.told = self.now;
+            }
         }
         let busy = if told.is_some() { report.busy.filter(sane) } else { busy }; // a count tells more
         e.busy += busy.map_or(0.0, |b| gain * (b - e.busy));
@@ -529,14 +528,14 @@
         self.rate *= 1.0 - TICK_MS / RATE_MS;
         self.came.0 *= 1.0 - TICK_MS / TRAFFIC_MS;
         self.came.1 += TICK_MS - self.came.1 * TICK_MS / TRAFFIC_MS;
-        if self.set.must_ask && !self.asked {
-            self.asked = true;
+        if self.set.must_ask && !std::mem::replace(&mut self.asked, true) {
             actions.push(Action::Subscribe);
         }
         let mut slow: Vec<f64> = self.engines.values().filter(|e| e.samples > 4).map(|e| e.slow).collect();
         slow.sort_by(f64::total_cmp);
         self.middle_slow = slow.get(slow.len() / 2).copied();
-        self.shares = self.engines.values().filter(|e| e.usable()).map(|e| e.share).sum();
+        let usable = self.engines.values().filter(|e| e.usable());
+        self.shares = usable.map(|e| e.share * self.cores(e) / e.cores).sum();
         self.watch(actions);
         self.line.values().next().copied().into_iter().for_each(|id| self.ask(id, actions));
         let late: Vec<RequestId> = self.line.values().copied().filter(|id| self.hopeless(*id)).collect();
@@ -629,8 +628,8 @@
         if r.attempts > 0 {
             self.extras.push_back(now);
         }
-        let all = |e: &Engine| (self.load(e) + f64::from(threads)) / self.cores(e);
-        let all = self.engines.get(&engine).map_or(0.0, all);
+        let Some(e) = self.engines.get(&engine) else { return };
+        let all = (self.load(e) + f64::from(threads)) / self.cores(e);
         let Some(e) = self.engines.get_mut(&engine) else { return };
         e.threads += threads;
         let seen = (f64::from(e.threads), all);
@@ -688,8 +687,8 @@
         // With no reports nothing tells a crowded home, and a hot data set would sink its four (04dbf6b8).
         let homeless = load || self.set.reports == ReportMode::Off;
         let home = if homeless { 1.0 } else { WARM_PRICE + (1.0 - WARM_PRICE) * rank };
-        let away = self.set.crossing_price > 0.0 && e.line.zone != self.set.zone;
-        let crossing = if away { CROSS_PRICE } else { 1.0 };
+        let near = self.set.crossing_price <= 0.0 || e.line.zone == self.set.zone;
+        let crossing = if near { 1.0 } else { CROSS_PRICE };
         // It goes elsewhere after an error, where there is another engine.
         let again = if r.erred.contains(&e.line.engine) { ERROR_PRICE } else { 0.0 };
         let errors = 1.0 + ERROR_PRICE * e.errors + again;
@@ -716,16 +715,14 @@
 
     /// Threads on an engine: own, and others' as reported. With no reports, latency alone tells of them.
     fn load(&self, e: &Engine) -> f64 {
-        let warm = e.cold.is_none_or(|(_, until)| self.now >= until);
-        let usual = if warm { self.fleet * self.cores(e) } else { 0.0 };
+        let usual = if e.warm(self.now) { self.fleet * self.cores(e) } else { 0.0 };
         f64::from(e.threads) + usual + (e.others - usual) * self.trust(e)
     }
 
     /// Cores an engine has to give now: while it is cold, a climb below the straight line.
     fn cores(&self, e: &Engine) -> f64 {
-        let Some((from, _)) = e.cold.filter(|(_, until)| self.now < *until && self.set.cold_ms > 0.0) else {
-            return e.cores;
-        };
+        let cold = e.cold.filter(|_| !e.warm(self.now) && self.set.cold_ms > 0.0);
+        let Some((from, _)) = cold else { return e.cores };
         let age = ((self.now - from) / self.set.cold_ms).clamp(0.0, 1.0);
         let share = self.set.cold_share.clamp(0.01, 1.0);
         e.cores * (share + (1.0 - share) * age * age)
@@ -848,7 +845,7 @@
 
     /// The cold budget: a multiple of present capacity in any window, divided among the gateways.
     fn cold_room(&self, r: &Req, e: &Engine) -> bool {
-        if e.cold.is_none_or(|(_, until)| self.now >= until) {
+        if e.warm(self.now) {
             return true;
         }
         let window = self.set.overload_for_ms;
@@ -1018,6 +1015,10 @@
         self.stalled_until = now + DOWN_MS.0 * f64::from(1 << self.stalls);
     }
 
+    fn warm(&self, now: Millis) -> bool {
+        self.cold.is_none_or(|(_, until)| now >= until)
+    }
+
     fn usable(&self) -> bool {
         self.line.state == ListState::Ready && !self.banned
     }
