--- a/src/choice.rs
+++ b/src/choice.rs
@@ -433,8 +433,7 @@
         let bill = bill.filter(|w| w.is_finite() && *w > 0.0);
         self.bills |= bill.is_some();
         // Guard: an estimate counts once its query is served: anyone may send one, engines serve no nonsense.
-        let unbilled = took * threads / crowd; // latency less the crowding
-        self.stats[class].see(if hinted { t.est } else { bill.unwrap_or(unbilled) });
+        self.stats[class].see(if hinted { t.est } else { bill.unwrap_or(took * threads / crowd) });
         let work = bill.unwrap_or(t.work);
         let ratio = (took * threads / work.max(0.1)).ln().clamp(-3.0, 5.0);
         if hinted {
@@ -843,7 +842,8 @@
         }
     }
 
-    /// The cold budget: a multiple of present capacity in any window, divided among the gateways.
+    /// The cold budget: a multiple of present capacity in any window, divided among the gateways. A query
+    /// counts for its own estimate, yet a quarter of its class's mean at least, as anyone may send one.
     fn cold_room(&self, r: &Req, e: &Engine) -> bool {
         if e.warm(self.now) {
             return true;
