Build the tests' many gateways in one place

Need: the older test of the cold budget at size built its 250 gateways, and summed its windows, as tests/fleet.rs does.

--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -131,37 +131,6 @@
     assert!((50..=220).contains(&count), "{count} probes for 100 requests");
 }
 
-/// The cold budget at size: over many gateways' seeds the sum stays under the rule, and the engine does warm up.
-#[test]
-fn many_gateways_together_keep_the_cold_budget_and_use_it() {
-    let (gateways, window) = (250u32, 1000.0);
-    let mut sends: Vec<(f64, f64)> = Vec::new();
-    for seed in 0..u64::from(gateways) {
-        let ordinal = seed as u32;
-        let large = Settings { instances: gateways, ordinal, ..settings(vec![class(1, 400.0, 1.0)]) };
-        let mut rig = Rig { gateway: Gateway::new(large, seed * 7919 + 3).expect("settings"), now: 1000.0 };
-        rig.event(Event::Started);
-        rig.list(vec![entry(0, ListState::Ready, 1000.0)]);
-        for id in 0..40u32 {
-            rig.now += 200.0;
-            for id in all_sent(&rig.request_with(id, 0, 0, 3000.0, Some(200.0))) {
-                sends.push((rig.now, 200.0));
-                rig.ended_after(id, 0, engine(0), Outcome::Ok, 5.0);
-            }
-        }
-    }
-    let used = |from: f64| -> f64 {
-        sends.iter().filter(|(t, _)| (from..from + window).contains(t)).map(|(_, w)| w).sum()
-    };
-    for k in 0..60 {
-        let from = 1000.0 + f64::from(k) * 100.0;
-        let age = (from - 1000.0) / 10_000.0;
-        let capacity = 8.0 * (0.3 + 0.7 * age * age);
-        assert!(used(from) < 2.0 * capacity * window, "window from {from}: {}", used(from));
-    }
-    assert!(used(2000.0) > 0.25 * 2.0 * 0.3 * 8.0 * window, "starved: {}", used(2000.0));
-}
-
 /// A bad plan shows in its progress: it is called off and sent again; one at the usual pace is left alone.
 #[test]
 fn a_bad_plan_is_called_off() {
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -6,16 +6,16 @@
 
 const MANY: u32 = 100;
 
-/// As many gateways of one fleet, each with its place in it.
-fn fleet(classes: &[Class]) -> Vec<Rig> {
+/// So many gateways of one fleet, each with its place in it.
+fn fleet(instances: u32, classes: &[Class]) -> Vec<Rig> {
     let one = |ordinal: u32| {
-        let large = Settings { instances: MANY, ordinal, ..settings(classes.to_vec()) };
+        let large = Settings { instances, ordinal, ..settings(classes.to_vec()) };
         let seed = u64::from(ordinal) * 7919 + 3;
         let mut rig = Rig { gateway: Gateway::new(large, seed).expect("settings"), now: 1000.0 };
         rig.event(Event::Started);
         rig
     };
-    (0..MANY).map(one).collect()
+    (0..instances).map(one).collect()
 }
 
 /// Work sent within a window from then on.
@@ -23,6 +23,32 @@
     sends.iter().filter(|(t, _)| (from..from + window).contains(t)).map(|(_, w)| w).sum()
 }
 
+/// The cold budget at size: over many gateways' seeds the sum stays under the rule, and the engine does warm up.
+#[test]
+fn many_gateways_together_keep_the_cold_budget_and_use_it() {
+    let window = 1000.0;
+    let mut sends = Vec::new();
+    for rig in &mut fleet(250, &[class(1, 400.0, 1.0)]) {
+        rig.list(vec![entry(0, ListState::Ready, 1000.0)]);
+        for id in 0..40u32 {
+            rig.now += 200.0;
+            for id in all_sent(&rig.request_with(id, 0, 0, 3000.0, Some(200.0))) {
+                sends.push((rig.now, 200.0));
+                rig.ended_after(id, 0, engine(0), Outcome::Ok, 5.0);
+            }
+        }
+    }
+    for k in 0..60 {
+        let from = 1000.0 + f64::from(k) * 100.0;
+        let age = (from - 1000.0) / 10_000.0;
+        let capacity = 8.0 * (0.3 + 0.7 * age * age);
+        let used = within(&sends, from, window);
+        assert!(used < 2.0 * capacity * window, "window from {from}: {used}");
+    }
+    let used = within(&sends, 2000.0, window);
+    assert!(used > 0.25 * 2.0 * 0.3 * 8.0 * window, "starved: {used}");
+}
+
 /// A day of six in ten engines replaced: no query that is larger than one gateway's part of a cold engine's budget
 /// reached any, and the survivors drowned beside eighteen idle engines. Such queries go in turn: together the
 /// gateways keep the budget in every window, and use a good part of it.
@@ -30,7 +56,7 @@
 fn heavy_queries_reach_a_cold_engine_in_turn_and_keep_its_budget() {
     let (work, window, whole) = (600.0, 1000.0, 2.0 * 0.3 * 8.0 * 1000.0);
     let mut sends = Vec::new();
-    for (k, rig) in fleet(&[class(3, 1500.0, 1.0)]).iter_mut().enumerate() {
+    for (k, rig) in fleet(MANY, &[class(3, 1500.0, 1.0)]).iter_mut().enumerate() {
         rig.list(vec![entry(0, ListState::Ready, 1000.0)]);
         rig.now += k as f64 * 2.0;
         for id in 0..40 {
