Bound listed engines by memory, not by descriptors: the module chose ones without an actor

The attempts' cap is spent on six engines that were never reached, in one millisecond. Of 79,955 seat-checks refused or failed, 46,721 met an engine without an actor (41,170 of those refused from 10 s on); `peers` reads 64, 44 and 23 as the old engines go, so newcomers are never taken up. 14,063 more timed out on the survivors, which the rest had crowded.

At fault: `Limits::new` bounds engines at sockets / 8, at most 64, and `Fleet::listed` passes by whatever comes beyond, tells nobody and never comes back to it, while the core and the module hold the engine as ready. Draining engines keep their places, so in a release it is the newcomers that go without. Ruled out: connections that come up late (0 to 8 `reset` a window), the cold budget (`full` 0 to 736), descriptors (82 of 576).

Change: being listed holds no descriptor, so it is bounded by memory (2,048 engines at 32 MB); connections alone go by descriptors, with an eighth kept for engines that have none, and an attempt that finds no descriptor comes back as unsent. Attempts that are never sent have a debug line.

The test fails without the change ("engine 615 cannot be reached").

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -419,6 +419,7 @@
     /// Tells the module that an attempt never went out, and why.
     fn unsent(&mut self, now: Millis, id: RequestId, attempt: u16, engine: EngineId, outcome: Outcome) {
         self.count_end(outcome).up();
+        tracing::debug!(id, %engine, attempt, ?outcome, "not sent");
         if let Some(open) = self.requests.get_mut(&id) {
             open.last = Some((outcome, engine));
         }
--- a/src/engines/lines/mod.rs
+++ b/src/engines/lines/mod.rs
@@ -4,7 +4,7 @@
 mod answers;
 mod connection;
 
-use super::place::{Conn, Load, place};
+use super::place::{Conn, Load, Place, place};
 use super::{House, Order};
 use crate::core::{Ask, EngineNews};
 use crate::interface::{Effect, EngineId, ListState, LoadReport, Outcome};
@@ -54,10 +54,13 @@
             continue;
         }
         let once = ask.class.class.effect == Effect::Once;
-        let place = place(&conns, once, &house);
-        let conn = match place {
-            Some(conn) => conn,
-            None => {
+        let conn = match place(&conns, once, &house) {
+            Place::On(conn) => conn,
+            Place::Nowhere => {
+                ended(&house, engine, &ask, EngineNews::end(Outcome::NoConnection)).await;
+                continue;
+            }
+            Place::New => {
                 let (orders, mailbox) = mpsc::channel(house.limits.mailbox);
                 let load = Arc::new(Load::default());
                 let connection = Connection::new(
--- a/src/engines/place.rs
+++ b/src/engines/place.rs
@@ -55,11 +55,22 @@
     }
 }
 
-/// Which connection carries one more attempt; none where a new one is to. Guard: one answer that cannot be read
+/// What carries an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Place {
+    /// The connection at this place.
+    On(usize),
+    /// A new one.
+    New,
+    /// Nothing: its engine has no connection, and there is no descriptor for one.
+    Nowhere,
+}
+
+/// Which connection carries one more attempt. Guard: one answer that cannot be read
 /// ends its connection and all that is on it, so what may run once only has one of its own, and others share one
 /// in small groups, as far as descriptors go. Guard: a connection that idles may be reset by the request that ends
 /// that, unread or not; what may run once only is then lost, so it takes a new one unless this one just answered.
-pub(super) fn place(conns: &[Conn], once: bool, house: &House) -> Option<usize> {
+pub(super) fn place(conns: &[Conn], once: bool, house: &House) -> Place {
     let limits = &house.limits;
     let now = house.core.now();
     let heard = |i: usize| !conns[i].load.mute(now, limits);
@@ -71,16 +82,19 @@
     // The fullest of those that fit, then the one heard last, so that the others idle out.
     let rank = |(i, load): &(usize, (usize, usize))| (load.0, conns[*i].load.heard.load(Ordering::Relaxed));
     if let Some((i, _)) = loads().filter(|at| fits(*at)).max_by_key(rank) {
-        return Some(i);
+        return Place::On(i);
     }
     let open = house.counters.engine_conns_open.get() as usize;
     // One that is heard of there is, or is tried for: past the bound no more than one beside the mute ones.
     let none = loads().next().is_none();
     if conns.len() < limits.conns_per_engine
-        && open < limits.share(limits.engine_conns) + if none { limits.share(limits.engines) } else { 0 }
+        && open
+            < limits.share(limits.engine_conns)
+                + if none { limits.share(limits.engine_conns_kept) } else { 0 }
     {
-        return None;
+        return Place::New;
     }
     let all = conns.iter().map(|c| c.load.now()).enumerate();
-    all.min_by_key(|(i, (all, loads))| (!heard(*i), *loads, *all)).map(|(i, _)| i)
+    let least = all.min_by_key(|(i, (all, loads))| (!heard(*i), *loads, *all));
+    least.map_or(Place::Nowhere, |(i, _)| Place::On(i))
 }
--- a/src/engines/tests.rs
+++ b/src/engines/tests.rs
@@ -1,9 +1,10 @@
 //! What the tests of engines' actors share: an actor of either speech and the bare socket that it connects to.
 
-use super::{House, Order, flight, lines};
+use super::{Fleet, House, Order, flight, lines};
 use crate::attempt::End;
-use crate::core::{Ask, Clock, EngineNews, Handle, Input, Inputs, Kind};
-use crate::interface::EngineId;
+use crate::config::{Listed, engine_id};
+use crate::core::{Ask, Clock, EngineNews, EnginePort, Handle, Input, Inputs, Kind};
+use crate::interface::{EngineEntry, EngineId, ListState};
 use bytes::Bytes;
 use std::future::Future;
 use std::sync::Arc;
@@ -73,6 +74,29 @@
     }
 }
 
+/// A line of the list about an engine that nobody has to connect to.
+pub(super) fn line(id: u32, state: ListState) -> Listed {
+    let entry = EngineEntry { engine: engine_id(id), state, nominal: 8.0, ..EngineEntry::default() };
+    Listed { entry, address: ([127, 0, 0, 1], 9).into() }
+}
+
+/// Guard: what the list names can be reached, however many descriptors there are, also while as many others drain. An
+/// engine without an actor was chosen all the same, and took most of a fleet's requests while none of them went out.
+#[test]
+fn every_listed_engine_takes_attempts() {
+    block(async {
+        let (core, _news) = Handle::new(64, Clock::new());
+        let mut fleet = Fleet::new(House::for_tests(core));
+        (1..=1024).for_each(|id| fleet.listed(&line(id, ListState::Ready)));
+        (1..=614).for_each(|id| fleet.listed(&line(id, ListState::Draining)));
+        (2001..=2614).for_each(|id| fleet.listed(&line(id, ListState::Ready)));
+        for id in (615..=1024).chain(2001..=2614) {
+            let Order::Ask(one) = ask(id) else { unreachable!("an attempt") };
+            assert!(fleet.ask(engine_id(id), one), "engine {id} cannot be reached");
+        }
+    });
+}
+
 pub(super) fn given_up(told: &(u32, EngineNews), id: u32, end: End) -> bool {
     matches!(told, (at, EngineNews::GivenUp(e)) if *at == id && *e == end)
 }
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -49,13 +49,16 @@
     pub conn_proven_ms: f64,
     /// A connection that carries attempts and says nothing for this long, in ms, carries no new ones.
     pub conn_mute_ms: f64,
-    /// Connections to all engines, past which one more each is all there is.
+    /// Connections to all engines, past which one more is for an engine that has none.
     pub engine_conns: usize,
+    /// Connections kept for engines that have none, past the bound of all.
+    pub engine_conns_kept: usize,
     /// Connections in a row that may break before they had an answer, and give back what they were never sent.
     pub give_backs: usize,
     /// Connections to one engine.
     pub conns_per_engine: usize,
-    /// Engines held from the list.
+    /// Engines held from the list, those that drain among them. It follows memory, as being listed holds no
+    /// descriptor.
     pub engines: usize,
     /// Messages in an actor's mailbox.
     pub mailbox: usize,
@@ -150,6 +153,10 @@
     pub silence_ms: f64,
 }
 
+/// What a listed engine without connections takes, in bytes: its actor's mailbox and task, and its entries in the
+/// module, the core and the fleet.
+const ENGINE_BYTES: usize = 1024;
+
 impl Limits {
     /// The limits for a machine with so many descriptors and so much memory, under these settings. All that holds
     /// bytes fits the memory together, and all that holds a descriptor the descriptors: see the test below. Where engines send no notes,
@@ -158,7 +165,6 @@
         let millis = |ms: f64| Duration::from_micros((ms.clamp(0.0, 3_600_000.0) * 1000.0) as u64);
         let progress = parsed.settings.progress_ms;
         let part = |of: usize| (memory_mb << 20) / of;
-        let engines = (sockets / 8).min(64);
         let ops_callers = (sockets / 16).clamp(4, 32);
         Limits {
             message_bytes: 64 * 1024,
@@ -183,8 +189,9 @@
             conn_proven_ms: 40.0,
             conn_mute_ms: if notes && progress > 0.0 { (progress * 3.0).max(1000.0) } else { f64::INFINITY },
             engine_conns: sockets / 4,
+            engine_conns_kept: sockets / 8,
             conns_per_engine: (sockets / 12).clamp(1, 24),
-            engines,
+            engines: part(16) / ENGINE_BYTES,
             mailbox: 1024,
             flight_conns: sockets / 16,
             tickets: 1024,
@@ -295,7 +302,7 @@
             "limits":{"attemptsCap":6}}"#;
         let l = Limits::new(sockets, memory, true, &settings::parse(text.as_bytes()).expect("settings"));
         let shared = l.input_bytes + l.output_bytes + l.held_bytes + l.open_bytes + l.ticket_bytes;
-        let engine_conns = l.engine_conns + l.engines;
+        let engine_conns = l.engine_conns + l.engine_conns_kept;
         let buffers = engine_conns * (3 * l.page_bytes + 4096) + l.client_conns * 4096 + l.frame_bytes;
         let program = 5 << 20; // 2 to 3 as measured, with a reserve
         let all = shared + buffers + l.flight_message_bytes + program;
@@ -304,7 +311,7 @@
         assert!(!l.set_both(true) && l.set_both(true));
         let all = l.share(shared) + l.share(buffers) + l.share(l.flight_message_bytes) + program;
         assert!(2 * all <= memory << 20, "twice {all} bytes of {memory} MB");
-        let all = [l.client_conns, l.flight_conns, l.ops_callers, l.engine_conns, l.engines];
+        let all = [l.client_conns, l.flight_conns, l.ops_callers, l.engine_conns, l.engine_conns_kept];
         let all = all.iter().map(|n| l.share(*n)).sum::<usize>() + 16;
         assert!(sockets < 256 || 2 * all <= sockets, "twice {all} descriptors of {sockets}");
         let program = 18; // standard ones, the runtime's, five for signals, listeners, the agent, the feed twice, files
