--- a/src/attempt.rs
+++ b/src/attempt.rs
@@ -183,6 +183,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Tries {
     made: u16,
+    /// Of these, those that count as none.
+    uncounted: u16,
     out: Option<Out>,
     ran: bool,
 }
@@ -203,6 +205,16 @@
         self.made
     }
 
+    /// Attempts that count: those for which there was no descriptor were none.
+    pub fn counted(&self) -> u16 {
+        self.made.saturating_sub(self.uncounted)
+    }
+
+    /// One that ended was no attempt.
+    pub fn uncount(&mut self) {
+        self.uncounted = self.uncounted.saturating_add(1);
+    }
+
     /// Whether any attempt may have run, the one that is out included.
     pub fn may_have_run(&self) -> bool {
         self.ran || self.out.is_some()
@@ -215,7 +227,7 @@
         match self {
             Tries { out: Some(_), .. } => Err(Barred::Out),
             Tries { ran: true, .. } if !repeatable => Err(Barred::Ran),
-            _ if u32::from(number) >= cap => Err(Barred::Spent),
+            _ if u32::from(self.counted()) > cap => Err(Barred::Spent),
             _ => Ok(number),
         }
     }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -86,7 +86,8 @@
     dataset: u32,
     memory: f64, // estimated, MB; 0 for none
     attempts: u32,
-    cap: u32, // attempts that it may have
+    cap: u32,   // attempts that it may have
+    sends: u16, // handed out, those included that were none
     out: Option<Try>,
     done: bool,                     // answered or left; kept until its attempt's outcome is in
     ran: Option<(u8, u16, Millis)>, // zone, cell, time of the first send that may have run
@@ -400,6 +401,13 @@
                 self.crowded(t.engine);
             }
             Outcome::NoConnection => self.fails(t.engine, "no_connection", actions),
+            Outcome::NoRoom => {
+                // It was none. Who has a query there has a connection; for a tick no other engine is reached.
+                let none = |e: &&mut Engine| e.running.is_empty() || e.line.engine == t.engine;
+                let shut = |e: &mut Engine| e.shut_until = e.shut_until.max(now + TICK_MS);
+                self.engines.values_mut().filter(none).for_each(shut);
+                self.reqs.get_mut(&id).expect("ended").attempts -= 1;
+            }
             _ => {}
         }
         if done || outcome == Outcome::Ok {
@@ -456,8 +464,7 @@
         let all = (t.seen.1 + (self.load(e) + threads) / self.cores(e)) / 2.0;
         let (now, cores) = (self.now, e.cores);
         let time = (took * threads).min(4.0 * work * self.usual_stretch()); // a giant: four usual queries
-        let step = threads / START_PER_CORE / cores;
-        self.pool.pair(all / START_PER_CORE, time, work, (now, POOL_FITS, step));
+        self.pool.pair(all / START_PER_CORE, time, work, (now, POOL_FITS, threads / START_PER_CORE / cores));
         if let Some(e) = self.engines.get_mut(&t.engine).filter(|e| e.warm(now)) {
             e.fit.pair(own / e.fit.start, time, work, (now, FIT_PAIRS, threads / e.fit.start));
         }
@@ -557,9 +564,8 @@
             let homes = self.homes(r);
             let priced = self.engines.values().filter(open).filter(|e| fits(e));
             let pick = priced.map(|e| (self.price(r, e, &homes), e.line.engine));
-            let pick = pick.min_by(|a, b| a.0.total_cmp(&b.0));
             let head = self.engines.values().any(|e| open(&e));
-            if let Some((_, engine)) = pick {
+            if let Some((_, engine)) = pick.min_by(|a, b| a.0.total_cmp(&b.0)) {
                 self.send(id, engine, actions);
                 continue;
             }
@@ -593,8 +599,7 @@
         let rank = |e: &Engine| (mix(e.hash ^ u64::from(r.dataset)), e.line.engine);
         let mut best: Vec<_> = self.engines.values().filter(|e| e.usable()).map(rank).collect();
         best.sort_unstable_by(|a, b| b.cmp(a));
-        best.truncate(HOME_RANKS as usize);
-        best.into_iter().map(|(_, at)| at).collect()
+        best.into_iter().take(HOME_RANKS as usize).map(|(_, at)| at).collect()
     }
 
     /// Probes what a request may be sent to and has not been heard of lately: two that prefer its data set
@@ -627,8 +632,8 @@
         if r.attempts > 0 {
             self.extras.push_back(now);
         }
-        let Some(e) = self.engines.get(&engine) else { return };
-        let all = (self.load(e) + f64::from(threads)) / self.cores(e);
+        let crowd = |e| (self.load(e) + f64::from(threads)) / self.cores(e);
+        let all = self.engines.get(&engine).map_or(0.0, crowd);
         let Some(e) = self.engines.get_mut(&engine) else { return };
         e.threads += threads;
         let seen = (f64::from(e.threads), all);
@@ -640,10 +645,10 @@
             e.shut_until = now + e.pause();
         }
         let r = self.reqs.get_mut(&id).expect("waiting");
-        let number = r.attempts as u16;
+        let number = r.sends;
         let est = r.est.unwrap_or(work);
         r.out = Some(Try { number, engine, sent: now, work, est, seen, ..Try::default() });
-        (r.attempts, r.aside) = (r.attempts + 1, false);
+        (r.attempts, r.sends, r.aside) = (r.attempts + 1, r.sends.saturating_add(1), false);
         self.line.remove(&r.seq);
         let error = &self.stats[class].memory;
         if self.set.takes_grants && r.memory > 0.0 && error.seen > 4 {
@@ -792,9 +797,8 @@
             let slow = self.slowness(e).max(1.0) * self.usual_stretch().max(1.0);
             let hangs = |id: &RequestId| {
                 let r = &self.reqs[id];
-                let plan = if untold { self.plan_times(r) } else { HANG_TIMES.1 };
-                let far = if plan < PLAN_TIMES.1 { plan } else { HANG_TIMES.1 };
-                let times = if e.fails >= DOWN_FAILS { HANG_TIMES.0 } else { far };
+                let plan = Some(self.plan_times(r)).filter(|plan| untold && *plan < PLAN_TIMES.1);
+                let times = if e.fails >= DOWN_FAILS { HANG_TIMES.0 } else { plan.unwrap_or(HANG_TIMES.1) };
                 let due = |t: &Try| (t.work / self.threads(r.class) * slow * times).max(OVERDUE_MS);
                 let late = |t: &Try| now - t.sent > due(t);
                 !r.done && r.out.as_ref().is_some_and(late) && self.again(r)
@@ -802,9 +806,7 @@
             let hung: Vec<RequestId> = e.running.iter().copied().filter(hangs).collect();
             let wanted = round || !hung.is_empty() || e.fails > 0 && now >= e.shut_until;
             hung.into_iter().for_each(|id| self.call_off(id, actions));
-            if wanted {
-                self.probe(at, actions);
-            }
+            let _ = wanted && self.probe(at, actions);
             let e = self.engines.get_mut(&at).expect("listed");
             if now - e.heard > UNHEARD_MS {
                 e.slow *= 1.0 - TICK_MS / FORGIVE_MS;
@@ -897,8 +899,7 @@
         if left <= lone.min(self.stats[r.class].mean * 4.0) || r.attempts > 0 && !self.may_repeat(id) {
             return true;
         }
-        let aim = c.promise_ms + c.aim_stretch * lone;
-        !r.aside && self.now + lone * self.usual_stretch() > r.arrived + aim
+        !r.aside && self.now + lone * self.usual_stretch() > r.arrived + (c.promise_ms + c.aim_stretch * lone)
     }
 
     /// Past the backlog that the most urgent class stands, the least worth for its work is refused.
@@ -918,11 +919,9 @@
                     worst = Some((density, id));
                 }
             }
-            match worst.filter(|_| work / self.service_rate() > slack * BACKLOG_SHARE && self.line.len() > 1)
-            {
-                Some((_, id)) => self.end(id, actions),
-                None => return,
-            }
+            let over = work / self.service_rate() > slack * BACKLOG_SHARE && self.line.len() > 1;
+            let Some((_, id)) = worst.filter(|_| over) else { return };
+            self.end(id, actions);
         }
     }
 
--- a/src/core/ends.rs
+++ b/src/core/ends.rs
@@ -50,7 +50,10 @@
     ) {
         let Some(open) = self.requests.get_mut(&id) else { return };
         let Some(out) = open.tries.ended(attempt, ran) else { return };
-        open.last = Some((outcome, out.engine));
+        match outcome {
+            Outcome::NoRoom => open.tries.uncount(),
+            _ => open.last = Some((outcome, out.engine)),
+        }
         // The client of a stream was told by the break in it.
         let finished = open.streaming || open.over;
         if finished {
@@ -87,6 +90,7 @@
             Outcome::Reset => &self.counters.ended_reset,
             Outcome::Cancelled => &self.counters.ended_cancelled,
             Outcome::Moot => &self.counters.ended_moot,
+            Outcome::NoRoom => &self.counters.ended_no_room,
         }
     }
 
@@ -187,5 +191,5 @@
 
 /// Whether an outcome proves that the attempt never ran.
 pub fn never_ran(outcome: Outcome) -> bool {
-    matches!(outcome, Outcome::Full | Outcome::NoConnection | Outcome::Moot)
+    matches!(outcome, Outcome::Full | Outcome::NoConnection | Outcome::Moot | Outcome::NoRoom)
 }
--- a/src/core/interleavings.rs
+++ b/src/core/interleavings.rs
@@ -9,7 +9,7 @@
 use crate::settings;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 const ENGINES: u32 = 2;
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -10,6 +10,7 @@
 mod ends;
 mod narrow;
 mod ports;
+mod roster;
 
 pub use actor::{Clock, Handle, Inputs, start};
 pub use ends::never_ran;
@@ -17,18 +18,16 @@
 
 use crate::attempt::Tries;
 use crate::attempts::{Keys, Policy, Where};
-use crate::config::ListEvent;
+use crate::config::{ListEvent, engine_text};
 use crate::counters::Counters;
 use crate::interface::*;
 use crate::limits::Limits;
 use bytes::Bytes;
+use roster::Roster;
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, HashSet};
+use std::collections::{BinaryHeap, HashMap, HashSet};
 use std::sync::Arc;
 
-/// Bans held at most: they outlive their engines.
-const BANS: usize = 256;
-
 struct Open {
     taken: Taken,
     tries: Tries,
@@ -91,9 +90,8 @@
     names: HashSet<Bytes>,
     /// Bytes of their statements.
     held_bytes: usize,
-    ready: BTreeMap<EngineId, bool>,
-    /// Engines that the list names, ready or not.
-    known: BTreeSet<EngineId>,
+    /// The engines of the list.
+    roster: Roster,
     /// When the process is ended, once that is known.
     ends: Option<Millis>,
     alarms: BinaryHeap<Reverse<(At, u64, Alarm)>>,
@@ -117,13 +115,12 @@
         Ok(Core {
             gateway: Gateway::new(settings, seed)?,
             engines,
+            roster: Roster::new(limits.engines),
             limits,
             counters,
             requests: HashMap::new(),
             names: HashSet::new(),
             held_bytes: 0,
-            ready: BTreeMap::new(),
-            known: BTreeSet::new(),
             ends: None,
             alarms: BinaryHeap::new(),
             armed: 0,
@@ -151,8 +148,7 @@
 
     /// How many entries are held for requests, engines and alarms: here, and in the module.
     pub fn held(&self) -> ([usize; 4], [usize; 4]) {
-        let core =
-            [self.requests.len(), self.names.len(), self.ready.len() + self.known.len(), self.alarms.len()];
+        let core = [self.requests.len(), self.names.len(), self.roster.entries(), self.alarms.len()];
         (core, self.gateway.held())
     }
 
@@ -239,9 +235,9 @@
             Urgent::Beside(parts) => self.tell(now, Event::Beside { parts }),
             Urgent::Ban { engine, out, at, told, done } => {
                 let held = self.gateway.bans().contains(&engine);
-                let known = held || self.known.contains(&engine) || told && out;
+                let known = held || self.roster.named(engine) || told && out;
                 // Guard: what is not listed grows with nothing; it holds a ban only while there is room.
-                let fits = !out || held || self.gateway.bans().len() < BANS;
+                let fits = !out || held || self.gateway.bans().len() < self.limits.engines;
                 if known && fits || told && !out {
                     self.tell(now, Event::Ban { engine, out, at });
                     self.engines.banned(engine, out);
@@ -333,32 +329,30 @@
     }
 
     fn list(&mut self, now: Millis, event: ListEvent) {
-        if event.kind == ListKind::Full {
-            let named: Vec<EngineId> = event.entries.iter().map(|l| l.entry.engine).collect();
-            // Guard: an engine that a whole list leaves out is gone for good; nothing of it stays.
-            let dropped: Vec<EngineId> =
-                self.known.iter().copied().filter(|id| !named.contains(id)).collect();
-            for id in dropped {
-                self.known.remove(&id);
-                self.ready.remove(&id);
-                self.engines.dropped(id);
-            }
-        }
-        for line in &event.entries {
+        let step = self.roster.take(&event);
+        step.dropped.iter().for_each(|id| self.engines.dropped(*id));
+        for line in &step.lines {
             // Guard: sends to what drains or is gone end here, whatever the module holds.
-            self.ready.insert(line.entry.engine, line.entry.state == ListState::Ready);
-            match line.entry.state {
-                ListState::Gone => self.known.remove(&line.entry.engine),
-                _ => self.known.insert(line.entry.engine),
-            };
             self.engines.listed(line);
             if self.gateway.bans().contains(&line.entry.engine) {
                 self.engines.banned(line.entry.engine, true); // a new address has a new actor
             }
         }
-        self.ready.retain(|_, ready| *ready);
-        self.counters.engines.set(self.known.len());
-        let entries = event.entries.into_iter().map(|l| l.entry).collect();
+        let counters = &self.counters;
+        let (held, waiting) = self.roster.sizes();
+        counters.engines.set(held);
+        counters.engines_waiting.set(waiting);
+        counters.engines_passed.add(step.passed.len());
+        counters.list_unknown.add(step.unknown);
+        counters.list_repeated.add(step.repeated);
+        counters.list_shared.add(step.shared);
+        if let [first, rest @ ..] = &step.passed[..] {
+            let (first, more, all) = (engine_text(*first), rest.len(), self.limits.engines);
+            eprintln!(
+                "magpiechute: engine={first} state=passed_over more={more} why=all {all} places are taken"
+            );
+        }
+        let entries = step.lines.into_iter().map(|l| l.entry).collect();
         self.tell(now, Event::List { kind: event.kind, entries });
     }
 
@@ -450,7 +444,7 @@
         timeout_ms: Option<Millis>,
     ) -> Option<Outcome> {
         let repeatable = self.repeatable(id);
-        let ready = self.ready.contains_key(&engine) && !self.gateway.bans().contains(&engine);
+        let ready = self.roster.ready(engine) && !self.gateway.bans().contains(&engine);
         let cap = self.gateway.settings().attempts_cap;
         let open = self.requests.get_mut(&id)?;
         // Guards: one attempt out at a time, also while one waits out its back-off; no second run of what may run
@@ -522,4 +516,4 @@
 #[cfg(test)]
 mod interleavings;
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
--- a/src/core/narrow.rs
+++ b/src/core/narrow.rs
@@ -16,12 +16,13 @@
         engine: EngineId,
     ) -> Option<Result<(), Millis>> {
         let open = self.requests.get_mut(&id)?;
-        if number == 0 {
+        let made = open.tries.counted().saturating_sub(1);
+        if made == 0 {
             open.keys.budget.iter().for_each(|budget| budget.first(now));
             return Some(Ok(()));
         }
         let (end, before) = open.last.unwrap_or((Outcome::Moot, engine));
-        match open.keys.next(number, end, now, chance(id, number)) {
+        match open.keys.next(made, end, now, chance(id, number)) {
             Next::Ended => {
                 tracing::debug!(id, attempt = number, ?end, "no further attempt by the policy");
                 self.counters.policy_ended.up();
@@ -57,7 +58,7 @@
     pub(super) fn backed_off(&mut self, now: Millis, id: RequestId, number: u16) {
         let Some(open) = self.requests.get_mut(&id) else { return };
         let Some((_, engine, timeout_ms)) = open.waiting.take_if(|w| w.0 == number) else { return };
-        let ready = self.ready.contains_key(&engine) && !self.gateway.bans().contains(&engine);
+        let ready = self.roster.ready(engine) && !self.gateway.bans().contains(&engine);
         // Guard: an engine that drains, or was taken out, meanwhile gets nothing.
         let unsent = if ready {
             self.launch(now, id, number, engine, timeout_ms)
@@ -85,7 +86,7 @@
         if open.tries.out_as(attempt, None).is_none() {
             return;
         }
-        if open.keys.may_follow(open.tries.made(), Outcome::Cancelled) {
+        if open.keys.may_follow(open.tries.counted(), Outcome::Cancelled) {
             self.give_up(now, id, Outcome::Cancelled);
         } else {
             self.counters.policy_kept.up();
--- a/src/core/narrow/tests.rs
+++ b/src/core/narrow/tests.rs
@@ -79,7 +79,7 @@
                     nominal: 8.0,
                     ..EngineEntry::default()
                 };
-                Listed { entry, address: ([127, 0, 0, 1], 1).into() }
+                Listed { entry, address: ([127, 0, 0, 1], n as u16).into() }
             })
             .to_vec();
         core.handle(0.0, Input::List(ListEvent { number: 1, kind: ListKind::Full, entries }));
--- /dev/null
+++ b/src/core/roster.rs
@@ -0,0 +1,156 @@
+//! Which engines of the list are taken up: what the module may choose and what attempts can reach is this one set.
+//! Sans-I/O. Places are bounded; what finds none is passed over, counted and named, and taken up once a place is free,
+//! engines that take work first.
+
+use crate::config::{ListEvent, Listed};
+use crate::interface::{EngineId, ListKind, ListState};
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+
+/// The engines that are taken up, and those that wait for a place.
+#[derive(Debug, Default)]
+pub(super) struct Roster {
+    places: usize,
+    held: BTreeMap<EngineId, Listed>,
+    /// Passed over; as many as there are places at most, and the rest is known again with the next whole list.
+    waiting: BTreeMap<EngineId, Listed>,
+    /// Who was last listed as ready at an address.
+    at: HashMap<SocketAddr, EngineId>,
+}
+
+/// What an event of the list comes to.
+#[derive(Debug, Default)]
+pub(super) struct Step {
+    /// Engines that a whole list names no longer.
+    pub(super) dropped: Vec<EngineId>,
+    /// Lines for the module and the engines' actors, in order.
+    pub(super) lines: Vec<Listed>,
+    /// Engines that found no place.
+    pub(super) passed: Vec<EngineId>,
+    /// Records that tell the end of an engine that is not known.
+    pub(super) unknown: usize,
+    /// Records of an engine that the same event names again: the last one holds.
+    pub(super) repeated: usize,
+    /// Records of an engine at the address of another one that is not gone.
+    pub(super) shared: usize,
+}
+
+impl Roster {
+    pub(super) fn new(places: usize) -> Roster {
+        Roster { places, ..Roster::default() }
+    }
+
+    /// How many are taken up, and how many wait.
+    pub(super) fn sizes(&self) -> (usize, usize) {
+        (self.held.len(), self.waiting.len())
+    }
+
+    /// How many entries it holds in all.
+    pub(super) fn entries(&self) -> usize {
+        self.held.len() + self.waiting.len() + self.at.len()
+    }
+
+    /// Whether an engine may get attempts.
+    pub(super) fn ready(&self, engine: EngineId) -> bool {
+        self.held.get(&engine).is_some_and(|line| line.entry.state == ListState::Ready)
+    }
+
+    /// Whether the list names it, ready or not, taken up or not.
+    pub(super) fn named(&self, engine: EngineId) -> bool {
+        self.held.contains_key(&engine) || self.waiting.contains_key(&engine)
+    }
+
+    /// Takes an event of the list in.
+    pub(super) fn take(&mut self, event: &ListEvent) -> Step {
+        let mut step = Step::default();
+        let mut last = HashMap::new();
+        for (i, line) in event.entries.iter().enumerate() {
+            step.repeated += usize::from(last.insert(line.entry.engine, i).is_some());
+        }
+        if event.kind == ListKind::Full {
+            // Guard: an engine that a whole list leaves out is gone for good; nothing of it stays.
+            self.waiting.retain(|id, _| last.contains_key(id));
+            step.dropped = self.held.keys().copied().filter(|id| !last.contains_key(id)).collect();
+            step.dropped.iter().for_each(|id| self.leave(*id));
+        }
+        // Ends first, so that what comes in the same event finds their places.
+        let lines = event.entries.iter().enumerate().filter(|(i, line)| last[&line.entry.engine] == *i);
+        let (gone, others): (Vec<_>, Vec<_>) =
+            lines.map(|(_, line)| line).partition(|line| line.entry.state == ListState::Gone);
+        for line in gone {
+            let id = line.entry.engine;
+            let waited = self.waiting.remove(&id).is_some();
+            if self.held.contains_key(&id) {
+                self.leave(id);
+                step.lines.push(line.clone());
+            } else if !waited {
+                step.unknown += 1;
+            }
+        }
+        for line in others {
+            let id = line.entry.engine;
+            if !self.held.contains_key(&id) && self.held.len() >= self.places {
+                let room = self.waiting.len() < self.places || self.waiting.contains_key(&id);
+                let waited = room && self.waiting.insert(id, line.clone()).is_some();
+                step.passed.extend((!waited).then_some(id));
+                continue;
+            }
+            self.waiting.remove(&id);
+            self.enter(line.clone(), &mut step);
+        }
+        self.fill(&mut step);
+        step
+    }
+
+    /// Takes up who waits, as far as there are places.
+    fn fill(&mut self, step: &mut Step) {
+        while self.held.len() < self.places && !self.waiting.is_empty() {
+            let ready = self.waiting.iter().find(|(_, l)| l.entry.state == ListState::Ready);
+            let next = ready.or(self.waiting.iter().next()).map(|(id, _)| *id);
+            let Some(line) = next.and_then(|id| self.waiting.remove(&id)) else { return };
+            self.enter(line, step);
+        }
+    }
+
+    /// Guard: one address is one process, so whoever started there last has taken the place of the other. The list may
+    /// tell that later; until then the earlier one takes nothing new, as its attempts would reach the newcomer, which
+    /// is cold.
+    fn enter(&mut self, mut line: Listed, step: &mut Step) {
+        let (id, address) = (line.entry.engine, line.address);
+        self.leave(id);
+        if line.entry.state == ListState::Ready {
+            let other = self.at.get(&address).and_then(|other| self.held.get_mut(other));
+            step.shared += usize::from(other.is_some());
+            match other {
+                Some(other) if other.entry.started_ms > line.entry.started_ms => {
+                    line.entry.state = ListState::Draining;
+                }
+                Some(other) => {
+                    if other.entry.state == ListState::Ready {
+                        other.entry.state = ListState::Draining;
+                        step.lines.push(other.clone());
+                    }
+                    self.at.insert(address, id);
+                }
+                None => drop(self.at.insert(address, id)),
+            }
+        }
+        self.held.insert(id, line.clone());
+        step.lines.push(line);
+    }
+
+    fn leave(&mut self, id: EngineId) {
+        if let Some(line) = self.held.remove(&id) {
+            self.forget(id, line.address);
+        }
+    }
+
+    fn forget(&mut self, id: EngineId, address: SocketAddr) {
+        if self.at.get(&address) == Some(&id) {
+            self.at.remove(&address);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -32,11 +32,11 @@
 /// An engine as the list has it.
 pub(super) fn listed(n: u32, state: ListState) -> Listed {
     let entry = EngineEntry { engine: engine_id(n), state, nominal: 1.0, ..EngineEntry::default() };
-    Listed { entry, address: ([127, 0, 0, 1], 1).into() }
+    Listed { entry, address: ([127, 0, 0, 1], n as u16).into() }
 }
 
 /// A request of this class and effort.
-pub(super) fn taken(
+pub(crate) fn taken(
     id: RequestId,
     class: &Arc<Named>,
     due_ms: Millis,
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -28,8 +28,9 @@
 }
 
 /// Those that also go down.
-const GAUGES: [&str; 7] = [
+const GAUGES: [&str; 8] = [
     "engines",
+    "engines_waiting",
     "client_conns_open",
     "client_conns_owing",
     "engine_conns_open",
@@ -53,6 +54,11 @@
         self.0.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Adds so many.
+    pub fn add(&self, n: usize) {
+        self.0.fetch_add(n as u64, Ordering::Relaxed);
+    }
+
     /// Takes one off: for gauges.
     pub fn down(&self) {
         self.0.fetch_sub(1, Ordering::Relaxed);
@@ -184,6 +190,20 @@
     file_loads,
     /// Operators' files turned down; the policy in force stays.
     file_refused,
+    /// Attempts for which there was no descriptor to connect; not counted as attempts.
+    ended_no_room,
+    /// Connections to engines that carried nothing and made room for another.
+    engine_evicted,
+    /// Engines of the list that wait for a place.
+    engines_waiting,
+    /// Engines of the list that were passed over as all places were taken.
+    engines_passed,
+    /// Records of the list that end an engine that is not known.
+    list_unknown,
+    /// Records of the list that the same event follows by another of the same engine.
+    list_repeated,
+    /// Records of the list that name an engine at the address of another one.
+    list_shared,
 }
 
 /// Times from the shortest to the longest, in a histogram of fixed size.
--- a/src/engines/flight/mod.rs
+++ b/src/engines/flight/mod.rs
@@ -3,6 +3,8 @@
 
 mod wire;
 
+use super::place::Load;
+use super::slots::Need;
 use super::{House, Order};
 use crate::attempt::{End, Life};
 use crate::clients::flight::{CLASS, REF};
@@ -49,7 +51,7 @@
     quit: Option<bool>,
 }
 
-/// Runs one engine until the list drops it and its attempts are over.
+/// Runs one engine until it idles without a connection, or until the list drops it and its attempts are over.
 pub(crate) async fn run(
     engine: EngineId,
     address: SocketAddr,
@@ -68,7 +70,7 @@
             order = orders.recv(), if listed => match order {
                 Some(Order::Ask(ask)) => {
                     let (key, wire) = ((ask.id, ask.attempt), Arc::<OnceLock<Wire>>::default());
-                    let task = tasks.spawn(attempt(link.clone(), ask, wire.clone()));
+                    let task = tasks.spawn(attempt(link.clone(), *ask, wire.clone()));
                     running.insert(task.id(), Running { key, task, wire, quit: None });
                 }
                 Some(Order::Quit(id, attempt, again)) => {
@@ -99,9 +101,16 @@
                     tasks.spawn(prove(link.clone(), one.key, one.wire, one.quit));
                 }
             }
-            () = sleep_until(until) => if cut.take().is_some() {
+            () = sleep_until(until) => if cut.is_none() {
+                let held = link.wire.try_lock();
+                let over = held.is_ok_and(|held| held.as_ref().is_none_or(|(wire, _)| wire.closed()));
+                // Nothing waits between this and the end, so that nothing can be handed over meanwhile.
+                if over && tasks.is_empty() && orders.is_empty() {
+                    return;
+                }
+            } else if cut.take().is_some() {
                 // The engine is gone and its connection was not reset: what it held may have run.
-                link.wire.lock().await.take().inspect(Wire::cut);
+                link.wire.lock().await.take().inspect(|(wire, _)| wire.cut());
                 running.values().for_each(|one| {
                     one.wire.get().inspect(|wire| wire.cut());
                     one.task.abort();
@@ -152,7 +161,7 @@
     engine: EngineId,
     address: SocketAddr,
     house: House,
-    wire: Mutex<Option<Wire>>,
+    wire: Mutex<Option<(Wire, Arc<Load>)>>,
     drained: AtomicBool,
     /// Staff took the engine out.
     banned: Arc<AtomicBool>,
@@ -164,15 +173,21 @@
         self.drained.load(Ordering::Relaxed) || self.banned.load(Ordering::Relaxed)
     }
 
-    /// The connection, which is up; `None` where it does not come up, so that nothing was sent.
-    async fn wire(&self) -> Option<Wire> {
-        let mut wire = self.wire.lock().await;
-        if wire.as_ref().is_none_or(Wire::closed) {
-            *wire = None;
-            *wire = Some(Wire::connect(self.address, &self.house.limits).await?);
-            self.house.counters.engine_conns.up();
+    /// The connection, which is up, to carry one more attempt; why not, where there is none, so that nothing was sent.
+    async fn wire(&self) -> Result<(Wire, Carried), Lost> {
+        let mut held = self.wire.lock().await;
+        if let Some((wire, load)) = held.as_ref().filter(|(wire, load)| !wire.closed() && !load.leaving()) {
+            return Ok((wire.clone(), Carried::on(load, self.house.core.now())));
         }
-        wire.clone()
+        *held = None;
+        let load = Arc::<Load>::default();
+        let carried = Carried::on(&load, self.house.core.now());
+        let slot = self.house.slots.take(&load, Need::First).ok_or(Lost(Outcome::NoRoom))?;
+        let wire = Wire::connect(self.address, &self.house.limits, slot).await;
+        let wire = wire.ok_or(Lost(Outcome::NoConnection))?;
+        self.house.counters.engine_conns.up();
+        *held = Some((wire.clone(), load));
+        Ok((wire, carried))
     }
 
     async fn tell(&self, key: Key, report: LoadReport, news: EngineNews) {
@@ -188,6 +203,22 @@
     }
 }
 
+/// One attempt on a connection, for as long as this is held.
+struct Carried(Arc<Load>);
+
+impl Carried {
+    fn on(load: &Arc<Load>, now: f64) -> Carried {
+        load.add(false, now);
+        Carried(load.clone())
+    }
+}
+
+impl Drop for Carried {
+    fn drop(&mut self) {
+        self.0.take_off(false);
+    }
+}
+
 /// How an attempt failed.
 struct Lost(Outcome);
 
@@ -228,11 +259,12 @@
     let mut told = MetadataMap::new();
     let done = match link.wire().await {
         // Guard: a drain that came while the connection did stops the attempt before its first byte.
-        Some(wire) if !link.shut() => {
+        Ok((wire, _carried)) if !link.shut() => {
             let _ = on.set(wire.clone());
             send(&link, &ask, wire, &mut told).await
         }
-        _ => Err(Lost(Outcome::NoConnection)),
+        Ok(_) => Err(Lost(Outcome::NoConnection)),
+        Err(lost) => Err(lost),
     };
     match done {
         Ok(body) => link.ended(key, Outcome::Ok, &told, body).await,
--- a/src/engines/flight/wire.rs
+++ b/src/engines/flight/wire.rs
@@ -1,6 +1,7 @@
 //! One HTTP/2 connection to a Flight engine, of which it is known what has left. A call that is dropped queues its
 //! reset at once; the next flush of the connection after that has written it (RFC 9113, 5.4.2 and 6.4).
 
+use crate::engines::slots::Slot;
 use crate::limits::Limits;
 use bytes::Bytes;
 use futures::task::AtomicWaker;
@@ -49,8 +50,9 @@
 
 impl Wire {
     /// Connects; none where that fails or takes too long, so that nothing was sent.
-    pub(super) async fn connect(address: SocketAddr, limits: &Limits) -> Option<Wire> {
+    pub(super) async fn connect(address: SocketAddr, limits: &Limits, mut slot: Slot) -> Option<Wire> {
         let up = async {
+            slot.free().await;
             let stream = TcpStream::connect(address).await.ok()?;
             let _ = stream.set_nodelay(true);
             let shared = Arc::<Shared>::default();
@@ -60,7 +62,7 @@
             build.initial_window_size(WINDOWS.0).initial_connection_window_size(WINDOWS.1).enable_push(false);
             let (send, connection) = build.handshake::<_, Bytes>(tap).await.ok()?;
             let (pongs, answered) = watch::channel(0);
-            tokio::spawn(drive(connection, shared.clone(), pongs, limits.keep_alive));
+            tokio::spawn(drive(slot, connection, shared.clone(), pongs, limits.keep_alive));
             Some(Wire { send, flushes, answered, shared })
         };
         timeout(limits.connect, up).await.ok().flatten()
@@ -98,8 +100,9 @@
 }
 
 /// Carries the connection until it ends, and ends it where a ping finds no answer. Pings go out one at a time: each
-/// stands for all that are wanted as it is sent.
+/// stands for all that are wanted as it is sent. The descriptor is free again after the socket: it is dropped last.
 async fn drive(
+    slot: Slot,
     mut connection: Connection<Tap, Bytes>,
     shared: Arc<Shared>,
     pongs: watch::Sender<u64>,
@@ -129,6 +132,7 @@
                 idle = Instant::now() + every;
             }
             () = shared.look.notified() => {}
+            () = slot.leaves() => return,
             () = sleep_until(until) => if sent.is_some() {
                 return;
             }
--- a/src/engines/lines/connection.rs
+++ b/src/engines/lines/connection.rs
@@ -5,6 +5,7 @@
 use crate::core::{Ask, EngineNews};
 use crate::engines::place::Load;
 use crate::engines::reply::Broken;
+use crate::engines::slots::Slot;
 use crate::engines::{House, Order};
 use crate::interface::{Effect, EngineId, ListState, LoadReport, Outcome, RequestId};
 use crate::limits::Hold;
@@ -20,7 +21,7 @@
 
 /// An attempt on this connection, by the client's name for its request.
 pub(super) struct Attempt {
-    pub(super) ask: Ask,
+    pub(super) ask: Box<Ask>,
     /// Its marks are counts of bytes written.
     pub(super) life: Life,
     /// Pages, once the first one is in: what is still to come follows in order.
@@ -56,7 +57,7 @@
     pub(super) load: Arc<Load>,
     pub(super) house: House,
     /// Attempts of which nothing is written yet.
-    waiting: VecDeque<Ask>,
+    waiting: VecDeque<Box<Ask>>,
     pub(super) attempts: HashMap<Bytes, Attempt>,
     pub(super) input: BytesMut,
     out: Outbox,
@@ -67,7 +68,7 @@
     /// Tags given out.
     tags: u64,
     /// Ends that the core is to be told.
-    ends: Vec<(Ask, EngineNews)>,
+    ends: Vec<(Box<Ask>, EngineNews)>,
     pub(super) idle_since: Instant,
     /// Since when what is read is no whole answer.
     pub(super) half_since: Option<Instant>,
@@ -112,13 +113,19 @@
         }
     }
 
-    pub(super) async fn run(mut self, address: SocketAddr) {
+    pub(super) async fn run(mut self, address: SocketAddr, mut slot: Slot) {
         let until = Instant::now() + self.house.limits.connect;
-        let mut connecting = std::pin::pin!(timeout(self.house.limits.connect, TcpStream::connect(address)));
+        let free = slot.free();
+        let connect = async move {
+            free.await;
+            TcpStream::connect(address).await
+        };
+        let mut connecting = Box::pin(timeout(self.house.limits.connect, connect));
         // Orders are heard while the connection comes up: an attempt given up or drained by then is not sent.
         let stream = loop {
             tokio::select! {
                 up = &mut connecting => break up.ok().and_then(Result::ok),
+                () = slot.leaves() => break None,
                 Some(order) = self.orders.recv() => self.order(order),
             }
             self.report().await;
@@ -126,11 +133,12 @@
                 break None;
             }
         };
+        drop(connecting); // a socket that is not up holds a descriptor
         let up = stream.is_some();
         if let Some(stream) = stream {
             let _ = stream.set_nodelay(true);
             self.house.counters.engine_conns.up();
-            let _ = self.serve(&stream).await;
+            let _ = self.serve(&stream, &slot).await;
             // Guard: what its peer has not taken by now it shall not take after the ends that follow from here.
             if !self.out.is_empty() {
                 let _ = stream.set_zero_linger();
@@ -142,18 +150,20 @@
         }
         // Guard: a connection that was up and broke says nothing of attempts that it was never sent; they go over
         // another one. All of this is done before anything waits, so that no order can miss them in between.
-        let broken = self.back.broken.fetch_add(1, Ordering::Relaxed);
+        // One that carried nothing was closed in order, and says nothing of its engine.
+        let carried = usize::from(!self.attempts.is_empty() || !self.waiting.is_empty());
+        let broken = self.back.broken.fetch_add(carried, Ordering::Relaxed);
         if up && !self.shut() && broken < self.house.limits.give_backs {
             for ask in std::mem::take(&mut self.waiting) {
                 self.load.take_off(once(&ask));
-                if let Err(mpsc::error::SendError(ask)) = self.back.asks.send(ask) {
+                if let Err(mpsc::error::SendError(Some(ask))) = self.back.asks.send(Some(ask)) {
                     // The engine's actor has ended.
                     self.load.add(once(&ask), self.house.core.now());
                     self.waiting.push_back(ask);
                 }
             }
         }
-        self.house.counters.engine_conns_open.down();
+        drop(slot);
         self.unsent();
         let written = self.out.written();
         for (_, mut attempt) in std::mem::take(&mut self.attempts) {
@@ -167,10 +177,11 @@
             self.end(attempt.ask, told);
         }
         self.report().await;
+        let _ = self.back.asks.send(None);
     }
 
     /// Counts an attempt off; the core hears of it with the next report.
-    pub(super) fn end(&mut self, ask: Ask, told: EngineNews) {
+    pub(super) fn end(&mut self, ask: Box<Ask>, told: EngineNews) {
         self.load.take_off(once(&ask));
         self.ends.push((ask, told));
     }
@@ -196,7 +207,7 @@
         }
     }
 
-    async fn serve(&mut self, stream: &TcpStream) -> Result<(), Broken> {
+    async fn serve(&mut self, stream: &TcpStream, slot: &Slot) -> Result<(), Broken> {
         loop {
             self.next_ask();
             self.out.flush(stream)?;
@@ -236,6 +247,7 @@
                     }
                 },
                 ready = stream.writable(), if !self.out.is_empty() => ready?,
+                () = slot.leaves() => return Ok(()),
                 () = sleep_until(alarm_at) => {
                     let now = Instant::now();
                     if self.cut.is_some_and(|c| c <= now) || idle && until <= now {
--- a/src/engines/lines/mod.rs
+++ b/src/engines/lines/mod.rs
@@ -4,7 +4,7 @@
 mod answers;
 mod connection;
 
-use super::place::{Conn, Load, Place, place};
+use super::place::{Conn, Place, place};
 use super::{House, Order};
 use crate::core::{Ask, EngineNews};
 use crate::interface::{Effect, EngineId, ListState, LoadReport, Outcome};
@@ -14,7 +14,7 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use tokio::sync::mpsc;
 
-/// Runs one engine until the list drops it and its attempts are over.
+/// Runs one engine as long as it has connections, or until the list drops it and its attempts are over.
 pub(crate) async fn run(
     engine: EngineId,
     address: SocketAddr,
@@ -31,13 +31,19 @@
         let order = tokio::select! {
             biased;
             // First: what a closed connection gave back is placed before an order that could take it back.
-            Some(ask) = returned.recv() => Order::Ask(ask),
+            Some(returned) = returned.recv() => returned.map(Order::Ask),
             order = orders.recv() => match order {
-                Some(order) => order,
+                Some(order) => Some(order),
                 None => return,
             },
         };
         conns.retain(|c| !c.orders.is_closed());
+        let Some(order) = order else {
+            if conns.is_empty() && returned.is_empty() && orders.is_empty() {
+                return retire(engine, orders, &house).await;
+            }
+            continue;
+        };
         if let Order::Listed(state) = &order {
             ready = *state == ListState::Ready;
         }
@@ -51,18 +57,19 @@
         // Guard: what a broken connection gave back finds no new one to what drains or was taken out meanwhile.
         if !ready || banned.load(Ordering::Relaxed) {
             ended(&house, engine, &ask, EngineNews::end(Outcome::NoConnection)).await;
+            let _ = back.asks.send(None);
             continue;
         }
         let once = ask.class.class.effect == Effect::Once;
         let conn = match place(&conns, once, &house) {
             Place::On(conn) => conn,
             Place::Nowhere => {
-                ended(&house, engine, &ask, EngineNews::end(Outcome::NoConnection)).await;
+                ended(&house, engine, &ask, EngineNews::end(Outcome::NoRoom)).await;
+                let _ = back.asks.send(None); // without a connection it is over
                 continue;
             }
-            Place::New => {
+            Place::New(slot, load) => {
                 let (orders, mailbox) = mpsc::channel(house.limits.mailbox);
-                let load = Arc::new(Load::default());
                 let connection = Connection::new(
                     engine,
                     mailbox,
@@ -71,8 +78,7 @@
                     house.clone(),
                     banned.clone(),
                 );
-                house.counters.engine_conns_open.up();
-                tokio::spawn(connection.run(address));
+                tokio::spawn(connection.run(address, slot));
                 conns.push(Conn { orders, load });
                 conns.len() - 1
             }
@@ -87,10 +93,21 @@
     }
 }
 
-/// The way back for attempts that a broken connection was never sent.
+/// The last connection is over. Guard: what is handed over from now on finds the mailbox closed, and begins a new
+/// actor; what came just before goes back as it was.
+async fn retire(engine: EngineId, mut orders: mpsc::Receiver<Order>, house: &House) {
+    orders.close();
+    while let Ok(order) = orders.try_recv() {
+        if let Order::Ask(ask) = order {
+            ended(house, engine, &ask, EngineNews::end(Outcome::NoRoom)).await;
+        }
+    }
+}
+
+/// The way back from a connection, for attempts that it was never sent; nothing where it is over.
 #[derive(Clone)]
 struct Back {
-    asks: mpsc::UnboundedSender<Ask>,
+    asks: mpsc::UnboundedSender<Option<Box<Ask>>>,
     /// Connections that ended since the engine last answered: where there are several, it is the engine's fault.
     broken: Arc<AtomicUsize>,
 }
--- /dev/null
+++ b/src/engines/many.rs
@@ -0,0 +1,205 @@
+//! Tests of a manager with more engines in its list than descriptors, and of a list that churns.
+
+use super::tests::{ask, block, line};
+use super::{Fleet, House, Order};
+use crate::config::{ListEvent, Listed, engine_id};
+use crate::core::tests::taken;
+use crate::core::{
+    Answer, ClientPort, Clock, Core, EngineNews, EnginePort, Handle, Input, Inputs, Taken, start,
+};
+use crate::interface::{EngineEntry, ListKind, ListState, Outcome, RequestId};
+use bytes::Bytes;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, mpsc};
+use tokio::time::timeout;
+
+/// Engines of one process: each answers every attempt, once it may.
+async fn engines(count: u32, hold: Option<Arc<Semaphore>>) -> Vec<Listed> {
+    let mut lines = Vec::new();
+    for id in 1..=count {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+        let address = listener.local_addr().expect("address");
+        let (engine, state, nominal) = (engine_id(id), ListState::Ready, 8.0);
+        let entry = EngineEntry { engine, state, nominal, ..EngineEntry::default() };
+        lines.push(Listed { entry, address });
+        let hold = hold.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(serve(stream, hold.clone()));
+            }
+        });
+    }
+    lines
+}
+
+async fn serve(stream: TcpStream, hold: Option<Arc<Semaphore>>) -> std::io::Result<()> {
+    let (from, mut to) = stream.into_split();
+    let (mut from, mut text) = (BufReader::new(from), String::new());
+    while from.read_line(&mut text).await? > 0 {
+        let words: Vec<&str> = text.split_ascii_whitespace().collect();
+        if let ["ASK", name, _, length] = words[..] {
+            let mut body = vec![0; length.parse::<usize>().unwrap_or_default() + 2];
+            from.read_exact(&mut body).await?;
+            if let Some(hold) = &hold {
+                hold.acquire().await.map_err(std::io::Error::other)?.forget();
+            }
+            to.write_all(format!("{name} served batches=1 2\r\na\n\r\n").as_bytes()).await?;
+        }
+        text.clear();
+    }
+    Ok(())
+}
+
+/// A fleet without a core, on the smallest machine's descriptors.
+struct Rig {
+    fleet: Fleet,
+    house: House,
+    news: Inputs,
+    most: u64,
+}
+
+impl Rig {
+    async fn new(count: u32, hold: Option<Arc<Semaphore>>) -> Rig {
+        let (core, news) = Handle::new(64, Clock::new());
+        let house = House::with_sockets(core, 64);
+        let most = (house.limits.engine_conns + house.limits.engine_conns_kept) as u64;
+        let mut fleet = Fleet::new(house.clone());
+        engines(count, hold).await.iter().for_each(|line| fleet.listed(line));
+        Rig { fleet, house, news, most }
+    }
+
+    fn ask(&mut self, engine: u32, id: u32) {
+        let Order::Ask(one) = ask(id) else { unreachable!("an attempt") };
+        assert!(self.fleet.ask(engine_id(engine), *one));
+    }
+
+    async fn end(&mut self) -> (RequestId, Outcome) {
+        let input = timeout(Duration::from_secs(20), self.news.input()).await.expect("an end");
+        assert!(self.house.counters.engine_conns_open.get() <= self.most, "more descriptors than there are");
+        match input {
+            Some(Input::Engine { id, news: EngineNews::Ended { outcome, .. }, .. }) => (id, outcome),
+            _ => panic!("no end"),
+        }
+    }
+}
+
+/// Eight engines for each descriptor, in turn and again: idle connections make room, and every attempt is served.
+#[test]
+fn idle_connections_make_room() {
+    block(async {
+        let mut rig = Rig::new(200, None).await;
+        for id in 1..=400 {
+            rig.ask(id % 200 + 1, id);
+            assert_eq!(rig.end().await, (id, Outcome::Ok));
+        }
+        let counters = &rig.house.counters;
+        assert_eq!(counters.engine_conns_open.get(), rig.most);
+        assert_eq!(counters.engine_evicted.get(), 400 - rig.most);
+    });
+}
+
+/// Guard: what carries an attempt gives nothing up. Where all do, an attempt comes back at once as none, and the next
+/// one finds room as soon as one of them is served.
+#[test]
+fn what_carries_an_attempt_stays() {
+    block(async {
+        let hold = Arc::new(Semaphore::new(0));
+        let mut rig = Rig::new(40, Some(hold.clone())).await;
+        let most = rig.most as u32;
+        (1..=most).for_each(|n| rig.ask(n, n));
+        rig.ask(most + 1, 1000);
+        assert_eq!(rig.end().await, (1000, Outcome::NoRoom));
+        hold.add_permits(1);
+        let (served, outcome) = rig.end().await;
+        assert_eq!(outcome, Outcome::Ok);
+        rig.ask(most + 1, 1001);
+        let mut open: Vec<u32> = (1..=most).filter(|n| *n != served).chain([1001]).collect();
+        hold.add_permits(open.len());
+        while !open.is_empty() {
+            let (id, outcome) = rig.end().await;
+            assert_eq!(outcome, Outcome::Ok);
+            open.retain(|n| *n != id);
+        }
+        assert_eq!(rig.house.counters.engine_evicted.get(), 1);
+    });
+}
+
+/// A client that counts what it was told.
+struct Client(mpsc::UnboundedSender<bool>);
+
+impl ClientPort for Client {
+    fn answer(&self, _: RequestId, answer: Answer) {
+        let _ = self.0.send(matches!(answer, Answer::Served(_)));
+    }
+}
+
+/// Core, module and fleet with 200 engines on the descriptors of the smallest machine: bursts of more requests than
+/// there are connections are served, all of them.
+#[test]
+fn more_engines_than_descriptors_serve_all() {
+    block(async {
+        let (handle, inputs) = Handle::new(64, Clock::new());
+        let house = House::with_sockets(handle.clone(), 64);
+        let parsed = House::settings_for_tests();
+        let (settings, class) = (parsed.settings, parsed.classes[0].clone());
+        let most = (house.limits.engine_conns + house.limits.engine_conns_kept) as u64;
+        let (limits, counters) = (house.limits.clone(), house.counters.clone());
+        let core = Core::new(settings, 7, Fleet::new(house), limits, counters.clone()).expect("core");
+        tokio::spawn(start(core, inputs, Clock::new()));
+        let entries = engines(200, None).await;
+        handle.tell(Input::List(ListEvent { number: 1, kind: ListKind::Full, entries })).await;
+        let (to, mut told) = mpsc::unbounded_channel();
+        let client: Arc<dyn ClientPort> = Arc::new(Client(to));
+        for burst in 0..10 {
+            for n in 0..40 {
+                let id = burst * 40 + n;
+                let one = taken(id, &class, handle.now() + 15_000.0, 50.0, client.clone());
+                let name = Bytes::from(format!("{id:016x}"));
+                handle.tell(Input::Take(Taken { name, dataset: id, ..one })).await;
+            }
+            for _ in 0..40 {
+                let served = timeout(Duration::from_secs(20), told.recv()).await.expect("an answer");
+                assert_eq!(served, Some(true), "{counters}");
+                assert!(counters.engine_conns_open.get() <= most);
+            }
+        }
+        assert!(counters.engine_evicted.get() > 0, "{counters}");
+    });
+}
+
+/// Guard: six in ten of a thousand engines are replaced at once, several times over, the old ones draining meanwhile,
+/// and some of the newcomers refuse connections: nothing stays behind, neither actors nor entries nor descriptors.
+#[test]
+fn nothing_stays_of_engines_that_left() {
+    block(async {
+        let mut rig = Rig::new(0, None).await;
+        let list = |fleet: &mut Fleet, ids: std::ops::Range<u32>, state| {
+            ids.for_each(|id| fleet.listed(&line(id, state)));
+        };
+        list(&mut rig.fleet, 0..1024, ListState::Ready);
+        for round in 0..8 {
+            let (old, new) =
+                (round * 614..(round + 1) * 614, (round + 1) * 614 + 410..(round + 2) * 614 + 410);
+            list(&mut rig.fleet, old.clone(), ListState::Draining);
+            list(&mut rig.fleet, new.clone(), ListState::Ready);
+            for id in new.take(20) {
+                rig.ask(id, id);
+            }
+            for _ in 0..20 {
+                assert_eq!(rig.end().await.1, Outcome::NoConnection);
+            }
+            list(&mut rig.fleet, old, ListState::Gone);
+        }
+        let tasks = || tokio::runtime::Handle::current().metrics().num_alive_tasks();
+        let over = async {
+            while tasks() > 0 {
+                tokio::task::yield_now().await;
+            }
+        };
+        timeout(Duration::from_secs(20), over).await.expect("no actor stays");
+        assert_eq!((rig.fleet.peers.len(), rig.house.counters.engine_conns_open.get()), (1024, 0));
+    });
+}
--- a/src/engines/mod.rs
+++ b/src/engines/mod.rs
@@ -1,9 +1,13 @@
-//! Engines, by the protocol that they speak: one actor an engine, which owns its connections.
+//! Engines, by the protocol that they speak: one actor an engine, which owns its connections and lives as long as it
+//! has any. Without one an engine costs its entry in the list alone.
 
 pub(crate) mod flight;
 pub(crate) mod lines;
+#[cfg(test)]
+mod many;
 mod place;
 mod reply;
+mod slots;
 #[cfg(test)]
 mod tests;
 
@@ -12,11 +16,12 @@
 use crate::counters::Counters;
 use crate::interface::{EngineId, ListState, LoadReport, RequestId};
 use crate::limits::{Limits, Stock};
+use slots::Slots;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use tokio::sync::mpsc;
+use tokio::sync::mpsc::{self, error::TrySendError};
 
 /// What every engine's actor holds.
 #[derive(Clone)]
@@ -28,9 +33,16 @@
     pub(crate) flight: bool,
     /// Bytes of results that are not whole yet.
     pub(crate) held: Arc<Stock>,
+    /// Descriptors of connections to engines.
+    pub(crate) slots: Arc<Slots>,
 }
 
 impl House {
+    pub(crate) fn new(core: Handle, limits: Arc<Limits>, counters: Arc<Counters>, flight: bool) -> House {
+        let slots = Slots::new(limits.clone(), counters.clone());
+        House { core, limits, counters, flight, held: Arc::default(), slots }
+    }
+
     /// Tells the core news of an attempt.
     pub(crate) async fn tell(
         &self,
@@ -45,21 +57,31 @@
 
 #[cfg(test)]
 impl House {
-    /// One for tests of a single engine's actor.
+    /// One for tests of engines' actors.
     pub(crate) fn for_tests(core: Handle) -> House {
-        let text = r#"{"nInstances":1,"classes":[{"name":"a","effect":"once","promiseMs":1,"giveUpMs":9}],
+        House::with_sockets(core, 256)
+    }
+
+    /// The same with so many descriptors.
+    pub(crate) fn with_sockets(core: Handle, sockets: usize) -> House {
+        let limits = Arc::new(Limits::new(sockets, 32, true, &House::settings_for_tests()));
+        House::new(core, limits, Arc::default(), false)
+    }
+
+    /// Settings with one class.
+    pub(crate) fn settings_for_tests() -> crate::settings::Parsed {
+        let text = r#"{"nInstances":1,"classes":[{"name":"a","effect":"repeatable","promiseMs":5000,"giveUpMs":15000}],
             "guarantees":{"coldMs":1,"coldShare":0.3,"overloadForMs":1,"tipMultiple":3},
-            "limits":{"attemptsCap":6}}"#;
-        let parsed = crate::settings::parse(text.as_bytes()).expect("settings");
-        let limits = Arc::new(Limits::new(256, 32, true, &parsed));
-        House { core, limits, counters: Arc::default(), flight: false, held: Arc::default() }
+            "limits":{"attemptsCap":6},"shapes":["std-8c"],"specifics":{"sizeCores":[8]}}"#;
+        crate::settings::parse(text.as_bytes()).expect("settings")
     }
 }
 
 /// What an engine's actor is told.
 #[derive(Clone, Debug)]
 pub(crate) enum Order {
-    Ask(Ask),
+    /// Boxed, as a mailbox has room for some orders from the start.
+    Ask(Box<Ask>),
     /// Given up; and whether another attempt may follow.
     Quit(RequestId, u16, bool),
     Priority(RequestId, u16, u8),
@@ -71,7 +93,8 @@
 
 struct Peer {
     address: SocketAddr,
-    orders: mpsc::Sender<Order>,
+    /// Its actor's mailbox, once it has had one: it ends with its last connection, and comes back with the next attempt.
+    orders: Option<mpsc::Sender<Order>>,
     /// Whether staff took it out. Read before anything new is written, so that no queue of orders delays it.
     banned: Arc<AtomicBool>,
 }
@@ -87,14 +110,32 @@
         Fleet { house, peers: HashMap::new() }
     }
 
-    fn tell(&self, engine: EngineId, order: Order) -> bool {
-        self.peers.get(&engine).is_some_and(|p| p.orders.try_send(order).is_ok())
+    /// Tells its actor, if there is one.
+    fn tell(&self, engine: EngineId, order: Order) {
+        if let Some(orders) = self.peers.get(&engine).and_then(|p| p.orders.as_ref()) {
+            let _ = orders.try_send(order);
+        }
     }
 }
 
 impl EnginePort for Fleet {
     fn ask(&mut self, engine: EngineId, ask: Ask) -> bool {
-        self.tell(engine, Order::Ask(ask))
+        let Some(peer) = self.peers.get_mut(&engine) else { return false };
+        let mut order = Order::Ask(Box::new(ask));
+        if let Some(orders) = &peer.orders {
+            match orders.try_send(order) {
+                Ok(()) => return true,
+                Err(TrySendError::Full(_)) => return false,
+                Err(TrySendError::Closed(unread)) => order = unread,
+            }
+        }
+        let (orders, mailbox) = mpsc::channel(self.house.limits.mailbox);
+        let (house, shut) = (self.house.clone(), peer.banned.clone());
+        match house.flight {
+            true => tokio::spawn(flight::run(engine, peer.address, mailbox, house, shut)),
+            false => tokio::spawn(lines::run(engine, peer.address, mailbox, house, shut)),
+        };
+        peer.orders.insert(orders).try_send(order).is_ok()
     }
 
     fn quit(&mut self, engine: EngineId, id: RequestId, attempt: u16, again: bool) {
@@ -107,16 +148,10 @@
 
     fn listed(&mut self, line: &Listed) {
         let (engine, state) = (line.entry.engine, line.entry.state);
-        let moved = self.peers.get(&engine).is_none_or(|p| p.address != line.address || p.orders.is_closed());
-        if moved && state == ListState::Ready && self.peers.len() < self.house.limits.engines {
-            let (orders, mailbox) = mpsc::channel(self.house.limits.mailbox);
-            let (house, banned) = (self.house.clone(), Arc::<AtomicBool>::default());
-            let shut = banned.clone();
-            match house.flight {
-                true => tokio::spawn(flight::run(engine, line.address, mailbox, house, shut)),
-                false => tokio::spawn(lines::run(engine, line.address, mailbox, house, shut)),
-            };
-            self.peers.insert(engine, Peer { address: line.address, orders, banned });
+        let moved = self.peers.get(&engine).is_none_or(|p| p.address != line.address);
+        if moved && state == ListState::Ready {
+            let peer = Peer { address: line.address, orders: None, banned: Arc::default() };
+            self.peers.insert(engine, peer);
         }
         self.tell(engine, Order::Listed(state));
         if state == ListState::Gone {
--- a/src/engines/place.rs
+++ b/src/engines/place.rs
@@ -1,9 +1,10 @@
 //! Which of an engine's connections carries one more attempt.
 
+use super::slots::{Need, Slot};
 use super::{House, Order};
 use crate::limits::Limits;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use tokio::sync::mpsc;
 
 /// One connection, as its engine's actor sees it.
@@ -13,7 +14,7 @@
 }
 
 /// Attempts that a connection carries: all, and those that may run once only.
-#[derive(Default)]
+#[derive(Debug, Default)]
 pub(super) struct Load {
     all: AtomicUsize,
     once: AtomicUsize,
@@ -21,6 +22,8 @@
     pub(super) heard: AtomicU64,
     /// Unix time in ms since which it has carried any.
     busy: AtomicU64,
+    /// It gives its descriptor up: nothing more goes on it.
+    leaving: AtomicBool,
 }
 
 impl Load {
@@ -38,6 +41,25 @@
         self.once.fetch_sub(usize::from(once), Ordering::Relaxed);
     }
 
+    /// Whether it carries nothing.
+    pub(super) fn idle(&self) -> bool {
+        self.all.load(Ordering::Relaxed) == 0
+    }
+
+    /// Unix time in ms at which it last began to carry anything, or was heard of.
+    pub(super) fn last(&self) -> u64 {
+        self.heard.load(Ordering::Relaxed).max(self.busy.load(Ordering::Relaxed))
+    }
+
+    /// It is to give its descriptor up.
+    pub(super) fn leave(&self) {
+        self.leaving.store(true, Ordering::Relaxed);
+    }
+
+    pub(super) fn leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
     fn now(&self) -> (usize, usize) {
         (self.all.load(Ordering::Relaxed), self.once.load(Ordering::Relaxed))
     }
@@ -45,8 +67,7 @@
     /// Whether what it carries should have been heard of by now, if only by a note. Guard: a machine that vanished
     /// leaves its connections open and silent; only a new one, which never comes up, tells that it has.
     fn mute(&self, now: f64, limits: &Limits) -> bool {
-        let since = self.heard.load(Ordering::Relaxed).max(self.busy.load(Ordering::Relaxed));
-        self.now().0 > 0 && now - since as f64 > limits.conn_mute_ms
+        self.now().0 > 0 && now - self.last() as f64 > limits.conn_mute_ms
     }
 
     /// Whether it answered so lately that it can be relied on.
@@ -56,12 +77,11 @@
 }
 
 /// What carries an attempt.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Place {
     /// The connection at this place.
     On(usize),
-    /// A new one.
-    New,
+    /// A new one, with its descriptor.
+    New(Slot, Arc<Load>),
     /// Nothing: its engine has no connection, and there is no descriptor for one.
     Nowhere,
 }
@@ -74,27 +94,32 @@
     let limits = &house.limits;
     let now = house.core.now();
     let heard = |i: usize| !conns[i].load.mute(now, limits);
-    let loads = || conns.iter().map(|c| c.load.now()).enumerate().filter(|(i, _)| heard(*i));
+    let stays = |c: &Conn| !c.load.leaving();
+    let all = || conns.iter().enumerate().filter(|(_, c)| stays(c)).map(|(i, c)| (i, c.load.now()));
+    let loads = || all().filter(|(i, _)| heard(*i));
+    let shared = limits.streams_shared.min(limits.streams_per_conn);
     let fits = |(i, (all, loads)): (usize, (usize, usize))| match once {
         true => all == 0 && conns[i].load.proven(now, limits),
-        false => loads == 0 && all < limits.streams_shared,
+        false => loads == 0 && all < shared,
     };
     // The fullest of those that fit, then the one heard last, so that the others idle out.
     let rank = |(i, load): &(usize, (usize, usize))| (load.0, conns[*i].load.heard.load(Ordering::Relaxed));
     if let Some((i, _)) = loads().filter(|at| fits(*at)).max_by_key(rank) {
         return Place::On(i);
     }
-    let open = house.counters.engine_conns_open.get() as usize;
-    // One that is heard of there is, or is tried for: past the bound no more than one beside the mute ones.
-    let none = loads().next().is_none();
-    if conns.len() < limits.conns_per_engine
-        && open
-            < limits.share(limits.engine_conns)
-                + if none { limits.share(limits.engine_conns_kept) } else { 0 }
-    {
-        return Place::New;
+    // One that is heard of there is, or is tried for.
+    let need = match (loads().next(), once) {
+        (None, _) => Need::First,
+        (_, true) => Need::Own,
+        (_, false) => Need::More,
+    };
+    if conns.len() < limits.conns_per_engine {
+        let load = Arc::<Load>::default();
+        if let Some(slot) = house.slots.take(&load, need) {
+            return Place::New(slot, load);
+        }
     }
-    let all = conns.iter().map(|c| c.load.now()).enumerate();
-    let least = all.min_by_key(|(i, (all, loads))| (!heard(*i), *loads, *all));
+    let room = all().filter(|(_, (all, _))| *all < limits.streams_per_conn);
+    let least = room.min_by_key(|(i, (all, loads))| (!heard(*i), *loads, *all));
     least.map_or(Place::Nowhere, |(i, _)| Place::On(i))
 }
--- a/src/engines/tests.rs
+++ b/src/engines/tests.rs
@@ -92,7 +92,7 @@
         (2001..=2614).for_each(|id| fleet.listed(&line(id, ListState::Ready)));
         for id in (615..=1024).chain(2001..=2614) {
             let Order::Ask(one) = ask(id) else { unreachable!("an attempt") };
-            assert!(fleet.ask(engine_id(id), one), "engine {id} cannot be reached");
+            assert!(fleet.ask(engine_id(id), *one), "engine {id} cannot be reached");
         }
     });
 }
@@ -113,11 +113,8 @@
 
 /// An attempt on a statement of so many bytes.
 pub(super) fn ask_of(id: u32, bytes: usize) -> Order {
-    let text = r#"{"nInstances":1,"classes":[{"name":"a","effect":"repeatable","promiseMs":1,"giveUpMs":9}],
-        "guarantees":{"coldMs":1,"coldShare":0.3,"overloadForMs":1,"tipMultiple":3},
-        "limits":{"attemptsCap":6}}"#;
-    let class = crate::settings::parse(text.as_bytes()).expect("settings").classes[0].clone();
-    Order::Ask(Ask {
+    let class = House::settings_for_tests().classes[0].clone();
+    Order::Ask(Box::new(Ask {
         id,
         attempt: 0,
         name: Bytes::from(format!("{id:016x}")),
@@ -127,5 +124,5 @@
         priority: 1,
         statement: Bytes::from(vec![b' '; bytes]),
         kind: Kind::Query,
-    })
+    }))
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -304,6 +304,8 @@
     Cancelled,
     /// Never sent.
     Moot,
+    /// The host had no descriptor for a connection there; never sent, no attempt, and no word of the engine.
+    NoRoom,
 }
 
 /// News of a running attempt.
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -153,9 +153,17 @@
     pub silence_ms: f64,
 }
 
-/// What a listed engine without connections takes, in bytes: its actor's mailbox and task, and its entries in the
-/// module, the core and the fleet.
-const ENGINE_BYTES: usize = 1024;
+/// What a listed engine without connections takes, in bytes: its entries in the module, the roster and the fleet.
+/// Measured: 1.2 kB.
+const ENGINE_BYTES: usize = 1536;
+
+/// What a connection to an engine takes at most: two pages read, one written, and its own state.
+const fn conn_bytes(page_bytes: usize) -> usize {
+    3 * page_bytes + 4096
+}
+
+/// Bytes of one record of the control feed.
+const RECORD_BYTES: usize = 27;
 
 impl Limits {
     /// The limits for a machine with so many descriptors and so much memory, under these settings. All that holds
@@ -166,6 +174,10 @@
         let progress = parsed.settings.progress_ms;
         let part = |of: usize| (memory_mb << 20) / of;
         let ops_callers = (sockets / 16).clamp(4, 32);
+        let page_bytes = 6_000;
+        let engines = part(10) / ENGINE_BYTES;
+        // Of connections to engines, all that the memory holds.
+        let conns = part(9) / conn_bytes(page_bytes);
         Limits {
             message_bytes: 64 * 1024,
             message_depth: 8,
@@ -181,17 +193,17 @@
             open_bytes: part(10),
             answer_bytes: 48_000,
             line_bytes: 4096,
-            page_bytes: 6_000,
+            page_bytes,
             pages: 256,
             streams_per_conn: parsed.streams_per_conn,
             streams_shared: 4,
             give_backs: 3,
             conn_proven_ms: 40.0,
             conn_mute_ms: if notes && progress > 0.0 { (progress * 3.0).max(1000.0) } else { f64::INFINITY },
-            engine_conns: sockets / 4,
-            engine_conns_kept: sockets / 8,
+            engine_conns: (sockets / 4).min(conns * 2 / 3),
+            engine_conns_kept: (sockets / 8).min(conns / 3),
             conns_per_engine: (sockets / 12).clamp(1, 24),
-            engines: part(16) / ENGINE_BYTES,
+            engines,
             mailbox: 1024,
             flight_conns: sockets / 16,
             tickets: 1024,
@@ -200,7 +212,7 @@
             flight_held_bytes: 64 * 1024,
             flight_pieces: 8,
             keep_alive: (Duration::from_secs(2), Duration::from_secs(2)),
-            state_bytes: 64 * 1024,
+            state_bytes: (engines * 64).max(64 * 1024) as u64,
             state_look: Duration::from_millis(50),
             state_tries: 20,
             state_wait: Duration::from_millis(5),
@@ -217,7 +229,7 @@
             ops_pause: Duration::from_millis(10),
             snmp_bytes: 1472,
             snmp_variables: 24,
-            frame_bytes: 256 << 10,
+            frame_bytes: (4 * engines * RECORD_BYTES).max(256 << 10),
             connect: millis(parsed.connect_timeout_ms),
             engine_idle: millis(parsed.conn_idle_ms * 0.6),
             client_silence: Duration::from_millis(2000),
@@ -303,14 +315,18 @@
         let l = Limits::new(sockets, memory, true, &settings::parse(text.as_bytes()).expect("settings"));
         let shared = l.input_bytes + l.output_bytes + l.held_bytes + l.open_bytes + l.ticket_bytes;
         let engine_conns = l.engine_conns + l.engine_conns_kept;
-        let buffers = engine_conns * (3 * l.page_bytes + 4096) + l.client_conns * 4096 + l.frame_bytes;
-        let program = 5 << 20; // 2 to 3 as measured, with a reserve
-        let all = shared + buffers + l.flight_message_bytes + program;
+        let buffers = engine_conns * super::conn_bytes(l.page_bytes) + l.client_conns * 4096 + l.frame_bytes;
+        let list = l.engines * super::ENGINE_BYTES + 2 * l.state_bytes as usize;
+        assert!(l.engines >= 2 * 1024, "a list of 1,024 beside as many that drain");
+        let program = 4 << 20; // its text, which two processes share: 2 to 3 as measured, with a reserve
+        let own = 1 << 20; // 0.5 as measured
+        let all = shared + buffers + list + l.flight_message_bytes + program + own;
         assert!(all <= memory << 20, "{all} bytes of {memory} MB");
         // Two processes of an upgrade.
         assert!(!l.set_both(true) && l.set_both(true));
-        let all = l.share(shared) + l.share(buffers) + l.share(l.flight_message_bytes) + program;
-        assert!(2 * all <= memory << 20, "twice {all} bytes of {memory} MB");
+        let each = l.share(shared) + l.share(buffers) + l.share(l.flight_message_bytes) + list + own;
+        let all = 2 * each + program;
+        assert!(all <= memory << 20, "{all} bytes of {memory} MB for both");
         let all = [l.client_conns, l.flight_conns, l.ops_callers, l.engine_conns, l.engine_conns_kept];
         let all = all.iter().map(|n| l.share(*n)).sum::<usize>() + 16;
         assert!(sockets < 256 || 2 * all <= sockets, "twice {all} descriptors of {sockets}");
--- a/src/node.rs
+++ b/src/node.rs
@@ -94,13 +94,7 @@
         };
         let clock = Clock::new();
         let (core, inputs) = Handle::new(limits.mailbox, clock);
-        let house = House {
-            core: core.clone(),
-            limits: limits.clone(),
-            counters: counters.clone(),
-            flight: speech == Speech::Flight,
-            held: Arc::default(),
-        };
+        let house = House::new(core.clone(), limits.clone(), counters.clone(), speech == Speech::Flight);
         let duty = Arc::new(Duty::new());
         let made = Core::new(
             parsed.settings.clone(),
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -40,6 +40,35 @@
     assert!(rig.ended(1, 1, at, Outcome::Reset).contains(&Action::Fail { id: 1 }));
 }
 
+/// Guard: an attempt for which the host had no descriptor was none: it counts against neither the cap nor the budget,
+/// and the next goes at once where a query of ours holds a connection, not to other engines that cannot be reached.
+#[test]
+fn no_descriptor_is_no_attempt() {
+    let extra = Some(ExtraBudget { free: 0.0, ratio: 0.0, window_ms: 1000.0 });
+    let limits = Settings { attempts_cap: 1, extra, ..settings(vec![class(1, 1000.0, 1.0)]) };
+    let mut rig = Rig::new(limits, 9);
+    let held = sent(&rig.request(1, 0, 0), 1).expect("an engine");
+    let bare = sent(&rig.request(2, 0, 0), 2).expect("an engine");
+    assert_ne!(held, bare);
+    for number in 0..3 {
+        let at = if number == 0 { bare } else { held };
+        let again = rig.ended(2, number, at, Outcome::NoRoom);
+        if number == 0 {
+            assert_eq!(sent(&again, 2), Some(held), "the one that is reached");
+        } else {
+            assert!(!answered(&again, 2) && all_sent(&again).is_empty(), "not the same again at once");
+            assert_eq!(sent(&rig.tick(50.0), 2).is_some(), number == 1, "later any of them");
+            break;
+        }
+    }
+    // Where nothing is out there is no descriptor for a tick, and then the request goes all the same.
+    let mut rig = Rig::new(settings(vec![class(1, 1000.0, 1.0)]), 3);
+    let at = sent(&rig.request(1, 0, 0), 1).expect("an engine");
+    let none = rig.ended(1, 0, at, Outcome::NoRoom);
+    assert!(!answered(&none, 1) && all_sent(&none).is_empty());
+    assert!(sent(&rig.tick(60.0), 1).is_some());
+}
+
 #[test]
 fn rule_2_a_keyed_repeat_stays_in_its_group_and_span() {
     for scope in [DedupScope::Zone, DedupScope::Cell] {
