Pass over a list record that says what the settings do not know, alone, and count lists that leave out most

One record with an unknown state made its frame a fault: the feed was connected anew, the frame came again, and no later event was heard, drains included (`read_frame` gave up the frame where `read_record` gave up a record). A zone or kind that the settings do not know was taken as it stood from the feed, and at the start made the whole configuration unusable.

Change: such a record is passed over alone, named and counted; its engine stays as it was, also where a whole list names it so. Word of a drain or an end holds whatever else the record says. A whole list that is empty or leaves out most is done as it says, as nothing may go to what is not listed, and is counted. Settings with no, a negative or a missing number of managers are tested at the start and at SIGHUP.

Tests: frames with one such record, cut short, a whole list in the roster, a scenario over a live feed; the scenario and the frame test fail without the change.

--- a/src/config.rs
+++ b/src/config.rs
@@ -40,6 +40,8 @@
     pub kind: ListKind,
     /// The entries.
     pub entries: Vec<Listed>,
+    /// Engines whose records name a state, zone or kind that the settings do not know: they stay as they were.
+    pub unusable: Vec<EngineId>,
 }
 
 /// The whole configuration of one workload manager.
@@ -176,23 +178,32 @@
 }
 
 impl Member {
-    fn listed(self, parsed: &Parsed) -> Result<Listed, ConfigError> {
-        let wrong = |what: &str, value: &str| ConfigError(format!("known events: {what} {value:?}"));
-        let place = |names: &[String], name: &str, what: &str| {
-            names.iter().position(|n| n == name).ok_or_else(|| wrong(what, name))
-        };
-        let engine = engine_named(&self.instance_id).ok_or_else(|| wrong("engine id", &self.instance_id))?;
+    fn engine(&self) -> Result<EngineId, ConfigError> {
+        let wrong = || ConfigError(format!("known events: engine id {:?}", self.instance_id));
+        engine_named(&self.instance_id).ok_or_else(wrong)
+    }
+
+    /// Its line; none where it names a state, or as one that takes work a zone or kind, that the settings do not know.
+    fn listed(self, engine: EngineId, parsed: &Parsed) -> Option<Listed> {
         let state = match self.lifecycle.as_str() {
             "active" => ListState::Ready,
             "leaving" => ListState::Draining,
             "left" => ListState::Gone,
-            other => return Err(wrong("lifecycle", other)),
+            _ => return None,
         };
-        let zone = place(&parsed.zones, &self.zone, "zone")? as u8;
-        let kind = place(&parsed.kinds, &self.machine_type, "machine kind")? as u16;
+        // Where the settings name none, all are the same one.
+        let place = |names: &[String], name: &str| {
+            if names.is_empty() { Some(0) } else { names.iter().position(|n| n == name) }
+        };
+        let (zone, kind) = (place(&parsed.zones, &self.zone), place(&parsed.kinds, &self.machine_type));
+        let (zone, kind) = match state {
+            ListState::Ready => (zone?, kind?),
+            _ => (zone.unwrap_or_default(), kind.unwrap_or_default()),
+        };
+        let (zone, kind) = (zone as u8, kind as u16);
         let (cell, nominal, started_ms) = (self.cell, self.weight, self.started_at_ms);
         let entry = EngineEntry { engine, zone, kind, cell, state, nominal, started_ms };
-        Ok(Listed { entry, address: SocketAddr::V4(self.host_port) })
+        Some(Listed { entry, address: SocketAddr::V4(self.host_port) })
     }
 }
 
@@ -221,9 +232,15 @@
         let mut events = Vec::new();
         for event in file.known.events {
             let kind = if event.members.reset { ListKind::Full } else { ListKind::Delta };
-            let entries: Result<Vec<_>, _> =
-                event.members.instances.into_iter().map(|m| m.listed(&parsed)).collect();
-            events.push(ListEvent { number: event.n, kind, entries: entries? });
+            let (mut entries, mut unusable) = (Vec::new(), Vec::new());
+            for member in event.members.instances {
+                let engine = member.engine()?;
+                match member.listed(engine, &parsed) {
+                    Some(line) => entries.push(line),
+                    None => unusable.push(engine),
+                }
+            }
+            events.push(ListEvent { number: event.n, kind, entries, unusable });
         }
         // The first event holds the whole list, however it is marked.
         if let Some(first) = events.first_mut() {
--- a/src/core/interleavings.rs
+++ b/src/core/interleavings.rs
@@ -229,7 +229,10 @@
 
 fn ready(core: &mut Core<Port>, now: Millis, n: u32, state: ListState) {
     let entries = vec![listed(n, state)];
-    core.handle(now, Input::List(ListEvent { number: 0, kind: ListKind::Delta, entries }));
+    core.handle(
+        now,
+        Input::List(ListEvent { number: 0, kind: ListKind::Delta, entries, unusable: Vec::new() }),
+    );
 }
 
 /// Plays one order of turns; each step is what gets its turn, and a choice within that.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -346,12 +346,20 @@
         counters.list_unknown.add(step.unknown);
         counters.list_repeated.add(step.repeated);
         counters.list_shared.add(step.shared);
+        counters.list_unusable.add(event.unusable.len());
+        counters.list_cut.add(usize::from(step.cut));
         if let [first, rest @ ..] = &step.passed[..] {
             let (first, more, all) = (engine_text(*first), rest.len(), self.limits.engines);
             eprintln!(
                 "magpiechute: engine={first} state=passed_over more={more} why=all {all} places are taken"
             );
         }
+        if let [first, rest @ ..] = &event.unusable[..] {
+            let (first, more) = (engine_text(*first), rest.len());
+            eprintln!(
+                "magpiechute: engine={first} state=unusable more={more} why=unknown state, zone or kind"
+            );
+        }
         let entries = step.lines.into_iter().map(|l| l.entry).collect();
         self.tell(now, Event::List { kind: event.kind, entries });
     }
--- a/src/core/narrow/tests.rs
+++ b/src/core/narrow/tests.rs
@@ -82,7 +82,10 @@
                 Listed { entry, address: ([127, 0, 0, 1], n as u16).into() }
             })
             .to_vec();
-        core.handle(0.0, Input::List(ListEvent { number: 1, kind: ListKind::Full, entries }));
+        core.handle(
+            0.0,
+            Input::List(ListEvent { number: 1, kind: ListKind::Full, entries, unusable: Vec::new() }),
+        );
         Rig { core, counters, client: Arc::default(), classes: parsed.classes, known }
     }
 
--- a/src/core/roster.rs
+++ b/src/core/roster.rs
@@ -23,6 +23,8 @@
 pub(super) struct Step {
     /// Engines that a whole list names no longer.
     pub(super) dropped: Vec<EngineId>,
+    /// A whole list leaves more than half of them out.
+    pub(super) cut: bool,
     /// Lines for the module and the engines' actors, in order.
     pub(super) lines: Vec<Listed>,
     /// Engines that found no place.
@@ -68,10 +70,15 @@
             step.repeated += usize::from(last.insert(line.entry.engine, i).is_some());
         }
         if event.kind == ListKind::Full {
-            // Guard: an engine that a whole list leaves out is gone for good; nothing of it stays.
-            self.waiting.retain(|id, _| last.contains_key(id));
-            step.dropped = self.held.keys().copied().filter(|id| !last.contains_key(id)).collect();
+            // Guard: an engine that a whole list leaves out is gone for good; nothing of it stays. One that it names in
+            // a record that cannot be used is not left out, and stays as it was.
+            let named = |id: &EngineId| last.contains_key(id) || event.unusable.contains(id);
+            self.waiting.retain(|id, _| named(id));
+            step.dropped = self.held.keys().copied().filter(|id| !named(id)).collect();
+            step.cut = step.dropped.len() > self.held.len() / 2;
             step.dropped.iter().for_each(|id| self.leave(*id));
+            let stays = event.unusable.iter().filter(|id| !last.contains_key(id));
+            step.lines.extend(stays.filter_map(|id| self.held.get(id)).cloned());
         }
         // Ends first, so that what comes in the same event finds their places.
         let lines = event.entries.iter().enumerate().filter(|(i, line)| last[&line.entry.engine] == *i);
--- a/src/core/roster/tests.rs
+++ b/src/core/roster/tests.rs
@@ -7,7 +7,7 @@
 const PLACES: usize = 2048;
 
 fn event(kind: ListKind, entries: Vec<Listed>) -> ListEvent {
-    ListEvent { number: 1, kind, entries }
+    ListEvent { number: 1, kind, entries, unusable: Vec::new() }
 }
 
 /// Engines of these ids, each at an address of its own.
@@ -115,3 +115,21 @@
     roster.take(&event(ListKind::Full, Vec::new()));
     assert_eq!(roster.entries(), 0);
 }
+
+/// Guard: a record that cannot be used leaves its engine as it was, also in a whole list; one that leaves out most is
+/// done as it says, and counted.
+#[test]
+fn records_that_cannot_be_used_and_lists_that_leave_out_most() {
+    let mut roster = Roster::new(8);
+    roster.take(&event(ListKind::Full, lines(1..6, ListState::Ready)));
+    let unusable = vec![engine_id(2), engine_id(7)];
+    let whole = ListEvent { unusable, ..event(ListKind::Full, lines(1..2, ListState::Ready)) };
+    let step = roster.take(&whole);
+    assert_eq!((step.dropped.len(), step.cut, step.lines.len()), (3, true, 2));
+    assert!(roster.ready(engine_id(2)) && !roster.named(engine_id(7)));
+    let step = roster.take(&event(ListKind::Full, lines(2..3, ListState::Ready)));
+    assert_eq!((step.dropped.len(), step.cut), (1, false), "half of them");
+    let step = roster.take(&event(ListKind::Full, Vec::new()));
+    assert_eq!((step.cut, roster.sizes()), (true, (0, 0)));
+    assert!(!roster.take(&event(ListKind::Full, Vec::new())).cut);
+}
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -82,7 +82,7 @@
             0 => (ListKind::Delta, vec![listed(next, ListState::Ready), listed(next - 1, ListState::Gone)]),
             _ => (ListKind::Delta, Vec::new()),
         };
-        core.handle(now, Input::List(ListEvent { number: 0, kind, entries }));
+        core.handle(now, Input::List(ListEvent { number: 0, kind, entries, unusable: Vec::new() }));
         for n in 0..20 {
             let id = round * 20 + n;
             let due = now + if n < 5 { 300.0 } else { 20_000.0 };
@@ -126,7 +126,10 @@
     let class = parsed.classes[0].clone();
     let mut core = Core::new(parsed.settings, 7, Silent::default(), limits, counters.clone()).expect("core");
     let entries = vec![listed(1, ListState::Ready)];
-    core.handle(0.0, Input::List(ListEvent { number: 1, kind: ListKind::Full, entries }));
+    core.handle(
+        0.0,
+        Input::List(ListEvent { number: 1, kind: ListKind::Full, entries, unusable: Vec::new() }),
+    );
     let ask = |core: &mut Core<Silent>, now: f64, id: u32, cost| {
         let one = taken(id, &class, now + 20_000.0, cost, Arc::new(Nobody));
         core.handle(now, Input::Take(one));
@@ -154,7 +157,10 @@
     let class = parsed.classes[0].clone();
     let mut core = Core::new(parsed.settings, 7, Silent::default(), limits, counters.clone()).expect("core");
     let entries = [1, 2].map(|n| listed(n, ListState::Ready)).to_vec();
-    core.handle(0.0, Input::List(ListEvent { number: 1, kind: ListKind::Full, entries }));
+    core.handle(
+        0.0,
+        Input::List(ListEvent { number: 1, kind: ListKind::Full, entries, unusable: Vec::new() }),
+    );
     let ask = |id: u32| {
         let one = taken(id, &class, 15_000.0, 900.0, Arc::new(Nobody));
         Input::Take(Taken { name: Bytes::from_static(b"one name"), ..one })
@@ -189,7 +195,10 @@
     let limits = Arc::new(Limits::new(256, 32, true, &parsed));
     let mut core = Core::new(parsed.settings, 7, Silent::default(), limits, Arc::default()).expect("core");
     let entries = (1..=1024).map(|n| listed(n, ListState::Ready)).collect();
-    core.handle(0.0, Input::List(ListEvent { number: 1, kind: ListKind::Full, entries }));
+    core.handle(
+        0.0,
+        Input::List(ListEvent { number: 1, kind: ListKind::Full, entries, unusable: Vec::new() }),
+    );
     let mut say = |n: u32, out| {
         let (done, mut said) = tokio::sync::oneshot::channel();
         core.urgent(1.0, Urgent::Ban { engine: engine_id(n), out, at: 1.0, told: false, done });
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -204,6 +204,10 @@
     list_repeated,
     /// Records of the list that name an engine at the address of another one.
     list_shared,
+    /// Records of the list that name a state, zone or kind that the settings do not know.
+    list_unusable,
+    /// Whole lists that leave out more than half of the engines held.
+    list_cut,
 }
 
 /// Times from the shortest to the longest, in a histogram of fixed size.
--- a/src/engines/many.rs
+++ b/src/engines/many.rs
@@ -150,7 +150,9 @@
         let core = Core::new(settings, 7, Fleet::new(house), limits, counters.clone()).expect("core");
         tokio::spawn(start(core, inputs, Clock::new()));
         let entries = engines(200, None).await;
-        handle.tell(Input::List(ListEvent { number: 1, kind: ListKind::Full, entries })).await;
+        handle
+            .tell(Input::List(ListEvent { number: 1, kind: ListKind::Full, entries, unusable: Vec::new() }))
+            .await;
         let (to, mut told) = mpsc::unbounded_channel();
         let client: Arc<dyn ClientPort> = Arc::new(Client(to));
         for burst in 0..10 {
--- a/src/list.rs
+++ b/src/list.rs
@@ -3,8 +3,9 @@
 use crate::config::{ListEvent, Listed, address, engine_id};
 use crate::core::{Handle, Input};
 use crate::counters::Counters;
-use crate::interface::{EngineEntry, ListKind, ListState};
+use crate::interface::{EngineEntry, EngineId, ListKind, ListState};
 use crate::limits::Limits;
+use crate::settings::Parsed;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -45,6 +46,7 @@
     limits: Arc<Limits>,
     counters: Arc<Counters>,
     spoken: watch::Sender<bool>,
+    settings: watch::Receiver<Arc<Parsed>>,
 ) {
     let (first, longest) = limits.feed_retry;
     let mut wait = first;
@@ -55,7 +57,7 @@
         let moved = tokio::select! {
             biased;
             moved = feed.changed() => Some(moved),
-            done = session(at, &mut last, &core, &limits, &counters, &spoken) => {
+            done = session(at, &mut last, &core, &limits, &counters, &spoken, &settings) => {
                 match done {
                     Ok(()) | Err(Fault::Lost) => {}
                     Err(Fault::Silent) => counters.feed_silences.up(),
@@ -83,6 +85,7 @@
     limits: &Limits,
     counters: &Counters,
     spoken: &watch::Sender<bool>,
+    settings: &watch::Receiver<Arc<Parsed>>,
 ) -> Result<(), Fault> {
     // A feed that accepts nothing, or says nothing, may have been cut off while engines drain: go elsewhere in
     // time, as what it has to tell counts as told.
@@ -93,7 +96,7 @@
     loop {
         // Guard: the whole frame is due in time; one that comes byte by byte is as good as none.
         timeout(limits.feed_silence, receive(&mut stream, &mut frame, limits.frame_bytes)).await??;
-        let event = read_frame(&frame).ok_or(Fault::Malformed)?;
+        let event = read_frame(&frame, &settings.borrow()).ok_or(Fault::Malformed)?;
         // Later events come without a pause, so that the first word tells what the start was not told.
         spoken.send_replace(true);
         let Some(event) = event else { continue };
@@ -120,7 +123,7 @@
 }
 
 /// One frame behind its length; `Some(None)` where it tells nothing new, `None` where it cannot be read.
-fn read_frame(frame: &[u8]) -> Option<Option<ListEvent>> {
+fn read_frame(frame: &[u8], settings: &Parsed) -> Option<Option<ListEvent>> {
     let (head, payload) = frame.split_at_checked(FRAME_HEAD)?;
     let number = u64::from_be_bytes(head[..8].try_into().ok()?);
     let kind = match head[8] {
@@ -133,11 +136,20 @@
     if !records.remainder().is_empty() {
         return None;
     }
-    let entries: Option<Vec<Listed>> = records.map(read_record).collect();
-    Some(Some(ListEvent { number, kind, entries: entries? }))
+    // Guard: a record that says what nobody knows is passed over alone. Were the frame a fault, it would come again with
+    // every connection, and no later event would be heard.
+    let (mut entries, mut unusable) = (Vec::new(), Vec::new());
+    for record in records {
+        let engine = engine_id(u32::from_be_bytes(record[..4].try_into().ok()?));
+        match read_record(engine, record, settings) {
+            Some(line) => entries.push(line),
+            None => unusable.push(engine),
+        }
+    }
+    Some(Some(ListEvent { number, kind, entries, unusable }))
 }
 
-fn read_record(r: &[u8]) -> Option<Listed> {
+fn read_record(engine: EngineId, r: &[u8], settings: &Parsed) -> Option<Listed> {
     let four = |at: usize| r.get(at..at + 4).and_then(|b| <[u8; 4]>::try_from(b).ok());
     let two = |at: usize| r.get(at..at + 2).and_then(|b| <[u8; 2]>::try_from(b).ok()).map(u16::from_be_bytes);
     let state = match r[10] {
@@ -146,9 +158,14 @@
         2 => ListState::Gone,
         _ => return None,
     };
+    let among = |names: &[String], at: u8| names.is_empty() || usize::from(at) < names.len();
+    let known = among(&settings.zones, r[11]) && among(&settings.kinds, r[12]);
+    if state == ListState::Ready && !known {
+        return None;
+    }
     let started = u64::from_be_bytes(r.get(19..27)?.try_into().ok()?);
     let entry = EngineEntry {
-        engine: engine_id(u32::from_be_bytes(four(0)?)),
+        engine,
         zone: r[11],
         kind: u16::from(r[12]),
         cell: two(13)?,
@@ -202,7 +219,8 @@
             let counters: Arc<Counters> = Arc::default();
             let (_feed, address) = watch::channel(feed.local_addr().expect("address"));
             let (spoken, _) = watch::channel(false);
-            tokio::spawn(follow(address, 0, core, Arc::new(limits), counters.clone(), spoken));
+            let (_settings, settings) = watch::channel(Arc::new(House::settings_for_tests()));
+            tokio::spawn(follow(address, 0, core, Arc::new(limits), counters.clone(), spoken, settings));
             let (mut stream, last) = accept(&feed).await;
             assert_eq!(last, 0);
             stream.write_all(&frame(1, 1, 0..1024, 0)).await.expect("whole list");
@@ -222,4 +240,32 @@
             assert_eq!((counters.feed_events.get(), counters.feed_malformed.get()), (3, 0));
         });
     }
+    /// Guard: one record that says what nobody knows does not cost the others, nor the frames behind it; and word of a
+    /// drain or an end holds whatever else its record says.
+    #[test]
+    fn records_that_say_what_nobody_knows() {
+        let text = r#"{"nInstances":1,"classes":[{"name":"a","effect":"once","promiseMs":1,"giveUpMs":9}],
+            "guarantees":{"coldMs":1,"coldShare":0.3,"overloadForMs":1,"tipMultiple":3},
+            "limits":{"attemptsCap":6},"zones":["hall-a","hall-b"],"shapes":["std-8c"]}"#;
+        let settings = crate::settings::parse(text.as_bytes()).expect("settings");
+        let read = |state: u8, zone: u8, kind: u8| {
+            let mut frame = frame(7, 2, 1..4, 0).split_off(4);
+            let second = FRAME_HEAD + RECORD;
+            frame[second + 10..second + 13].copy_from_slice(&[state, zone, kind]);
+            let event = read_frame(&frame, &settings).flatten().expect("an event");
+            let states: Vec<_> = event.entries.iter().map(|l| l.entry.state).collect();
+            (states, event.unusable)
+        };
+        let ready = ListState::Ready;
+        for (state, zone, kind) in [(3, 0, 0), (255, 0, 0), (0, 2, 0), (0, 0, 1)] {
+            assert_eq!(read(state, zone, kind), (vec![ready; 2], vec![engine_id(2)]));
+        }
+        assert_eq!(read(0, 1, 0), (vec![ready; 3], Vec::new()));
+        assert_eq!(read(1, 9, 9), (vec![ready, ListState::Draining, ready], Vec::new()));
+        assert_eq!(read(2, 9, 9), (vec![ready, ListState::Gone, ready], Vec::new()));
+        // A frame that is cut short cannot be read at all.
+        let mut short = frame(7, 2, 1..4, 0).split_off(4);
+        short.pop();
+        assert!(read_frame(&short, &settings).is_none());
+    }
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -116,14 +116,15 @@
         }
         let (feed, address) = watch::channel(config.feed);
         let (spoken, mut heard) = watch::channel(false);
-        tokio::spawn(list::follow(address, last, core.clone(), limits.clone(), counters.clone(), spoken));
+        let (parsed, settings) = watch::channel(parsed);
+        let from = (core.clone(), limits.clone(), counters.clone());
+        tokio::spawn(list::follow(address, last, from.0, from.1, from.2, spoken, settings.clone()));
         let (scribe, said) = Scribe::new(&limits);
         if let Some(mut store) = store {
             // Before it takes anything it knows what was taken out by hand.
             store.pass_on(&core).await;
             tokio::spawn(successor::run(store, said, core.clone(), limits.clone()));
         }
-        let (parsed, settings) = watch::channel(parsed);
         let in_force = Arc::new(Mutex::new(policy));
         let ops = desk.map(|(listener, at)| {
             let (core, counters, limits, duty) =
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -255,12 +255,15 @@
     n send settings !promiseMs
     n send settings !aimStretch
     n send settings !tipMultiple
+    n send settings nInstances=0
+    n send settings nInstances=-3
+    n send settings !nInstances
     n send settings !tenants
     n send settings !feed
     n send settings !ops
     n send settings cut
     n send settings empty
-    wait reloads_bad=15
+    wait reloads_bad=18
     wait reloads=0
     c1 send 1 seat-check
     e expect ASK c1.1
@@ -331,6 +334,19 @@
     wait feed_malformed=2
 "
 )]
+#[case::a_record_that_nobody_knows_is_passed_over_alone(
+    "
+    feed expect 1
+    feed send raw 0000003f000000000000000202000000017f00000100070700000000000003e80000000000000000000000027f00000100070100000000000003e80000000000000000
+    wait feed_events=1
+    wait list_unusable=1
+    wait feed_malformed=0
+    c1 send 1 seat-check
+    e expect ASK c1.1
+    e send c1.1 served batches=1 a\\n
+    c1 expect 1 served a\\n
+"
+)]
 #[case::an_unreadable_line_breaks_its_connection_only(
     "
     c1 send 1 seat-check
@@ -875,7 +891,7 @@
     s expect $.42.0=0
     s send next $.50.0
     s expect $.51.0=0
-    s send next $.64.0
+    s send next $.66.0
     s expect $.100.1.2.1=seat-check
     s send next $.100.1.5.3
     s expect $.100.1.5.3=EndOfMibView
@@ -1325,6 +1341,9 @@
 #[case::not_json("not_json", "{", "", "configuration: EOF")]
 #[case::no_class("no_class", &good().replace("\"classes\":[", "\"classes\":[],\"was\":["), "", "no request class")]
 #[case::bad_figure("bad_figure", &good().replace("\"coldMs\":15000", "\"coldMs\":-1"), "", "impossible figure")]
+#[case::no_managers("no_managers", &good().replace("\"nInstances\":1", "\"nInstances\":0"), "", "no gateway instance")]
+#[case::negative_managers("negative_managers", &good().replace("\"nInstances\":1", "\"nInstances\":-1"), "", "settings: ")]
+#[case::managers_missing("managers_missing", &good().replace("\"nInstances\":1,", ""), "", "nInstances")]
 #[case::bad_seed("bad_seed", &good().replace("8c1f30d27a5be964", "xyz"), "", "seed")]
 #[case::bad_listen("bad_listen", &good().replace("127.0.0.1:0", "here"), "", "configuration: invalid socket")]
 #[case::not_loopback("not_loopback", &good(), "[flight]\nlisten = \"192.0.2.1:1\"", "not a loopback address")]
