Pass the idempotency key of a by-key request on to its engine

A trial that printed the calls' fields showed one more field with that class alone, 'replay'; wire.json calls it 'op' on engines' lines. Ruled out: the other classes, whose requests carry the fields of PROTOCOL alone and were served.

At fault: clients/platform.rs, taken, which read no such field, and engines/lines/connection.rs, next_ask, which wrote none. The key now goes from call to line unchanged; one that cannot stand among an engine's fields is turned away.

--- a/src/clients/flight.rs
+++ b/src/clients/flight.rs
@@ -395,6 +395,7 @@
             dataset: sql::dataset(&call.statement).unwrap_or(0),
             member: call.member,
             front: crate::attempts::Front::Flight,
+            idempotency_key: None,
             statement: call.statement,
             kind,
             client: Arc::new(Port(Mutex::new(Some(port)))),
--- a/src/clients/mod.rs
+++ b/src/clients/mod.rs
@@ -71,3 +71,9 @@
 pub(crate) fn is_ref(name: &[u8]) -> bool {
     name.len() == 16 && name.iter().all(u8::is_ascii_hexdigit)
 }
+
+/// Whether it can stand as one value among an engine's fields, and takes so many bytes at most.
+pub(crate) fn is_token(value: &[u8], most: usize) -> bool {
+    let fits = |b: &u8| b.is_ascii_graphic() && !matches!(b, b',' | b'=');
+    (1..=most).contains(&value.len()) && value.iter().all(fits)
+}
--- a/src/clients/platform.rs
+++ b/src/clients/platform.rs
@@ -2,10 +2,10 @@
 
 use super::msgpack::{self, Message};
 use super::seats::{Seat, Seats};
-use super::{Front, figure, is_ref};
+use super::{Front, figure, is_ref, is_token};
 use crate::core::{Answer, Body, ClientPort, Input, Kind, Taken, Why};
 use crate::counters::Ends;
-use crate::interface::RequestId;
+use crate::interface::{Effect, RequestId};
 use crate::limits::Hold;
 use crate::net::{self, Outbox};
 use crate::{rows, sql};
@@ -287,6 +287,11 @@
         let allow = fields.get("allow").and_then(|a| figure(a)).ok_or("ArgumentError")?;
         let due_ms = self.front.due(now, &class, allow);
         let member = fields.get("project").filter(|p| self.front.knows_tenant(p)).ok_or("ArgumentError")?;
+        let keyed = matches!(class.class.effect, Effect::Keyed(_));
+        let idempotency_key = match fields.get("replay").filter(|_| keyed) {
+            Some(key) if !is_token(key, self.front.limits.key_bytes) => return Err("ArgumentError"),
+            key => key.cloned(),
+        };
         let estimate = |field: &str| match fields.get(field) {
             None => Ok(None),
             Some(text) => self.front.estimate(text).map(Some).ok_or("ArgumentError"),
@@ -302,6 +307,7 @@
             member: Bytes::copy_from_slice(member),
             front: crate::attempts::Front::Platform,
             kind: if sql::reads(&statement) { Kind::Query } else { Kind::Update },
+            idempotency_key,
             statement,
             client: self.port.clone(),
         })
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -493,6 +493,7 @@
             due_ms,
             memory_mb: open.memory_mb,
             priority: open.priority,
+            idempotency_key: open.taken.idempotency_key.clone(),
             statement: open.taken.statement.clone(),
             kind: open.taken.kind,
         };
--- a/src/core/narrow/tests.rs
+++ b/src/core/narrow/tests.rs
@@ -100,6 +100,7 @@
             dataset: 0,
             member: Bytes::new(),
             front: crate::attempts::Front::Platform,
+            idempotency_key: None,
             statement: Bytes::from_static(b"select 1"),
             kind: Kind::Query,
             client: self.client.clone(),
--- a/src/core/ports.rs
+++ b/src/core/ports.rs
@@ -102,6 +102,8 @@
     pub member: Bytes,
     /// The front that it came over.
     pub front: crate::attempts::Front,
+    /// The key by which engines tell a repeat of it, where its class may be repeated by key.
+    pub idempotency_key: Option<Bytes>,
     /// The statement.
     pub statement: Bytes,
     /// What its client wants of it.
@@ -127,6 +129,8 @@
     pub memory_mb: f64,
     /// Priority, 0 to 3.
     pub priority: u8,
+    /// See [`Taken::idempotency_key`].
+    pub idempotency_key: Option<Bytes>,
     /// The statement.
     pub statement: Bytes,
     /// What its client wants of it.
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -53,6 +53,7 @@
         dataset: 0,
         member: Bytes::new(),
         front: crate::attempts::Front::Platform,
+        idempotency_key: None,
         statement: Bytes::new(),
         kind: Kind::Query,
         client,
--- a/src/engines/lines/connection.rs
+++ b/src/engines/lines/connection.rs
@@ -340,6 +340,10 @@
             if ask.priority != 1 {
                 head.extend_from_slice(format!(",nice={}", ask.priority).as_bytes());
             }
+            if let Some(key) = &ask.idempotency_key {
+                head.extend_from_slice(b",op=");
+                head.extend_from_slice(key);
+            }
             head.extend_from_slice(format!(" {}\r\n", ask.statement.len()).as_bytes());
             self.out.push(head);
             self.out.push(ask.statement.clone());
--- a/src/engines/tests.rs
+++ b/src/engines/tests.rs
@@ -122,6 +122,7 @@
         due_ms: 1e13,
         memory_mb: 0.0,
         priority: 1,
+        idempotency_key: None,
         statement: Bytes::from(vec![b' '; bytes]),
         kind: Kind::Query,
     }))
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -19,6 +19,8 @@
     pub estimate: f64,
     /// Most memory granted to one query, in MB.
     pub grant_mb: f64,
+    /// Bytes of an idempotency key.
+    pub key_bytes: usize,
     /// Open requests on one client connection.
     pub open_per_client: usize,
     /// Client connections; for more an idle one makes room, or they wait in the listener's backlog.
@@ -184,6 +186,7 @@
             message_fields: 64,
             estimate: 1e8,
             grant_mb: parsed.grant_mb,
+            key_bytes: 256,
             open_per_client: 32,
             client_conns: sockets / 2 - 14 - ops_callers,
             open: parsed.max_open.min(4096),
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -49,6 +49,24 @@
     e expect none ASK c1.1
 "
 )]
+#[case::a_key_of_repeats_passes_on_unchanged(
+    "
+    n send settings effect=\"by_key\"
+    c1 send 1 seat-check replay=f5c0900b9ea8fefc
+    e expect ASK c1.1 op=f5c0900b9ea8fefc
+    e send c1.1 overload
+    e expect ASK c1.1 op=f5c0900b9ea8fefc
+    e send c1.1 served batches=1 done\\n
+    c1 expect 1 served done\\n
+    c1 send 2 seat-check replay=a,b
+    c1 expect 2 ArgumentError
+    n send settings
+    c1 send 3 seat-check replay=f5c0900b9ea8fefc
+    e expect ASK c1.3
+    e send c1.3 served batches=1 a\\n
+    c1 expect 3 served a\\n
+"
+)]
 #[case::a_load_that_failed_is_not_sent_again(
     "
     c1 send 1 log-load
--- a/tests/scene/engines.rs
+++ b/tests/scene/engines.rs
@@ -142,7 +142,7 @@
                     self.take(heard);
                 };
                 if wanted.starts_with("ASK") {
-                    self.asked.insert(wanted[4..].to_owned(), heard);
+                    self.asked.insert(label_of(&wanted[4..]), heard);
                 }
             }
             ("e", "send", [label, word, rest @ ..]) => {
@@ -189,7 +189,8 @@
 
     /// Keeps what was heard, and the rules with it.
     fn take(&mut self, heard: Heard) {
-        if let Some(label) = heard.line.strip_prefix("ASK ") {
+        if let Some(label) = heard.line.strip_prefix("ASK ").map(label_of) {
+            let label = label.as_str();
             if !self.out.insert(label.to_owned()) {
                 self.suspects.insert(label.to_owned());
             }
@@ -286,6 +287,11 @@
     engine[1..].parse::<usize>().expect("engine") - 1
 }
 
+/// The label of an attempt, without the key that may stand behind it.
+fn label_of(asked: &str) -> String {
+    asked.split(' ').next().unwrap_or_default().to_owned()
+}
+
 /// The label that a statement's comment carries; one that may run once only is marked.
 pub fn label(statement: &str) -> (String, bool) {
     let label = statement.rsplit("-- ").next().unwrap_or_default().to_owned();
@@ -315,6 +321,7 @@
                 }
                 let words: Vec<&str> = line.split_whitespace().collect();
                 let id = words[1].to_owned();
+                let mut key = String::new();
                 if words[0] == "NOOP" {
                     let mut to = write.lock().await;
                     let green = format!("{id} green - 0\r\n\r\n");
@@ -327,8 +334,12 @@
                     let body = String::from_utf8(body).expect("text");
                     assert!(body.ends_with("\r\n") && words[2].contains("patience="), "{line}");
                     // Whatever a client wrote, an engine gets figures that it can use.
-                    let figures =
-                        words[2].split(',').filter(|f| !f.starts_with("sort=")).map(|f| f.split_once('='));
+                    let (keys, figures): (Vec<_>, Vec<_>) = words[2]
+                        .split(',')
+                        .skip(1)
+                        .map(|f| f.split_once('='))
+                        .partition(|f| f.is_some_and(|f| f.0 == "op"));
+                    key = keys.into_iter().flatten().map(|(_, key)| format!(" op={key}")).collect();
                     let fine = |f: Option<(&str, &str)>| {
                         f.is_some_and(|(_, n)| n.parse().is_ok_and(|n: u32| n < 10_000_000))
                     };
@@ -338,7 +349,7 @@
                 let (label, once) = labels.get(&id).cloned().expect("an id that was asked");
                 let number =
                     words.get(2).filter(|_| words[0] == "NEXT").map_or(String::new(), |n| format!(" {n}"));
-                let line = format!("{} {label}{number}", words[0]);
+                let line = format!("{} {label}{number}{key}", words[0]);
                 let (reply, cut) = (Reply::Line(write.clone()), cut.clone());
                 let _ = tell.send(Heard { line, engine, reply, cut, id, once });
             }
--- a/tests/scene/mod.rs
+++ b/tests/scene/mod.rs
@@ -48,7 +48,7 @@
     let class = |name: &str, effect: &str, promise: u32| {
         format!(
             r#"{{"name":"{name}","effect":"{effect}","promiseMs":{promise},"aimStretch":3.0,"giveUpMs":15000,
-                "points":1,"lateWorth":0.5,"memorySpanMs":5000}}"#
+                "points":1,"lateWorth":0.5,"memorySpanMs":5000,"dedupScope":"all"}}"#
         )
     };
     let classes = [class("seat-check", "repeatable", 5000), class("usage-report", "repeatable", 9000)];
