Hold the word of a drain in a gate that connections read, past full mailboxes

Ruled out: the core's roster, which sends nothing new, but does not take back what is queued already.

At fault: engines/mod.rs, listed and dropped. The flag is now a Gate for both words, read before each attempt is written; an engine that comes back at another address shuts the gate of the old one. The test fills the mailbox before the actor has a turn; without the mend it connects and writes, and the end never comes (seen to fail).

--- a/src/engines/flight/mod.rs
+++ b/src/engines/flight/mod.rs
@@ -3,6 +3,7 @@
 
 mod wire;
 
+use super::gate::Gate;
 use super::place::Load;
 use super::slots::Need;
 use super::{House, Order};
@@ -20,7 +21,6 @@
 use prost::Message;
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 use tokio::sync::{Mutex, mpsc};
@@ -57,10 +57,9 @@
     address: SocketAddr,
     mut orders: mpsc::Receiver<Order>,
     house: House,
-    banned: Arc<AtomicBool>,
+    gate: Arc<Gate>,
 ) {
-    let (wire, drained) = Default::default();
-    let link = Arc::new(Link { engine, address, house, wire, drained, banned });
+    let link = Arc::new(Link { engine, address, house, wire: Mutex::default(), gate });
     let mut tasks = JoinSet::new();
     let mut running: HashMap<Id, Running> = HashMap::new();
     let (mut listed, mut cut) = (true, None);
@@ -82,7 +81,6 @@
                 // Flight SQL has no word for a query's new priority.
                 Some(Order::Priority(..) | Order::Banned) => {}
                 Some(Order::Listed(state)) => {
-                    link.drained.store(state != ListState::Ready, Ordering::Relaxed);
                     let gone = state == ListState::Gone;
                     cut = gone.then(|| cut.unwrap_or(Instant::now() + link.house.limits.gone_grace));
                 }
@@ -162,15 +160,13 @@
     address: SocketAddr,
     house: House,
     wire: Mutex<Option<(Wire, Arc<Load>)>>,
-    drained: AtomicBool,
-    /// Staff took the engine out.
-    banned: Arc<AtomicBool>,
+    gate: Arc<Gate>,
 }
 
 impl Link {
     /// Whether nothing new may go to its engine.
     fn shut(&self) -> bool {
-        self.drained.load(Ordering::Relaxed) || self.banned.load(Ordering::Relaxed)
+        self.gate.shut()
     }
 
     /// The connection, which is up, to carry one more attempt; why not, where there is none, so that nothing was sent.
--- a/src/engines/lines/connection.rs
+++ b/src/engines/lines/connection.rs
@@ -3,6 +3,7 @@
 use super::{Back, ended};
 use crate::attempt::{End, Life};
 use crate::core::{Ask, EngineNews};
+use crate::engines::gate::Gate;
 use crate::engines::place::Load;
 use crate::engines::reply::Broken;
 use crate::engines::slots::Slot;
@@ -14,7 +15,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::Ordering;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep_until, timeout};
@@ -75,8 +76,7 @@
     /// When a gone engine's connections are cut.
     cut: Option<Instant>,
     drained: bool,
-    /// Staff took the engine out.
-    banned: Arc<AtomicBool>,
+    gate: Arc<Gate>,
     /// The engine's actor has ended: no more orders come.
     orphaned: bool,
 }
@@ -88,7 +88,7 @@
         back: Back,
         load: Arc<Load>,
         house: House,
-        banned: Arc<AtomicBool>,
+        gate: Arc<Gate>,
     ) -> Connection {
         Connection {
             engine,
@@ -108,7 +108,7 @@
             half_since: None,
             cut: None,
             drained: false,
-            banned,
+            gate,
             orphaned: false,
         }
     }
@@ -383,7 +383,7 @@
 
     /// Whether nothing new may go to its engine.
     fn shut(&self) -> bool {
-        self.drained || self.banned.load(Ordering::Relaxed)
+        self.drained || self.gate.shut()
     }
 
     fn name_of(&self, id: RequestId, attempt: u16) -> Option<Bytes> {
--- a/src/engines/lines/mod.rs
+++ b/src/engines/lines/mod.rs
@@ -4,14 +4,15 @@
 mod answers;
 mod connection;
 
+use super::gate::Gate;
 use super::place::{Conn, Place, place};
 use super::{House, Order};
 use crate::core::{Ask, EngineNews};
-use crate::interface::{Effect, EngineId, ListState, LoadReport, Outcome};
+use crate::interface::{Effect, EngineId, LoadReport, Outcome};
 use connection::Connection;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::AtomicUsize;
 use tokio::sync::mpsc;
 
 /// Runs one engine as long as it has connections, or until the list drops it and its attempts are over.
@@ -20,10 +21,9 @@
     address: SocketAddr,
     mut orders: mpsc::Receiver<Order>,
     house: House,
-    banned: Arc<AtomicBool>,
+    gate: Arc<Gate>,
 ) {
     let mut conns: Vec<Conn> = Vec::new();
-    let mut ready = true;
     // Holds no more than the core's attempts on this engine.
     let (asks, mut returned) = mpsc::unbounded_channel();
     let back = Back { asks, broken: Arc::default() };
@@ -44,9 +44,6 @@
             }
             continue;
         };
-        if let Order::Listed(state) = &order {
-            ready = *state == ListState::Ready;
-        }
         let Order::Ask(ask) = order else {
             // Each connection knows its own attempts.
             for conn in &conns {
@@ -55,7 +52,7 @@
             continue;
         };
         // Guard: what a broken connection gave back finds no new one to what drains or was taken out meanwhile.
-        if !ready || banned.load(Ordering::Relaxed) {
+        if gate.shut() {
             ended(&house, engine, &ask, EngineNews::end(Outcome::NoConnection)).await;
             let _ = back.asks.send(None);
             continue;
@@ -70,14 +67,8 @@
             }
             Place::New(slot, load) => {
                 let (orders, mailbox) = mpsc::channel(house.limits.mailbox);
-                let connection = Connection::new(
-                    engine,
-                    mailbox,
-                    back.clone(),
-                    load.clone(),
-                    house.clone(),
-                    banned.clone(),
-                );
+                let connection =
+                    Connection::new(engine, mailbox, back.clone(), load.clone(), house.clone(), gate.clone());
                 tokio::spawn(connection.run(address, slot));
                 conns.push(Conn { orders, load });
                 conns.len() - 1
--- a/src/engines/lines/tests.rs
+++ b/src/engines/lines/tests.rs
@@ -14,7 +14,7 @@
         let mut rig = Rig::lines().await;
         // Behind it in the mailbox: the flag is there before the order is read.
         rig.tell(ask(1)).await;
-        rig.banned.store(true, Ordering::Relaxed);
+        rig.gate.ban(true);
         assert!(matches!(rig.end().await, (1, EngineNews::Ended { outcome: Outcome::NoConnection, .. })));
         tokio::select! {
             biased;
--- a/src/engines/mod.rs
+++ b/src/engines/mod.rs
@@ -2,6 +2,7 @@
 //! has any. Without one an engine costs its entry in the list alone.
 
 pub(crate) mod flight;
+mod gate;
 pub(crate) mod lines;
 #[cfg(test)]
 mod many;
@@ -16,11 +17,11 @@
 use crate::counters::Counters;
 use crate::interface::{EngineId, ListState, LoadReport, RequestId};
 use crate::limits::{Limits, Stock};
+use gate::Gate;
 use slots::Slots;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use tokio::sync::mpsc::{self, error::TrySendError};
 
 /// What every engine's actor holds.
@@ -95,8 +96,7 @@
     address: SocketAddr,
     /// Its actor's mailbox, once it has had one: it ends with its last connection, and comes back with the next attempt.
     orders: Option<mpsc::Sender<Order>>,
-    /// Whether staff took it out. Read before anything new is written, so that no queue of orders delays it.
-    banned: Arc<AtomicBool>,
+    gate: Arc<Gate>,
 }
 
 /// All engines that the list has named.
@@ -130,10 +130,10 @@
             }
         }
         let (orders, mailbox) = mpsc::channel(self.house.limits.mailbox);
-        let (house, shut) = (self.house.clone(), peer.banned.clone());
+        let (house, gate) = (self.house.clone(), peer.gate.clone());
         match house.flight {
-            true => tokio::spawn(flight::run(engine, peer.address, mailbox, house, shut)),
-            false => tokio::spawn(lines::run(engine, peer.address, mailbox, house, shut)),
+            true => tokio::spawn(flight::run(engine, peer.address, mailbox, house, gate)),
+            false => tokio::spawn(lines::run(engine, peer.address, mailbox, house, gate)),
         };
         peer.orders.insert(orders).try_send(order).is_ok()
     }
@@ -150,9 +150,14 @@
         let (engine, state) = (line.entry.engine, line.entry.state);
         let moved = self.peers.get(&engine).is_none_or(|p| p.address != line.address);
         if moved && state == ListState::Ready {
-            let peer = Peer { address: line.address, orders: None, banned: Arc::default() };
+            // Guard: what is on its way to the old address would reach whoever has it now, if anybody.
+            self.dropped(engine);
+            let peer = Peer { address: line.address, orders: None, gate: Arc::default() };
             self.peers.insert(engine, peer);
         }
+        if let Some(peer) = self.peers.get(&engine) {
+            peer.gate.drain(state != ListState::Ready);
+        }
         self.tell(engine, Order::Listed(state));
         if state == ListState::Gone {
             self.dropped(engine);
@@ -161,13 +166,15 @@
 
     fn banned(&mut self, engine: EngineId, out: bool) {
         if let Some(peer) = self.peers.get(&engine) {
-            peer.banned.store(out, Ordering::Relaxed);
+            peer.gate.ban(out);
         }
         self.tell(engine, Order::Banned);
     }
 
     /// Its actor ends with its mailbox, once its attempts are over.
     fn dropped(&mut self, engine: EngineId) {
-        self.peers.remove(&engine);
+        if let Some(peer) = self.peers.remove(&engine) {
+            peer.gate.drain(true);
+        }
     }
 }
--- a/src/engines/tests.rs
+++ b/src/engines/tests.rs
@@ -1,14 +1,14 @@
 //! What the tests of engines' actors share: an actor of either speech and the bare socket that it connects to.
 
+use super::gate::Gate;
 use super::{Fleet, House, Order, flight, lines};
 use crate::attempt::End;
 use crate::config::{Listed, engine_id};
 use crate::core::{Ask, Clock, EngineNews, EnginePort, Handle, Input, Inputs, Kind};
-use crate::interface::{EngineEntry, EngineId, ListState};
+use crate::interface::{EngineEntry, EngineId, ListState, Outcome};
 use bytes::Bytes;
 use std::future::Future;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
@@ -23,7 +23,7 @@
     orders: mpsc::Sender<Order>,
     news: Inputs,
     pub(super) house: House,
-    pub(super) banned: Arc<AtomicBool>,
+    pub(super) gate: Arc<Gate>,
 }
 
 impl Rig {
@@ -39,14 +39,14 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
         let address = listener.local_addr().expect("address");
         let (core, news) = Handle::new(64, Clock::new());
-        let (house, banned) = (House::for_tests(core), Arc::<AtomicBool>::default());
+        let (house, gate) = (House::for_tests(core), Arc::<Gate>::default());
         let (orders, mailbox) = mpsc::channel(64);
-        let (engine, shut) = (EngineId::default(), banned.clone());
+        let (engine, shut) = (EngineId::default(), gate.clone());
         match speaks_flight {
             true => tokio::spawn(flight::run(engine, address, mailbox, house.clone(), shut)),
             false => tokio::spawn(lines::run(engine, address, mailbox, house.clone(), shut)),
         };
-        Rig { listener, orders, news, house, banned }
+        Rig { listener, orders, news, house, gate }
     }
 
     pub(super) async fn tell(&self, order: Order) {
@@ -97,6 +97,32 @@
     });
 }
 
+/// Guard: the word of a drain holds though its order finds the mailbox full, as after a turn in which much was said to one
+/// engine. What waits behind is not sent on, and nothing is connected.
+#[test]
+fn a_drain_holds_though_the_mailbox_is_full() {
+    block(async {
+        let (core, mut news) = Handle::new(64, Clock::new());
+        let house = House::for_tests(core);
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+        let address = listener.local_addr().expect("address");
+        let at = |state| Listed { address, ..line(1, state) };
+        for last in [ListState::Draining, ListState::Gone] {
+            let mut fleet = Fleet::new(house.clone());
+            fleet.listed(&at(ListState::Ready));
+            let Order::Ask(one) = ask(1) else { unreachable!("an attempt") };
+            assert!(fleet.ask(engine_id(1), *one));
+            // No actor has a turn before the test waits.
+            (1..house.limits.mailbox).for_each(|_| fleet.priority(engine_id(1), 9, 0, 2));
+            fleet.listed(&at(last));
+            let told = timeout(Duration::from_secs(20), news.input()).await.expect("an end");
+            let Some(Input::Engine { id: 1, news: told, .. }) = told else { panic!("no end") };
+            assert!(matches!(told, EngineNews::Ended { outcome: Outcome::NoConnection, .. }), "{told:?}");
+            assert_eq!(house.counters.engine_conns.get(), 0);
+        }
+    });
+}
+
 pub(super) fn given_up(told: &(u32, EngineNews), id: u32, end: End) -> bool {
     matches!(told, (at, EngineNews::GivenUp(e)) if *at == id && *e == end)
 }
