Take a client that ends its side for gone, and close the connections of others in order

Ruled out: the core, which gives a request up in the turn that hears of it.

At fault, clients/platform.rs: `ended` in serve; run, where only one end was a shutdown with linger, so malformed input and faults dropped every request open on the connection, and answers under way with the reset; owe, which counted neither half a request nor a close under way, so the exit did not wait for them; the idle time-out, which closed without a last look. That look now lets the runtime ask the socket first: a test with half a request found that it saw nothing that had just come. node.rs: a client that takes no answer kept the end from ending; it has its 2 s now.

what_cannot_be_read_closes_its_connection_only asked that a request taken before the bad one is lost; PROTOCOL calls that a loss, so it now asks for its answer and then the close. The three new cases and that one fail without the mend (seen).

--- a/src/clients/platform.rs
+++ b/src/clients/platform.rs
@@ -81,16 +81,17 @@
     held: (Hold, Hold),
     /// Calls that are no use, and calls over the limit.
     faults: usize,
-    /// Whether it is counted as owing an answer; the exit waits for those.
+    /// Whether it is counted as owing an answer or a close in order; the exit waits for those.
     owing: bool,
+    /// What came cannot be read, and nothing more is taken: how many bytes were passed over since.
+    deaf: Option<usize>,
 }
 
-/// Why a connection ends.
+/// Why a connection is read no further.
 enum End {
+    /// Its client has gone.
     Closed,
     Malformed,
-    /// Silent or half-sent for too long.
-    Silent,
 }
 
 impl From<std::io::Error> for End {
@@ -118,69 +119,62 @@
             held: (Hold::new(&front.stocks.input), Hold::new(&front.stocks.output)),
             faults: 0,
             owing: false,
+            deaf: None,
             front,
         }
     }
 
     async fn run(mut self) {
-        match self.serve().await {
-            Err(End::Malformed) => {
-                self.front.counters.client_malformed.up();
-                let _ = self.out.flush(&self.stream);
-            }
-            Err(End::Silent) => self.front.counters.client_silent.up(),
-            Ok(()) => {
-                // What crosses this close goes again; an answer under way must not be lost to its being refused.
-                let _ = self.stream.shutdown().await;
-                net::linger(&self.stream, &self.front.limits).await;
-            }
-            Err(End::Closed) => {}
+        if self.serve().await.is_ok() {
+            // The exit waits for the close to be whole as well.
+            self.owes(true);
+            // What crosses this close goes again; an answer under way must not be lost to its being refused.
+            let _ = self.stream.shutdown().await;
+            net::linger(&self.stream, &self.front.limits).await;
         }
         self.answers.close();
-        if self.owing {
-            self.front.counters.client_conns_owing.down();
-        }
+        self.owes(false);
         for id in std::mem::take(&mut self.open).into_keys() {
             self.front.core.tell(Input::Left(id)).await;
         }
     }
 
+    /// Serves until the connection is to be closed, with nothing owed on it; an error where its client has gone.
     async fn serve(&mut self) -> Result<(), End> {
-        let mut ended = false; // the client sends no more, but may still read
         loop {
             self.out.flush(&self.stream)?;
             self.owe();
-            let done = self.open.is_empty() && self.out.is_empty();
-            if ended && done {
+            let done = self.done();
+            if done && self.deaf.is_some() {
                 return Ok(());
             }
-            let idle = self.idle_since + self.front.limits.client_idle;
-            let silent = self.half_since.map(|since| since + self.front.limits.client_silence);
-            let until = silent.map_or(idle, |at| at.min(idle));
             // A slow reader holds at most a few answers here: then nothing more is read from it.
             let held = self.out.waiting() > 2 * self.front.limits.answer_bytes as u64;
+            let patience = self.patience();
             tokio::select! {
                 biased;
                 Some((id, answer)) = self.answers.recv() => self.answer(id, answer),
                 ready = self.stream.writable(), if !self.out.is_empty() => ready?,
-                ready = self.stream.readable(), if !ended && !held => {
+                ready = self.stream.readable(), if !held => {
                     ready?;
-                    ended = !net::read(&self.stream, &mut self.input, self.front.limits.message_bytes)?;
-                    self.read().await?;
-                    // Guard: half messages of many clients could fill the memory together.
-                    if !self.held.0.set(self.input.len(), self.front.limits.share(self.front.limits.input_bytes)) {
-                        return Err(End::Malformed);
-                    }
+                    self.hear().await?;
                 }
                 // Guard: a client that says nothing, or stops halfway through a message, is owed a close in time
                 // and holds bytes and a place until then. One that was answered may idle for longer.
-                () = sleep_until(until), if done => return if until < idle { Err(End::Silent) } else { Ok(()) },
+                () = sleep_until(patience), if done => {
+                    // Not where a request has come in meanwhile, or the rest of one.
+                    self.hear_last().await?;
+                    if self.done() && self.patience() <= Instant::now() {
+                        if self.half_since.is_some() {
+                            self.front.counters.client_silent.up();
+                        }
+                        return Ok(());
+                    }
+                }
                 // Guard: half a request is one on its way; it comes whole first, or falls silent.
                 () = self.seat.asked_to_leave(), if done && self.input.is_empty() => {
-                    // Not where a request has come in meanwhile.
-                    net::read(&self.stream, &mut self.input, self.front.limits.message_bytes)?;
-                    self.read().await?;
-                    if self.open.is_empty() && self.out.is_empty() && self.input.is_empty() {
+                    self.hear_last().await?;
+                    if self.done() && self.input.is_empty() {
                         return Ok(());
                     }
                     self.seat.stays();
@@ -189,11 +183,66 @@
         }
     }
 
+    /// Whether nothing is owed on it.
+    fn done(&self) -> bool {
+        self.open.is_empty() && self.out.is_empty()
+    }
+
+    /// When it is closed, where nothing is owed and nothing comes.
+    fn patience(&self) -> Instant {
+        let idle = self.idle_since + self.front.limits.client_idle;
+        self.half_since.map_or(idle, |since| idle.min(since + self.front.limits.client_silence))
+    }
+
+    /// Reads what is there before a close. Guard: what the runtime has not asked the socket for yet counts as not there,
+    /// so the runtime has its turn first.
+    async fn hear_last(&mut self) -> Result<(), End> {
+        tokio::task::yield_now().await;
+        self.hear().await
+    }
+
+    /// Reads what is there. Guard: a client that ends its side has left, whatever it sent just before; its requests are
+    /// dropped, as nobody can tell a close from the end of its sending alone, and the answer may have no reader.
+    async fn hear(&mut self) -> Result<(), End> {
+        let most = self.front.limits.message_bytes;
+        if !net::read(&self.stream, &mut self.input, most)? {
+            return Err(End::Closed);
+        }
+        if let Some(passed) = &mut self.deaf {
+            // Guard: it is read on to see it leave, and not for what it sends; that has its bound too.
+            *passed += self.input.len();
+            self.input.clear();
+            return if *passed > most { Err(End::Closed) } else { Ok(()) };
+        }
+        let heard = self.read().await;
+        // Guard: half messages of many clients could fill the memory together.
+        let limits = &self.front.limits;
+        let fits = self.held.0.set(self.input.len(), limits.share(limits.input_bytes));
+        match heard {
+            Err(End::Closed) => Err(End::Closed),
+            Ok(()) if fits => Ok(()),
+            // Guard: what came before is answered, then the connection is closed in order. Dropped at once, with bytes
+            // unread, it would be reset, and the answers under way with it.
+            _ => {
+                self.front.counters.client_malformed.up();
+                self.input.clear();
+                (self.deaf, self.half_since) = (Some(0), None);
+                self.held.0.set(0, usize::MAX);
+                Ok(())
+            }
+        }
+    }
+
     fn owe(&mut self) {
         let waiting = self.out.waiting() as usize;
         self.held.1.set(waiting, self.front.limits.share(self.front.limits.output_bytes));
         self.seat.busy(self.open.len() + usize::from(waiting > 0));
-        let owes = !self.open.is_empty() || !self.out.is_empty();
+        // Half a request is owed its rest, and a client that is to go a close in order: each has its own bound.
+        let goes = self.last > 0 && self.front.duty.now().leaving();
+        self.owes(!self.done() || !self.input.is_empty() || goes);
+    }
+
+    fn owes(&mut self, owes: bool) {
         let gauge = &self.front.counters.client_conns_owing;
         match (std::mem::replace(&mut self.owing, owes), owes) {
             (false, true) => gauge.up(),
--- a/src/node.rs
+++ b/src/node.rs
@@ -265,11 +265,17 @@
             self.core.ends(self.core.now() + longest.min(most) + spare).await;
         }
         let late = Instant::now() + if handed { Duration::ZERO } else { self.limits.late_arrivals };
+        let mut answered = None;
         loop {
             sleep(Duration::from_millis(20)).await;
-            let owed = self.counters.client_conns_owing.get() + self.counters.open.get();
+            let open = self.counters.open.get();
+            let owed = self.counters.client_conns_owing.get() + open;
             let heard = !handed || self.counters.client_conns_open.get() == 0;
-            if Instant::now() >= late && owed == 0 && heard {
+            // Guard: a client that takes none of its answers would keep the process until it is killed.
+            let now = Instant::now();
+            answered = answered.filter(|_| open == 0).or((open == 0).then_some(now));
+            let untaken = answered.is_some_and(|since| now >= since.max(late) + self.limits.client_silence);
+            if now >= late && (owed == 0 && heard || untaken) {
                 return;
             }
         }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -516,8 +516,10 @@
     c5 send 7 seat-check
     e expect ASK c5.7
     c5 send 7 seat-check
-    c5 expect closed
     wait client_malformed=4
+    e send c5.7 served batches=1 b\\n
+    c5 expect 7 served b\\n
+    c5 expect closed
     e send c2.1 served batches=1 a\\n
     c2 expect 1 served a\\n
 "
@@ -529,6 +531,50 @@
     c1 expect 1 true
 "
 )]
+#[case::a_client_that_has_gone_takes_its_waiting_request_along(
+    "
+    feed expect 1
+    feed send draining e1
+    feed send draining e2
+    wait feed_events=2
+    c1 send 1 seat-check
+    c2 send 1 log-load
+    wait open=2
+    c1 close
+    wait left=1
+    c2 send cancel 1
+    wait left=2
+    feed send active e1
+    feed send active e2
+    wait feed_events=4
+    c3 send 1 seat-check
+    e expect ASK c3.1
+    e expect none ASK c1.1
+    e expect none ASK c2.1
+    e send c3.1 served batches=1 a\\n
+    c3 expect 1 served a\\n
+"
+)]
+#[case::a_client_that_goes_ends_its_running_query(
+    "
+    c1 send 1 usage-report
+    e expect ASK c1.1
+    c1 close
+    e expect QUIT c1.1
+    wait left=1
+"
+)]
+#[case::a_planned_end_waits_for_half_a_request(
+    "
+    c1 send health 1
+    c1 expect 1 true
+    c1 send raw 940002a6686561
+    n close
+    wait client_silent=1
+    c1 expect closed
+    n expect closed
+"
+)]
 #[case::a_planned_end_loses_nothing(
     "
     c1 send 1 usage-report
