Hear a new configuration while the program ends

Seen by reading, then forced: SIGTERM and SIGHUP together, or SIGHUP after SIGTERM, left the control feed at its old address for up to 3.7 s, while late requests are still taken and sent on; a drain told at the new address was not heard. Ruled out: signals.rs, which hands out both.

At fault: main.rs, the loop after SIGTERM, which dropped all it heard. SIGUSR1 prints there too now. The test sends both signals to the program and waits for it at the new feed; without the mend the program ends first (seen).

--- a/src/main.rs
+++ b/src/main.rs
@@ -127,21 +127,24 @@
             }
         }
     }
-    let counters = node.counters.clone();
     let mut end = std::pin::pin!(node.finish());
     loop {
         tokio::select! {
             () = &mut end => break,
-            // While it ends there is nothing left to change, and a second word to end changes nothing.
-            heard = signals.next() => {
-                if heard.is_err() {
+            // A second word to end changes nothing. Guard: what is open, or still comes, is served by the control feed,
+            // and where that goes meanwhile it is followed, or word of drains would not be heard any more.
+            heard = signals.next() => match heard {
+                Ok(Heard::Reload) => node.reload(load(Path::new(&path))).await,
+                Ok(Heard::Print) => say(format!("magpiechute: {}", node.counters)),
+                Ok(Heard::Terminate | Heard::Interrupt) => {}
+                Err(_) => {
                     (&mut end).await;
                     break;
                 }
             }
         }
     }
-    say(format!("magpiechute: {counters}"));
+    say(format!("magpiechute: {}", node.counters));
     Ok(())
 }
 
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -1465,6 +1465,33 @@
     assert!(child.wait().expect("end").success());
 }
 
+/// Guard: a planned end hears a new configuration, as what is open goes by the list until it is over. A client keeps half a
+/// request open, so that the program has not ended when the file is read.
+#[test]
+fn the_feed_moves_while_the_program_ends() {
+    let mut child = Reaped(program("feed_moves", &good(), ""));
+    let mut said = BufReader::new(child.stderr.take().expect("stderr"));
+    let serves = line_with(&mut said, "serves on");
+    let at = serves.split("serves on ").nth(1).and_then(|rest| rest.split(',').next()).expect("address");
+    let mut client = TcpStream::connect(at).expect("connect");
+    client.write_all(b"\x94\x00\x01\xa6health\x91\x80").expect("write");
+    client.read_exact(&mut [0; 7]).expect("an answer");
+    client.write_all(b"\x94\x00\x02\xa6hea").expect("write");
+    let feed = TcpListener::bind("127.0.0.1:0").expect("bind");
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("feed_moves.json");
+    let address = feed.local_addr().expect("address").to_string();
+    std::fs::write(&path, good().replace("127.0.0.1:1", &address)).expect("file");
+    for name in ["TERM", "HUP"] {
+        let sent = Command::new("kill").args(["-s", name, &child.id().to_string()]).status();
+        assert!(sent.expect("kill").success());
+    }
+    line_with(&mut said, &format!("follows the control feed at {address}"));
+    let mut last = [0; 8];
+    feed.accept().expect("accept").0.read_exact(&mut last).expect("the last event");
+    assert_eq!(u64::from_be_bytes(last), 1);
+    assert!(child.wait().expect("end").success());
+}
+
 /// The file that shows how to turn the further fronts on can be used as it is.
 #[test]
 fn the_example_of_further_fronts() {
