Repeat by key while engines remember it, and look again at an attempt's times as it is written

Seen by reading, then forced: choice.rs repeats a by-key request in its group and window, and calls a silent attempt off for that; the core barred every such repeat as `once`, so the request failed, also after a call-off (scenario: Internal). And what choice.rs found in time could be written later: a dial takes up to the settings' time-out, an order may stand in a mailbox, an idle connection may be closed by its peer before the runtime has looked. Ruled out: choice.rs's own sums.

At fault: core/mod.rs, send, whose guard knew Repeatable alone; connection.rs, next_ask, which wrote whatever its times, and serve, which wrote before it had read orders and socket. The core now holds zone, cell and time of the first attempt that may have run; Ask carries until when it may be written; what is late there ends as never sent. Flight engines get the key too. Two older tests gave an order before the attempt was written and now read its first byte before; their assertions stand. Rig::accept has a bound. All five new tests fail without their mend (seen).

--- a/src/attempt.rs
+++ b/src/attempt.rs
@@ -153,6 +153,17 @@
     }
 }
 
+/// Where and when an attempt was sent, for the group of engines that may drop a repeat of it.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Sent {
+    /// Its engine's zone.
+    pub zone: u8,
+    /// Its engine's cell.
+    pub cell: u16,
+    /// When, in Unix ms.
+    pub at: Millis,
+}
+
 /// An attempt that is out, as its request sees it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Out {
@@ -160,8 +171,8 @@
     pub number: u16,
     /// Where it is.
     pub engine: EngineId,
-    /// When it was sent.
-    pub sent: Millis,
+    /// When it was sent, and into which group of engines.
+    pub sent: Sent,
     /// When its engine last said anything of it.
     pub heard: Millis,
     /// Since when, and as what, it is being given up.
@@ -187,6 +198,8 @@
     uncounted: u16,
     out: Option<Out>,
     ran: bool,
+    /// The first attempt that may have run.
+    first_ran: Option<Sent>,
 }
 
 impl Tries {
@@ -220,7 +233,18 @@
         self.ran || self.out.is_some()
     }
 
-    /// Numbers a further attempt, and says whether it may go out.
+    /// Whether one that is over may have run.
+    pub fn has_run(&self) -> bool {
+        self.ran
+    }
+
+    /// The first attempt that may have run, of those that are over.
+    pub fn first_ran(&self) -> Option<Sent> {
+        self.first_ran
+    }
+
+    /// Numbers a further attempt, and says whether it may go out; `repeatable` is whether one may that follows another
+    /// which may have run.
     pub fn next(&mut self, repeatable: bool, cap: u32) -> Result<u16, Barred> {
         let number = self.made;
         self.made = self.made.saturating_add(1);
@@ -233,8 +257,8 @@
     }
 
     /// It went out.
-    pub fn sent(&mut self, number: u16, engine: EngineId, now: Millis) {
-        self.out = Some(Out { number, engine, sent: now, heard: now, quitting: None });
+    pub fn sent(&mut self, number: u16, engine: EngineId, sent: Sent) {
+        self.out = Some(Out { number, engine, sent, heard: sent.at, quitting: None });
     }
 
     /// The one that is out is given up, and counts as this once that is proven; none where none is, or it is being
@@ -249,6 +273,7 @@
     pub fn ended(&mut self, number: u16, may_have_run: bool) -> Option<Out> {
         let out = self.out.take_if(|o| o.number == number)?;
         self.ran |= may_have_run;
+        self.first_ran = self.first_ran.or(may_have_run.then_some(out.sent));
         Some(out)
     }
 
@@ -305,7 +330,7 @@
         let at = EngineId::default();
         let mut tries = Tries::default();
         assert_eq!(tries.next(true, 6), Ok(0));
-        tries.sent(0, at, 5.0);
+        tries.sent(0, at, Sent { at: 5.0, ..Sent::default() });
         assert!(tries.may_have_run() && tries.next(true, 6) == Err(Barred::Out));
         assert!(
             tries.give_up(6.0, Outcome::TimedOut).is_some()
@@ -315,9 +340,10 @@
         assert!(tries.ended(1, true).is_none() && tries.ended(0, false).is_some());
         assert!(!tries.may_have_run());
         assert_eq!(tries.next(false, 6), Ok(3));
-        tries.sent(3, at, 8.0);
+        tries.sent(3, at, Sent { at: 8.0, ..Sent::default() });
         assert!(tries.ended(3, true).is_some());
         assert_eq!(tries.next(false, 6), Err(Barred::Ran));
         assert_eq!((tries.next(true, 6), tries.next(true, 6)), (Ok(5), Err(Barred::Spent)));
+        assert_eq!(tries.first_ran().map(|sent| sent.at), Some(8.0), "the one before did not run");
     }
 }
--- a/src/core/ends.rs
+++ b/src/core/ends.rs
@@ -74,7 +74,7 @@
         (billed_ms, billed_mb): (Option<f64>, Option<f64>),
     ) {
         self.count_end(outcome).up();
-        let (attempt, engine, took_ms) = (out.number, out.engine, now - out.sent);
+        let (attempt, engine, took_ms) = (out.number, out.engine, now - out.sent.at);
         tracing::debug!(id, %engine, attempt, ?outcome, took_ms, finished, billed_ms, inflight = report.inflight, "ended");
         let ended = Ended { id, attempt, engine, outcome, took_ms, finished, billed_ms, billed_mb, report };
         self.tell(now, Event::Ended(ended));
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -16,7 +16,7 @@
 pub use ends::never_ran;
 pub use ports::*;
 
-use crate::attempt::Tries;
+use crate::attempt::{Sent, Tries};
 use crate::attempts::{Keys, Policy, Where};
 use crate::config::{ListEvent, engine_text};
 use crate::counters::Counters;
@@ -57,6 +57,9 @@
     AttemptDue(RequestId, u16),
 }
 
+/// A repeat by key is written so much before engines may have forgotten the first, in ms.
+const REPEAT_MARGIN_MS: Millis = 1.0;
+
 /// Alarms kept at most, for each request that is open and besides.
 const ALARMS_EACH: usize = 8;
 const ALARMS_SPARE: usize = 1024;
@@ -443,6 +446,25 @@
         self.requests.get(&id).is_some_and(|o| o.taken.class.class.effect == Effect::Repeatable)
     }
 
+    /// Until when an attempt may be written at this engine: infinite where none that may have run went before, or the
+    /// request may be repeated at any time; none where it may not at all. By key a repeat is dropped by the engines of
+    /// one group, and for a while from the first attempt that may have run.
+    fn repeat_until(&self, open: &Open, engine: EngineId) -> Option<Millis> {
+        let class = &open.taken.class.class;
+        if !open.tries.has_run() || class.effect == Effect::Repeatable {
+            return Some(Millis::INFINITY);
+        }
+        let (Effect::Keyed(scope), Some(first)) = (class.effect, open.tries.first_ran()) else { return None };
+        let (zone, cell) = self.roster.group(engine)?;
+        let remembers = match scope {
+            DedupScope::All => true,
+            DedupScope::Zone => zone == first.zone,
+            DedupScope::Cell => cell == first.cell,
+        };
+        let keyed = remembers && open.taken.idempotency_key.is_some();
+        keyed.then_some(first.at + class.memory_span_ms - REPEAT_MARGIN_MS)
+    }
+
     /// Starts an attempt, or says why it cannot be; then it provably never ran.
     fn send(
         &mut self,
@@ -451,7 +473,8 @@
         engine: EngineId,
         timeout_ms: Option<Millis>,
     ) -> Option<Outcome> {
-        let repeatable = self.repeatable(id);
+        let until_ms = self.repeat_until(self.requests.get(&id)?, engine);
+        let repeatable = until_ms.is_some_and(|until| now < until);
         let ready = self.roster.ready(engine) && !self.gateway.bans().contains(&engine);
         let cap = self.gateway.settings().attempts_cap;
         let open = self.requests.get_mut(&id)?;
@@ -481,6 +504,10 @@
         engine: EngineId,
         timeout_ms: Option<Millis>,
     ) -> Option<Outcome> {
+        // Guard: where it has waited out a back-off, its time may be over.
+        let until_ms = self.repeat_until(self.requests.get(&id)?, engine).filter(|until| now < *until);
+        let Some(until_ms) = until_ms else { return Some(Outcome::Moot) };
+        let (zone, cell) = self.roster.group(engine).unwrap_or_default();
         let open = self.requests.get_mut(&id)?;
         let own = open.keys.attempt_timeout_ms;
         let timeout_ms = timeout_ms.filter(|t| *t > 0.0).or(own);
@@ -491,6 +518,7 @@
             name: open.taken.name.clone(),
             class: open.taken.class.clone(),
             due_ms,
+            until_ms,
             memory_mb: open.memory_mb,
             priority: open.priority,
             idempotency_key: open.taken.idempotency_key.clone(),
@@ -500,7 +528,7 @@
         if !self.engines.ask(engine, ask) {
             return Some(Outcome::NoConnection);
         }
-        open.tries.sent(number, engine, now);
+        open.tries.sent(number, engine, Sent { zone, cell, at: now });
         tracing::debug!(id, %engine, attempt = number, due_ms, "sent");
         self.counters.sent.up();
         if self.limits.silence_ms.is_finite() {
--- a/src/core/ports.rs
+++ b/src/core/ports.rs
@@ -125,6 +125,9 @@
     pub class: Arc<Named>,
     /// Unix time in ms at which the attempt is over.
     pub due_ms: Millis,
+    /// Unix time in ms from which it may not be written any more, as engines drop a repeat only for a while; infinite
+    /// where it is none, or may be repeated at any time.
+    pub until_ms: Millis,
     /// Memory to grant in MB; 0 for the engine's choice.
     pub memory_mb: f64,
     /// Priority, 0 to 3.
@@ -137,6 +140,17 @@
     pub kind: Kind,
 }
 
+impl Ask {
+    /// Why it may not be written any more, if so: its request's time is over, or engines may have forgotten the attempt
+    /// that it repeats. It never ran then.
+    pub fn late(&self, now: Millis) -> Option<EngineNews> {
+        if now >= self.due_ms {
+            return Some(EngineNews::GivenUp(End::Unsent));
+        }
+        (now >= self.until_ms).then(|| EngineNews::end(Outcome::Moot))
+    }
+}
+
 /// Where attempts go: all engines, of whatever protocol. No call blocks.
 pub trait EnginePort: Send {
     /// Starts an attempt; false where it provably was not sent.
--- a/src/core/roster.rs
+++ b/src/core/roster.rs
@@ -57,6 +57,11 @@
         self.held.get(&engine).is_some_and(|line| line.entry.state == ListState::Ready)
     }
 
+    /// The zone and cell of one that is taken up.
+    pub(super) fn group(&self, engine: EngineId) -> Option<(u8, u16)> {
+        self.held.get(&engine).map(|line| (line.entry.zone, line.entry.cell))
+    }
+
     /// Whether the list names it, ready or not, taken up or not.
     pub(super) fn named(&self, engine: EngineId) -> bool {
         self.held.contains_key(&engine) || self.waiting.contains_key(&engine)
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -115,6 +115,57 @@
     assert!(end.0[3] < 2500 && end.0[2] < 10 && end.1[3] < 10, "{end:?}");
 }
 
+/// Guard: what may have run is repeated by key alone, at engines of the group that drop it, and while they do. The core
+/// holds the module to it, also after a wait.
+#[test]
+fn repeats_by_key_stay_in_their_group_and_time() {
+    let class = |scope| {
+        let text = format!(
+            r#"{{"nInstances":1,"classes":[{{"name":"a","effect":"by_key","dedupScope":"{scope}","memorySpanMs":700,
+            "promiseMs":500,"giveUpMs":20000}}],
+            "guarantees":{{"coldMs":1000,"coldShare":0.3,"overloadForMs":1500,"tipMultiple":3}},
+            "limits":{{"attemptsCap":6}},"shapes":["std-8c"],"zones":["x","y"],"specifics":{{"sizeCores":[8]}}}}"#
+        );
+        settings::parse(text.as_bytes()).expect("settings")
+    };
+    for (scope, key, reach) in [
+        ("all", true, [1, 2, 3]),
+        ("zone", true, [1, 2, 0]),
+        ("cell", true, [1, 0, 0]),
+        ("all", false, [0; 3]),
+    ] {
+        let parsed = class(scope);
+        let limits = Arc::new(Limits::new(256, 32, true, &parsed));
+        let class = parsed.classes[0].clone();
+        let mut core =
+            Core::new(parsed.settings, 7, Silent::default(), limits, Arc::default()).expect("core");
+        // The first two share a zone, the first alone its cell.
+        let line = |n: u32| {
+            let mut line = listed(n, ListState::Ready);
+            (line.entry.zone, line.entry.cell) = (u8::from(n > 2), n as u16);
+            line
+        };
+        let entries = vec![line(1), line(2), line(3)];
+        core.handle(
+            0.0,
+            Input::List(ListEvent { number: 0, kind: ListKind::Full, entries, unusable: Vec::new() }),
+        );
+        let mut one = taken(1, &class, 20_000.0, 50.0, Arc::new(Nobody));
+        one.idempotency_key = key.then(|| Bytes::from_static(b"k"));
+        core.handle(0.0, Input::Take(one));
+        let open = core.requests.get_mut(&1).expect("open");
+        open.tries = Tries::default();
+        open.tries.sent(0, engine_id(1), Sent { zone: 0, cell: 1, at: 100.0 });
+        open.tries.ended(0, true).expect("out");
+        for (n, reached) in (1..=3).zip(reach) {
+            let until = core.repeat_until(&core.requests[&1], engine_id(n));
+            assert_eq!(until, (reached > 0).then_some(799.0), "{scope} {key} {n}");
+        }
+        assert_eq!(core.send(800.0, 1, engine_id(1), None), Some(Outcome::Moot));
+        assert_eq!(core.launch(800.0, 1, 1, engine_id(1), None), Some(Outcome::Moot), "after a back-off");
+    }
+}
+
 /// Guard: what comes while the process ends is answered before that, or turned away at once.
 #[test]
 fn nothing_outlives_the_end() {
--- a/src/engines/flight/mod.rs
+++ b/src/engines/flight/mod.rs
@@ -37,6 +37,7 @@
 /// And of those that name a query's terms to it.
 const MEMORY_MB: &str = "magpiechute-memory-mb";
 const PRIORITY: &str = "magpiechute-priority";
+const KEY: &str = "magpiechute-key";
 
 /// An attempt's name within its engine's actor.
 type Key = (RequestId, u16);
@@ -255,6 +256,9 @@
     let mut told = MetadataMap::new();
     let done = match link.wire().await {
         // Guard: a drain that came while the connection did stops the attempt before its first byte.
+        Ok(_) if let Some(late) = ask.late(link.house.core.now()) => {
+            return link.tell(key, LoadReport::default(), late).await;
+        }
         Ok((wire, _carried)) if !link.shut() => {
             let _ = on.set(wire.clone());
             send(&link, &ask, wire, &mut told).await
@@ -289,6 +293,9 @@
     put(CLASS, class);
     put(REF, name);
     put(PRIORITY, ask.priority.to_string());
+    if let Some(key) = &ask.idempotency_key {
+        put(KEY, String::from_utf8_lossy(key).into_owned());
+    }
     if ask.memory_mb > 0.0 {
         put(MEMORY_MB, format!("{:.0}", ask.memory_mb.ceil()));
     }
--- a/src/engines/lines/connection.rs
+++ b/src/engines/lines/connection.rs
@@ -209,6 +209,19 @@
 
     async fn serve(&mut self, stream: &TcpStream, slot: &Slot) -> Result<(), Broken> {
         loop {
+            // Guard: a peer may have closed a connection that idled, and an order may stand in the mailbox, before the
+            // runtime has looked there; an attempt written after either may have run for nothing.
+            if self.attempts.is_empty() && !self.waiting.is_empty() {
+                tokio::task::yield_now().await;
+                let open = net::read(stream, &mut self.input, self.house.limits.page_bytes * 2);
+                self.read().await?;
+                if !open? {
+                    return Ok(());
+                }
+            }
+            while let Ok(order) = self.orders.try_recv() {
+                self.order(order);
+            }
             self.next_ask();
             self.out.flush(stream)?;
             self.left();
@@ -329,7 +342,13 @@
         }
         while self.out.is_empty() {
             let Some(ask) = self.waiting.pop_front() else { return };
-            let left = (ask.due_ms - self.house.core.now()).max(1.0);
+            let now = self.house.core.now();
+            // Guard: it was chosen a while ago, and a connection may come up late or take nothing for long.
+            if let Some(late) = ask.late(now) {
+                self.end(ask, late);
+                continue;
+            }
+            let left = (ask.due_ms - now).max(1.0);
             let mut head = Vec::with_capacity(96);
             head.extend_from_slice(b"ASK ");
             head.extend_from_slice(&ask.name);
--- a/src/engines/lines/tests.rs
+++ b/src/engines/lines/tests.rs
@@ -41,6 +41,66 @@
     });
 }
 
+/// Guard: an attempt is held against its times once more as it is written, as a connection may come up late. It was
+/// never sent then, and what is behind it goes on.
+#[test]
+fn what_is_late_is_not_written() {
+    block(async {
+        let mut rig = Rig::lines().await;
+        let now = rig.house.core.now();
+        for (id, due_ms, until_ms) in [(1, now, f64::INFINITY), (2, 1e13, now), (3, 1e13, 1e13)] {
+            let Order::Ask(one) = ask(id) else { unreachable!("an attempt") };
+            rig.tell(Order::Ask(Box::new(Ask { due_ms, until_ms, ..*one }))).await;
+        }
+        assert!(given_up(&rig.end().await, 1, End::Unsent));
+        assert!(matches!(rig.end().await, (2, EngineNews::Ended { outcome: Outcome::Moot, .. })));
+        let mut text = [0; 20];
+        rig.accept().await.read_exact(&mut text).await.expect("bytes");
+        assert_eq!(&text, b"ASK 0000000000000003");
+    });
+}
+
+/// Guard: an order that stands in the mailbox as the connection comes up holds for what waits there. Which of the two
+/// the runtime shows first is left to chance, so it is tried often.
+#[test]
+fn an_order_that_comes_with_the_connection() {
+    block(async {
+        for _ in 0..40 {
+            let mut rig = Rig::lines().await;
+            rig.tell(ask(1)).await;
+            tokio::task::yield_now().await;
+            rig.tell(Order::Quit(1, 0, false)).await;
+            assert!(given_up(&rig.end().await, 1, End::Unsent), "it was written");
+        }
+    });
+}
+
+/// Guard: an engine that closes an idle connection just as a request comes has not had that request: it goes over
+/// another connection. Neither the runtime nor the actor has looked at the socket in between.
+#[test]
+fn an_idle_connection_that_was_closed_by_its_peer() {
+    block(async {
+        let mut rig = Rig::lines().await;
+        for id in 1..4 {
+            rig.tell(ask(id)).await;
+            let mut peer = rig.accept().await;
+            let mut heard = Vec::new();
+            while !heard.ends_with(b"          \r\n") {
+                assert!(peer.read_buf(&mut heard).await.expect("bytes") > 0);
+            }
+            peer.write_all(format!("{id:016x} served batches=1 2\r\na\n\r\n").as_bytes())
+                .await
+                .expect("answer");
+            let told = rig.end().await;
+            assert!(
+                matches!(told, (at, EngineNews::Ended { outcome: Outcome::Ok, .. }) if at == id),
+                "{told:?}"
+            );
+            drop(peer);
+        }
+    });
+}
+
 /// An engine that reads a byte at a time has the attempt and the word in this order; the end is told once, also where
 /// the order is given again.
 #[test]
@@ -69,8 +129,8 @@
         let mut rig = Rig::lines().await;
         rig.tell(ask(1)).await;
         let mut peer = rig.accept().await;
+        let mut heard = vec![peer.read_u8().await.expect("a byte")];
         rig.tell(Order::Quit(1, 0, true)).await;
-        let mut heard = Vec::new();
         while !heard.ends_with(b"QUIT 0000000000000001\r\nNOOP 0000000000000001\r\n") {
             heard.push(peer.read_u8().await.expect("a byte"));
         }
@@ -88,8 +148,8 @@
         let mut rig = Rig::lines().await;
         rig.tell(ask(1)).await;
         let mut peer = rig.accept().await;
+        let mut all = vec![peer.read_u8().await.expect("a byte")];
         rig.tell(Order::Quit(1, 0, true)).await;
-        let mut all = Vec::new();
         while peer.read_buf(&mut all).await.is_ok_and(|n| n > 0) {}
         assert!(given_up(&rig.end().await, 1, End::Broken));
         assert_eq!(rig.house.counters.quits_stuck.get(), 1);
--- a/src/engines/tests.rs
+++ b/src/engines/tests.rs
@@ -54,7 +54,8 @@
     }
 
     pub(super) async fn accept(&self) -> TcpStream {
-        self.listener.accept().await.expect("accept").0
+        let accepted = timeout(Duration::from_secs(20), self.listener.accept()).await;
+        accepted.expect("a connection in time").expect("accept").0
     }
 
     /// The next end, with its attempt.
@@ -146,6 +147,7 @@
         name: Bytes::from(format!("{id:016x}")),
         class,
         due_ms: 1e13,
+        until_ms: f64::INFINITY,
         memory_mb: 0.0,
         priority: 1,
         idempotency_key: None,
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -67,6 +67,28 @@
     c1 expect 3 served a\\n
 "
 )]
+#[case::by_key_it_is_sent_again_while_that_is_remembered(
+    "
+    n send settings effect=\"by_key\"
+    c1 send 1 seat-check replay=f5c0900b9ea8fefc
+    e expect ASK c1.1 op=f5c0900b9ea8fefc
+    e close c1.1
+    e expect ASK c1.1 op=f5c0900b9ea8fefc
+    e send c1.1 served batches=1 done\\n
+    c1 expect 1 served done\\n
+    c1 send 2 seat-check
+    e expect ASK c1.2
+    e close c1.2
+    c1 expect 2 Internal
+    e expect none ASK c1.2
+    n send settings effect=\"by_key\" memorySpanMs=1
+    c1 send 3 seat-check replay=f5c0900b9ea8fefd
+    e expect ASK c1.3 op=f5c0900b9ea8fefd
+    e close c1.3
+    c1 expect 3 Internal
+    e expect none ASK c1.3 op=f5c0900b9ea8fefd
+"
+)]
 #[case::a_load_that_failed_is_not_sent_again(
     "
     c1 send 1 log-load
