--- /dev/null
+++ b/src/attempt/tests.rs
@@ -0,0 +1,62 @@
+//! Tests of this module.
+
+use super::*;
+
+/// Every phase, and what giving up, an answer and a closed connection prove in it.
+#[test]
+fn what_each_end_proves() {
+    let writing = || {
+        let mut life = Life::default();
+        life.write(10);
+        life
+    };
+    let out = || {
+        let mut life = writing();
+        assert_eq!(life.left(10), None);
+        life
+    };
+    assert_eq!(Life::default().give_up(false, || unreachable!()), Some(End::Unsent));
+    assert_eq!((Life::default().closed(99), writing().closed(9)), (End::Unsent, End::Unsent));
+    assert_eq!((writing().closed(10), out().closed(10)), (End::Broken, End::Broken));
+    for mut life in [writing(), out()] {
+        assert_eq!(life.give_up(false, || 20), None, "not before the word has left");
+        assert!(life.giving_up() && life.left(19).is_none() && !life.tell());
+        assert_eq!((life.left(20), life.left(20)), (Some(End::GivenUp), None));
+    }
+    let mut life = out();
+    assert_eq!(life.give_up(true, || 20), None);
+    assert_eq!((life.left(20), life.giving_up()), (None, true), "it may be read late");
+    assert_eq!((life.heard(), life.heard()), (Some(End::GivenUp), None));
+    assert_eq!(out().heard(), None);
+    // Half of the word has left: the engine has the attempt whole. Half of the attempt: it has not.
+    for (written, end) in [(15, End::Broken), (9, End::Unsent)] {
+        let mut life = writing();
+        life.give_up(false, || 20);
+        assert_eq!(life.closed(written), end);
+    }
+    let mut told = out();
+    assert!(told.tell() && !told.tell());
+    assert_eq!(told.give_up(false, || 20), Some(End::Answered));
+    assert!(!out().answered(false).may_have_run() && out().answered(true).may_have_run());
+}
+
+#[test]
+fn one_attempt_at_a_time() {
+    let at = EngineId::default();
+    let mut tries = Tries::default();
+    assert_eq!(tries.next(true, 6), Ok(0));
+    tries.sent(0, at, Sent { at: 5.0, ..Sent::default() });
+    assert!(tries.may_have_run() && tries.next(true, 6) == Err(Barred::Out));
+    assert!(
+        tries.give_up(6.0, Outcome::TimedOut).is_some() && tries.give_up(7.0, Outcome::Cancelled).is_none()
+    );
+    assert_eq!(tries.next(true, 6), Err(Barred::Out), "nothing is proven yet");
+    assert!(tries.ended(1, true).is_none() && tries.ended(0, false).is_some());
+    assert!(!tries.may_have_run());
+    assert_eq!(tries.next(false, 6), Ok(3));
+    tries.sent(3, at, Sent { at: 8.0, ..Sent::default() });
+    assert!(tries.ended(3, true).is_some());
+    assert_eq!(tries.next(false, 6), Err(Barred::Ran));
+    assert_eq!((tries.next(true, 6), tries.next(true, 6)), (Ok(5), Err(Barred::Spent)));
+    assert_eq!(tries.first_ran().map(|sent| sent.at), Some(8.0), "the one before did not run");
+}
--- a/src/clients/seats.rs
+++ b/src/clients/seats.rs
@@ -234,28 +234,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use futures::FutureExt;
-
-    /// Guard: a drain sends away who has been served and has nothing open, on either front, and nobody else.
-    #[test]
-    fn a_drain_asks_those_that_idle() {
-        let limits =
-            crate::engines::House::for_tests(crate::core::Handle::new(1, Default::default()).0).limits;
-        let seats = Seats::new(8, limits, Arc::default());
-        let [idle, busy, stranger] = [(); 3].map(|()| seats.take());
-        idle.speaks();
-        busy.opened();
-        let asked = |seat: &Seat| seat.asked_to_leave().now_or_never().is_some();
-        seats.drain(true);
-        assert!(asked(&idle) && !asked(&busy) && !asked(&stranger));
-        busy.closed();
-        assert!(asked(&busy) && !asked(&busy), "once, as its last answer is out");
-        busy.opened();
-        busy.stays();
-        seats.drain(false);
-        busy.closed();
-        assert!(!asked(&busy), "not after the drain");
-    }
-}
+mod tests;
--- a/src/signals.rs
+++ b/src/signals.rs
@@ -82,31 +82,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::{Heard, Signals};
-    use signal_hook::consts::{SIGHUP, SIGTERM, SIGUSR1};
-    use signal_hook::low_level::raise;
-    use std::time::Duration;
-
-    async fn next(signals: &mut Signals) -> Heard {
-        let bound = Duration::from_secs(10);
-        let heard = tokio::time::timeout(bound, signals.next()).await.expect("a signal within the bound");
-        heard.expect("the pipe of signals")
-    }
-
-    #[tokio::test(flavor = "current_thread")]
-    async fn each_signal_is_heard_once_and_in_order_when_several_came_together() {
-        let mut signals = Signals::hear().expect("handlers");
-        raise(SIGUSR1).expect("raise");
-        assert_eq!(next(&mut signals).await, Heard::Print);
-        // Both before the reader wakes: taken in the fixed order, each once.
-        raise(SIGHUP).expect("raise");
-        raise(SIGTERM).expect("raise");
-        assert_eq!(next(&mut signals).await, Heard::Terminate);
-        assert_eq!(next(&mut signals).await, Heard::Reload);
-        raise(SIGUSR1).expect("raise");
-        assert_eq!(next(&mut signals).await, Heard::Print);
-        let quiet = tokio::time::timeout(Duration::from_millis(50), signals.next()).await;
-        assert!(quiet.is_err(), "nothing more was raised");
-    }
-}
+mod tests;
--- a/src/snmp.rs
+++ b/src/snmp.rs
@@ -180,29 +180,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use crate::counters::{Counters, is_gauge};
-
-    /// The file names every counter, with its number and syntax.
-    #[test]
-    fn the_mib_file_tells_what_the_agent_has() {
-        let mib = include_str!("../mibs/MAGPIECHUTE-MIB.txt");
-        let mut objects = Vec::new();
-        let counters = mib.split("mcClassTable OBJECT-TYPE").next().unwrap_or_default();
-        for part in counters.split(" OBJECT-TYPE\n").skip(1) {
-            let word = |after: &str| part.split(after).nth(1).and_then(|t| t.split_whitespace().next());
-            objects.push((word("SYNTAX"), word("::= { magpiechute")));
-        }
-        let names: Vec<String> = Counters::default().all().iter().map(|(n, _)| n.replace('_', "")).collect();
-        for (i, (name, _)) in Counters::default().all().iter().enumerate() {
-            let syntax = if is_gauge(name) { "Gauge32" } else { "Counter64" };
-            let number = (i + 1).to_string();
-            assert_eq!(objects.get(i), Some(&(Some(syntax), Some(number.as_str()))), "{name}");
-            let object = format!("\nmc{} object-type", names[i]);
-            assert!(mib.to_lowercase().contains(&object), "{object}");
-        }
-        assert_eq!(objects.len(), names.len());
-        let table = format!("::= {{ magpiechute {} }}", super::CLASSES);
-        assert!(mib.contains(&table) && mib.contains("mcClassBadGateway OBJECT-TYPE"));
-    }
-}
+mod tests;
--- /dev/null
+++ b/src/sql/tests.rs
@@ -0,0 +1,29 @@
+//! Tests of this module.
+
+use super::{dataset, reads};
+use rstest::rstest;
+
+#[rstest]
+#[case::plain("SELECT a FROM sales_17.orders", Some(17))]
+#[case::strings("SELECT 'x_1.y' FROM a_2.b -- c_3.d", Some(2))]
+#[case::comment("/* c_9.d /* e_8.f */ */ INSERT INTO lic_4.log SELECT * FROM staging.rows", Some(4))]
+#[case::doubled("SELECT 'it''s a_1.b' FROM \"lic_5\".\"log\"", Some(5))]
+#[case::alias("SELECT t_9.a FROM lic_6.log t_9", Some(6))]
+#[case::staging("SELECT * FROM staging.rows_7", None)]
+#[case::column("SELECT a.b_8 FROM c", None)]
+#[case::cut("SELECT 'a_1.b", None)]
+#[case::number("SELECT 1_2.a FROM b_3.c", Some(3))]
+#[case::empty("", None)]
+fn group_of_tables(#[case] sql: &str, #[case] group: Option<u32>) {
+    assert_eq!(dataset(sql.as_bytes()), group);
+}
+
+#[rstest]
+#[case(" -- a note\n select 1", true)]
+#[case("insert into a select 1", false)]
+#[case("with a as (select 1) select * from a", true)]
+#[case("WITH a AS (SELECT 'delete') INSERT INTO b SELECT * FROM a", false)]
+#[case("", false)]
+fn statements_that_read(#[case] sql: &str, #[case] reading: bool) {
+    assert_eq!(reads(sql.as_bytes()), reading);
+}
