Close an engine's connection whose answers never come to an end

Seen by reading, then forced: a line, a page and a pause within an answer have bounds, but whole answers to nothing that was asked, the same page again, and notes had none; such an engine kept the attempts on its connection out to their deadlines and took the core's time. Ruled out: bytes without a line end (line_bytes), pages past a result's size, half an answer (answer_stall, which counts from its first byte).

At fault: engines/lines/answers.rs, reply, which passed them over for good. Now 16,384 notes, or 128 of the others, since the last answer that ended an attempt close the connection and count as engine_malformed. Without the mend the test's end never comes (seen).

--- a/src/engines/lines/answers.rs
+++ b/src/engines/lines/answers.rs
@@ -17,6 +17,10 @@
                 Ok(Some(reply)) => {
                     self.half_since = None;
                     self.reply(reply).await?;
+                    // Guard: answers that never come to an end would keep the attempts behind them out, and the core busy.
+                    if self.idle_words > self.house.limits.idle_words {
+                        return Err(self.malformed());
+                    }
                 }
                 Ok(None) if self.input.is_empty() => {
                     self.half_since = None;
@@ -45,7 +49,7 @@
         let report = self.load_report(reply.field("l"));
         let Some(attempt) = self.attempts.get_mut(&reply.name) else {
             // Given up meanwhile, or never asked: the connection is good all the same.
-            self.house.counters.engine_unasked.up();
+            self.unasked();
             return Ok(());
         };
         let key = (attempt.ask.id, attempt.ask.attempt);
@@ -53,7 +57,7 @@
         let outcome = match reply.word.as_ref() {
             // Guard: a good answer may come twice. The copy says nothing, and what else is open goes on.
             b"served" if attempt.pages.is_some() => {
-                self.house.counters.engine_unasked.up();
+                self.unasked();
                 return Ok(());
             }
             b"served" => {
@@ -83,7 +87,7 @@
                 let page = reply.field("batch").and_then(number_of).map(|n| n as usize);
                 let place = page.and_then(|n| attempt.pages.as_mut().and_then(|p| p.got.get_mut(n)));
                 let Some(place) = place.filter(|p| p.is_none()) else {
-                    self.house.counters.engine_unasked.up();
+                    self.unasked();
                     return Ok(());
                 };
                 if !rows_of(&reply.body) {
@@ -113,6 +117,7 @@
                     _ => None,
                 };
                 self.house.counters.notes.up();
+                self.idle_words += 1;
                 let news = EngineNews::Note(note);
                 self.house.tell(self.engine, key, report, news).await;
                 return Ok(());
@@ -137,6 +142,12 @@
         Ok(())
     }
 
+    /// Counts an answer that nothing asked for, or that was given already.
+    pub(super) fn unasked(&mut self) {
+        self.house.counters.engine_unasked.up();
+        self.idle_words += self.house.limits.idle_word_unasked;
+    }
+
     pub(super) fn malformed(&self) -> Broken {
         self.house.counters.engine_malformed.up();
         Broken
--- a/src/engines/lines/connection.rs
+++ b/src/engines/lines/connection.rs
@@ -73,6 +73,8 @@
     pub(super) idle_since: Instant,
     /// Since when what is read is no whole answer.
     pub(super) half_since: Option<Instant>,
+    /// Answers since the last that ended an attempt, as `Limits::idle_words` counts them.
+    pub(super) idle_words: usize,
     /// When a gone engine's connections are cut.
     cut: Option<Instant>,
     drained: bool,
@@ -106,6 +108,7 @@
             ends: Vec::new(),
             idle_since: Instant::now(),
             half_since: None,
+            idle_words: 0,
             cut: None,
             drained: false,
             gate,
@@ -292,6 +295,7 @@
     /// An attempt ended by an answer, so that nothing waits for the word any more. Guard: a connection is not closed for
     /// a word that has no purpose left.
     pub(super) fn answered(&mut self, name: &Bytes) -> Option<Attempt> {
+        self.idle_words = 0;
         self.words.retain(|w| w.name != *name);
         self.attempts.remove(name)
     }
@@ -299,7 +303,7 @@
     /// The engine has read all up to this tag.
     pub(super) fn heard(&mut self, tag: &Bytes) {
         let Some(at) = self.words.iter().position(|w| w.tag.as_ref() == Some(tag)) else {
-            self.house.counters.engine_unasked.up();
+            self.unasked();
             return;
         };
         for word in self.words.drain(..=at).collect::<Vec<_>>() {
--- a/src/engines/lines/tests.rs
+++ b/src/engines/lines/tests.rs
@@ -101,6 +101,35 @@
     });
 }
 
+/// Guard: answers without an end, be they to nothing that was asked or notes, end their connection and what is on it.
+#[test]
+fn answers_without_an_end() {
+    block(async {
+        for (answer, most) in
+            [("00000000000000aa served batches=1", 129), ("0000000000000001 update -", 16_385)]
+        {
+            let mut rig = Rig::lines().await;
+            rig.tell(ask(1)).await;
+            let mut peer = rig.accept().await;
+            peer.read_u8().await.expect("a byte");
+            let all = format!("{answer} 0\r\n\r\n").repeat(most);
+            let writes = tokio::spawn(async move {
+                let _ = peer.write_all(all.as_bytes()).await;
+                peer
+            });
+            let told = loop {
+                match rig.end().await {
+                    (1, EngineNews::Note(_)) => {}
+                    told => break told,
+                }
+            };
+            assert!(matches!(told, (1, EngineNews::Ended { outcome: Outcome::Reset, .. })), "{told:?}");
+            assert_eq!(rig.house.counters.engine_malformed.get(), 1);
+            drop(writes);
+        }
+    });
+}
+
 /// An engine that reads a byte at a time has the attempt and the word in this order; the end is told once, also where
 /// the order is given again.
 #[test]
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -127,6 +127,11 @@
     pub client_idle: Duration,
     /// Wait for the rest of an answer of an engine that has begun.
     pub answer_stall: Duration,
+    /// Answers on a connection that say nothing of an attempt's end, since the last that did: past that it is closed. Notes
+    /// of the longest query stay far below.
+    pub idle_words: usize,
+    /// As many of them counts one that nothing asked for.
+    pub idle_word_unasked: usize,
     /// Wait for a page of a result: an engine that fell silent between pages is given up.
     pub page_wait: Duration,
     /// An engine told gone is given this long to reset its connections before they are cut.
@@ -239,6 +244,8 @@
             client_faults: 64,
             client_idle: Duration::from_secs(30),
             answer_stall: Duration::from_millis(1500),
+            idle_words: 16_384,
+            idle_word_unasked: 128,
             page_wait: Duration::from_millis(2000),
             gone_grace: Duration::from_millis(500),
             feed_silence: Duration::from_millis(2500),
