--- a/src/clients/platform.rs
+++ b/src/clients/platform.rs
@@ -76,6 +76,8 @@
     idle_since: Instant,
     /// Since when what is read is no whole message; from the start, as it is to begin with one.
     half_since: Option<Instant>,
+    /// When its client last took anything of its answers, or none waited.
+    taken_at: Instant,
     seat: Seat,
     /// Bytes held in `input` and `out`.
     held: (Hold, Hold),
@@ -115,6 +117,7 @@
             last: 0,
             idle_since: Instant::now(),
             half_since: Some(Instant::now()),
+            taken_at: Instant::now(),
             seat,
             held: (Hold::new(&front.stocks.input), Hold::new(&front.stocks.output)),
             faults: 0,
@@ -142,7 +145,11 @@
     /// Serves until the connection is to be closed, with nothing owed on it; an error where its client has gone.
     async fn serve(&mut self) -> Result<(), End> {
         loop {
+            let before = self.out.written();
             self.out.flush(&self.stream)?;
+            if self.out.is_empty() || self.out.written() > before {
+                self.taken_at = Instant::now();
+            }
             self.owe();
             let done = self.done();
             if done && self.deaf.is_some() {
@@ -151,6 +158,7 @@
             // A slow reader holds at most a few answers here: then nothing more is read from it.
             let held = self.out.waiting() > 2 * self.front.limits.answer_bytes as u64;
             let patience = self.patience();
+            let untaken = self.taken_at + self.front.limits.client_idle;
             tokio::select! {
                 biased;
                 Some((id, answer)) = self.answers.recv() => self.answer(id, answer),
@@ -171,6 +179,11 @@
                         return Ok(());
                     }
                 }
+                // Guard: clients that never take their answers could hold every place for good.
+                () = sleep_until(untaken), if !self.out.is_empty() => {
+                    self.front.counters.client_silent.up();
+                    return Err(End::Closed);
+                }
                 // Guard: half a request is one on its way; it comes whole first, or falls silent.
                 () = self.seat.asked_to_leave(), if done && self.input.is_empty() => {
                     self.hear_last().await?;
@@ -410,3 +423,6 @@
         true
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/file/lines.rs
+++ b/src/file/lines.rs
@@ -8,7 +8,7 @@
     source.as_bytes()[..byte].iter().filter(|b| **b == b'\n').count() + 1
 }
 
-/// The line of a key named as `attempts.class.seat-check.timeout_ms` or `attempts.route[2].backoff.jitter`, or of
+/// The line of a key named as `attempts.class.NAME.timeout_ms` or `attempts.route[2].backoff.jitter`, or of
 /// the nearest table that it lies in where the key itself is not written. None where the text is no TOML.
 pub fn line_of(source: &str, path: &str) -> Option<usize> {
     let root = DeTable::parse(source).ok()?;
