--- a/src/clients/flight.rs
+++ b/src/clients/flight.rs
@@ -2,7 +2,7 @@
 //! ticket. The request counts as taken when DoGet brings the ticket, or DoPut an update.
 
 use super::Front;
-use super::seats::{Seat, Seats};
+use super::slots::{Slot, Slots};
 use crate::core::{Answer, Body, ClientPort, Flow, Input, Kind, Taken, Why};
 use crate::interface::{Effect, RequestId};
 use crate::settings::Named;
@@ -41,8 +41,8 @@
 
 /// Serves the front until the program ends.
 pub(crate) async fn listen(listener: TcpListener, front: Front) {
-    let seats = Seats::new(front.limits.flight_conns, front.limits.clone(), front.counters.clone());
-    tokio::spawn(seats.clone().follow(front.duty.clone()));
+    let slots = Slots::new(front.limits.flight_conns, front.limits.clone(), front.counters.clone());
+    tokio::spawn(slots.clone().follow(front.lifecycle.clone()));
     let (silence, ping, quiet) = (front.limits.client_silence, front.limits.keep_alive, front.limits.linger);
     let counters = front.counters.clone();
     let streams = front.limits.open_per_client as u32;
@@ -50,15 +50,15 @@
     let service = FlightServiceServer::new(Flight { tickets: Arc::default(), front })
         .max_decoding_message_size(message);
     let incoming =
-        stream::unfold((listener, seats, counters), move |(listener, seats, counters)| async move {
+        stream::unfold((listener, slots, counters), move |(listener, slots, counters)| async move {
             let item = listener.accept().await;
             let item = match item {
                 Ok((stream, _)) => {
                     // As on the platform's front: an idle connection makes room, or this one waits.
-                    seats.room().await;
+                    slots.room().await;
                     let _ = stream.set_nodelay(true);
-                    let seat = Arc::new(seats.take());
-                    let (leaving, counters) = (seat.clone(), counters.clone());
+                    let slot = Arc::new(slots.take());
+                    let (leaving, counters) = (slot.clone(), counters.clone());
                     let leave = Box::pin(async move {
                         tokio::select! {
                             () = leaving.leaves(quiet) => {}
@@ -72,15 +72,15 @@
                             }
                         }
                     });
-                    Ok(Held { stream, seat, leave, left: false })
+                    Ok(Held { stream, slot, leave, left: false })
                 }
                 Err(e) => {
-                    seats.squeeze();
+                    slots.squeeze();
                     sleep(Duration::from_millis(10)).await;
                     Err(e)
                 }
             };
-            Some((item, (listener, seats, counters)))
+            Some((item, (listener, slots, counters)))
         });
     let server = Server::builder()
         .max_concurrent_streams(streams)
@@ -95,16 +95,16 @@
 /// A connection with its place among those allowed.
 struct Held {
     stream: TcpStream,
-    seat: Arc<Seat>,
+    slot: Arc<Slot>,
     /// Resolves once the connection is to be closed.
     leave: Pin<Box<dyn Future<Output = ()> + Send>>,
     left: bool,
 }
 
 impl Connected for Held {
-    type ConnectInfo = Arc<Seat>;
-    fn connect_info(&self) -> Arc<Seat> {
-        self.seat.clone()
+    type ConnectInfo = Arc<Slot>;
+    fn connect_info(&self) -> Arc<Slot> {
+        self.slot.clone()
     }
 }
 
@@ -194,7 +194,7 @@
     front: Front,
     id: RequestId,
     over: bool,
-    seat: Option<Arc<Seat>>,
+    slot: Option<Arc<Slot>>,
 }
 
 impl Owed {
@@ -207,7 +207,7 @@
 impl Drop for Owed {
     fn drop(&mut self) {
         self.front.counters.client_conns_owing.down();
-        self.seat.iter().for_each(|seat| seat.closed());
+        self.slot.iter().for_each(|slot| slot.closed());
         if !self.over && !self.front.core.try_tell(Input::Left(self.id)) {
             let (core, id) = (self.front.core.clone(), self.id);
             // While the program ends there is nobody left to tell.
@@ -307,8 +307,8 @@
     }
 
     fn plan(&self, request: Request<FlightDescriptor>) -> Result<FlightInfo, Status> {
-        if let Some(seat) = request.extensions().get::<Arc<Seat>>() {
-            seat.speaks();
+        if let Some(slot) = request.extensions().get::<Arc<Slot>>() {
+            slot.speaks();
         }
         let (metadata, _, descriptor) = request.into_parts();
         let any = any(&descriptor.cmd)?;
@@ -371,7 +371,7 @@
         call: Call,
         kind: Kind,
         metadata: &MetadataMap,
-        seat: Option<Arc<Seat>>,
+        slot: Option<Arc<Slot>>,
     ) -> Result<(Body, Owed), Status> {
         let now = self.front.core.now();
         let timeout = match metadata.get("grpc-timeout") {
@@ -383,8 +383,8 @@
         let (id, ends) = (self.front.core.next_id(), self.front.counters.class(&call.class.name));
         let (port, answer) = oneshot::channel();
         self.front.counters.client_conns_owing.up();
-        seat.iter().for_each(|seat| seat.opened());
-        let mut owed = Owed { front: self.front.clone(), id, over: false, seat };
+        slot.iter().for_each(|slot| slot.opened());
+        let mut owed = Owed { front: self.front.clone(), id, over: false, slot };
         let taken = Taken {
             id,
             name: call.name,
@@ -407,7 +407,7 @@
         match answer {
             Ok(Answer::Served(body)) => {
                 owed.over = body.rest.is_none();
-                owed.seat.iter().for_each(|seat| seat.known());
+                owed.slot.iter().for_each(|slot| slot.known());
                 Ok((body, owed))
             }
             Ok(Answer::Refused { hold_off_ms }) => Err(refused(hold_off_ms)),
@@ -424,10 +424,10 @@
         &self,
         request: Request<Ticket>,
     ) -> Result<BoxStream<'static, Result<FlightData, Status>>, Status> {
-        let seat = request.extensions().get::<Arc<Seat>>().cloned();
+        let slot = request.extensions().get::<Arc<Slot>>().cloned();
         let (metadata, _, ticket) = request.into_parts();
         let (handle, call) = self.redeem(&ticket)?;
-        let (mut body, owed) = match self.serve(call.clone(), Kind::Query, &metadata, seat).await {
+        let (mut body, owed) = match self.serve(call.clone(), Kind::Query, &metadata, slot).await {
             Ok(served) => served,
             Err(status) => {
                 // A refusal says that it never ran, so its ticket is good once more.
@@ -463,7 +463,7 @@
     }
 
     async fn put(&self, request: Request<Streaming<FlightData>>) -> Result<PutResult, Status> {
-        let seat = request.extensions().get::<Arc<Seat>>().cloned();
+        let slot = request.extensions().get::<Arc<Slot>>().cloned();
         let (metadata, _, mut input) = request.into_parts();
         // Guard: a call that is opened and brings no command would be held for good.
         let first = timeout(self.front.limits.client_silence, input.message()).await;
@@ -478,7 +478,7 @@
             return Err(Status::unimplemented("transactions are not offered"));
         }
         let call = self.call(&metadata, update.query)?;
-        let (body, _owed) = self.serve(call, Kind::Update, &metadata, seat).await?;
+        let (body, _owed) = self.serve(call, Kind::Update, &metadata, slot).await?;
         let result = DoPutUpdateResult { record_count: rows::count(&body) };
         Ok(PutResult { app_metadata: result.encode_to_vec().into() })
     }
--- a/src/clients/mod.rs
+++ b/src/clients/mod.rs
@@ -3,11 +3,11 @@
 pub(crate) mod flight;
 pub(crate) mod msgpack;
 pub(crate) mod platform;
-pub(crate) mod seats;
+pub(crate) mod slots;
 
 use crate::core::Handle;
 use crate::counters::{Counters, Ends};
-use crate::duty::Duty;
+use crate::lifecycle::Lifecycle;
 use crate::limits::{Limits, Stock};
 use crate::settings::{Named, Parsed};
 use std::sync::Arc;
@@ -22,7 +22,7 @@
     pub(crate) limits: Arc<Limits>,
     pub(crate) counters: Arc<Counters>,
     /// Whether clients are to come or go.
-    pub(crate) duty: Arc<Duty>,
+    pub(crate) lifecycle: Arc<Lifecycle>,
     pub(crate) stocks: Arc<Stocks>,
 }
 
--- a/src/clients/platform.rs
+++ b/src/clients/platform.rs
@@ -1,7 +1,7 @@
 //! The platform's clients: MessagePack-RPC over TCP, one actor a connection.
 
 use super::msgpack::{self, Message};
-use super::seats::{Seat, Seats};
+use super::slots::{Slot, Slots};
 use super::{Front, figure, is_ref, is_token};
 use crate::core::{Answer, Body, ClientPort, Input, Kind, Taken, Why};
 use crate::counters::Ends;
@@ -19,9 +19,9 @@
 
 /// Accepts clients for as long as the program runs, also while it stops.
 pub(crate) async fn listen(listener: TcpListener, front: Front) {
-    let seats = Seats::new(front.limits.client_conns, front.limits.clone(), front.counters.clone());
-    tokio::spawn(seats.clone().follow(front.duty.clone()));
-    let mut state = front.duty.follow();
+    let slots = Slots::new(front.limits.client_conns, front.limits.clone(), front.counters.clone());
+    tokio::spawn(slots.clone().follow(front.lifecycle.clone()));
+    let mut state = front.lifecycle.follow();
     loop {
         let accepted = tokio::select! {
             biased;
@@ -33,12 +33,12 @@
             Ok((stream, _)) => {
                 // Guard: some clients ask once and keep their connection for good. A request counts once it is
                 // written to a connection that the machine accepted, so one that idles makes room for it.
-                seats.room().await;
-                let (seat, front) = (seats.take(), front.clone());
+                slots.room().await;
+                let (slot, front) = (slots.take(), front.clone());
                 tokio::spawn(async move {
                     front.counters.client_conns.up();
                     front.counters.client_conns_open.up();
-                    Connection::new(stream, seat, front.clone()).run().await;
+                    Connection::new(stream, slot, front.clone()).run().await;
                     front.counters.client_conns_open.down();
                 });
                 // What it sent along is read before a next one could ask it to leave.
@@ -46,7 +46,7 @@
             }
             // Out of descriptors, or a client that left at once: neither ends the program.
             Err(_) => {
-                seats.squeeze();
+                slots.squeeze();
                 tokio::time::sleep(std::time::Duration::from_millis(10)).await;
             }
         }
@@ -78,7 +78,7 @@
     half_since: Option<Instant>,
     /// When its client last took anything of its answers, or none waited.
     taken_at: Instant,
-    seat: Seat,
+    slot: Slot,
     /// Bytes held in `input` and `out`.
     held: (Hold, Hold),
     /// Calls that are no use, and calls over the limit.
@@ -103,7 +103,7 @@
 }
 
 impl Connection {
-    fn new(stream: TcpStream, seat: Seat, front: Front) -> Connection {
+    fn new(stream: TcpStream, slot: Slot, front: Front) -> Connection {
         // One answer for each open request, and as many again for refusals on the spot.
         let (port, answers) = mpsc::channel(front.limits.open_per_client * 2);
         let _ = stream.set_nodelay(true);
@@ -118,7 +118,7 @@
             idle_since: Instant::now(),
             half_since: Some(Instant::now()),
             taken_at: Instant::now(),
-            seat,
+            slot,
             held: (Hold::new(&front.stocks.input), Hold::new(&front.stocks.output)),
             faults: 0,
             owing: false,
@@ -185,12 +185,12 @@
                     return Err(End::Closed);
                 }
                 // Guard: half a request is one on its way; it comes whole first, or falls silent.
-                () = self.seat.asked_to_leave(), if done && self.input.is_empty() => {
+                () = self.slot.asked_to_leave(), if done && self.input.is_empty() => {
                     self.hear_last().await?;
                     if self.done() && self.input.is_empty() {
                         return Ok(());
                     }
-                    self.seat.stays();
+                    self.slot.stays();
                 }
             }
         }
@@ -249,9 +249,9 @@
     fn owe(&mut self) {
         let waiting = self.out.waiting() as usize;
         self.held.1.set(waiting, self.front.limits.share(self.front.limits.output_bytes));
-        self.seat.busy(self.open.len() + usize::from(waiting > 0));
+        self.slot.busy(self.open.len() + usize::from(waiting > 0));
         // Half a request is owed its rest, and a client that is to go a close in order: each has its own bound.
-        let goes = self.last > 0 && self.front.duty.now().leaving();
+        let goes = self.last > 0 && self.front.lifecycle.now().leaving();
         self.owes(!self.done() || !self.input.is_empty() || goes);
     }
 
@@ -277,12 +277,12 @@
                         return Err(End::Malformed);
                     }
                     self.last = id;
-                    self.seat.speaks();
+                    self.slot.speaks();
                     self.idle_since = Instant::now();
                     self.half_since = None;
                     if method.as_ref() == b"health" {
-                        let fit = !self.front.duty.now().leaving();
-                        self.seat.known();
+                        let fit = !self.front.lifecycle.now().leaving();
+                        self.slot.known();
                         self.out.push(msgpack::health(id, fit));
                         continue;
                     }
@@ -381,7 +381,7 @@
         self.idle_since = Instant::now();
         match answer {
             Answer::Served(body) => {
-                self.seat.known();
+                self.slot.known();
                 // Counted as the client is told, which may be that its result cannot be passed on.
                 if self.result(message, &body) { &ends.passed } else { &ends.bad_gateway }.up();
             }
--- a/src/clients/platform/tests.rs
+++ b/src/clients/platform/tests.rs
@@ -3,8 +3,8 @@
 use super::*;
 use crate::core::{Clock, Handle};
 use crate::counters::Counters;
-use crate::duty::Duty;
 use crate::engines::House;
+use crate::lifecycle::Lifecycle;
 use crate::limits::Limits;
 use std::time::Duration;
 use tokio::net::TcpSocket;
@@ -17,10 +17,10 @@
     let (core, _inputs) = Handle::new(64, Clock::new());
     let mut limits = Limits::clone(&House::for_tests(core.clone()).limits);
     limits.client_idle = Duration::from_millis(50);
-    let (counters, duty) = (Arc::<Counters>::default(), Arc::new(Duty::new()));
+    let (counters, lifecycle) = (Arc::<Counters>::default(), Arc::new(Lifecycle::new()));
     let (_settings, parsed) = watch::channel(Arc::new(House::settings_for_tests()));
     let limits = Arc::new(limits);
-    let front = Front { core, parsed, limits, counters: counters.clone(), duty, stocks: Arc::default() };
+    let front = Front { core, parsed, limits, counters: counters.clone(), lifecycle, stocks: Arc::default() };
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
     let at = listener.local_addr().expect("address");
     tokio::spawn(listen(listener, front));
--- a/src/clients/seats.rs
+++ b/src/clients/slots.rs
@@ -3,7 +3,7 @@
 //! that connect and say nothing keep others out.
 
 use crate::counters::Counters;
-use crate::duty::Duty;
+use crate::lifecycle::Lifecycle;
 use crate::limits::Limits;
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -12,7 +12,7 @@
 use tokio::time::{Instant, sleep};
 
 /// The places of one front.
-pub(crate) struct Seats {
+pub(crate) struct Slots {
     places: usize,
     limits: Arc<Limits>,
     held: Mutex<Held>,
@@ -25,7 +25,7 @@
     /// Clients are sent away.
     leaving: bool,
     next: u64,
-    seats: HashMap<u64, State>,
+    slots: HashMap<u64, State>,
 }
 
 struct State {
@@ -41,16 +41,16 @@
 }
 
 /// One connection's place, free again once this is dropped.
-pub(crate) struct Seat {
-    seats: Arc<Seats>,
+pub(crate) struct Slot {
+    slots: Arc<Slots>,
     id: u64,
     leave: Arc<Notify>,
 }
 
-impl Seats {
-    pub(crate) fn new(places: usize, limits: Arc<Limits>, counters: Arc<Counters>) -> Arc<Seats> {
+impl Slots {
+    pub(crate) fn new(places: usize, limits: Arc<Limits>, counters: Arc<Counters>) -> Arc<Slots> {
         let (held, freed) = (Mutex::default(), Notify::new());
-        Arc::new(Seats { places, limits, held, freed, counters })
+        Arc::new(Slots { places, limits, held, freed, counters })
     }
 
     fn held(&self) -> MutexGuard<'_, Held> {
@@ -75,12 +75,12 @@
         let places = self.limits.share(self.places);
         // Of these, for connections that have not been served yet.
         let most_strangers = places.div_ceil(2);
-        let strangers = held.seats.values().filter(|s| !s.known && !s.asked).count();
-        let all = held.seats.values().filter(|s| !s.asked).count();
+        let strangers = held.slots.values().filter(|s| !s.known && !s.asked).count();
+        let all = held.slots.values().filter(|s| !s.asked).count();
         if strangers < most_strangers && all < places {
             return true;
         }
-        let idle = held.seats.values_mut().filter(|s| s.busy == 0 && !s.asked);
+        let idle = held.slots.values_mut().filter(|s| s.busy == 0 && !s.asked);
         // Above their part a stranger goes, else whoever idles longest; a stranger before the others.
         let only_strangers = strangers >= most_strangers;
         let victim = idle.filter(|s| !(only_strangers && s.known)).min_by_key(|s| (s.known, s.since));
@@ -94,7 +94,7 @@
     /// Asks one idle connection to leave though there is a place: descriptors ran out first.
     pub(crate) fn squeeze(&self) {
         let mut held = self.held();
-        let idle = held.seats.values_mut().filter(|s| s.busy == 0 && !s.asked);
+        let idle = held.slots.values_mut().filter(|s| s.busy == 0 && !s.asked);
         if let Some(victim) = idle.min_by_key(|s| (s.known, s.since)) {
             victim.asked = true;
             victim.leave.notify_one();
@@ -108,13 +108,13 @@
         let mut held = self.held();
         held.leaving = leaving;
         if leaving {
-            held.seats.values_mut().for_each(State::send_away);
+            held.slots.values_mut().for_each(State::send_away);
         }
     }
 
     /// Does so for as long as the front is there.
-    pub(crate) async fn follow(self: Arc<Seats>, duty: Arc<Duty>) {
-        let mut state = duty.follow();
+    pub(crate) async fn follow(self: Arc<Slots>, lifecycle: Arc<Lifecycle>) {
+        let mut state = lifecycle.follow();
         loop {
             self.drain(state.borrow_and_update().leaving());
             if state.changed().await.is_err() {
@@ -124,7 +124,7 @@
     }
 
     /// Takes a place for a connection that has been accepted.
-    pub(crate) fn take(self: &Arc<Seats>) -> Seat {
+    pub(crate) fn take(self: &Arc<Slots>) -> Slot {
         let mut held = self.held();
         let (id, leave) = (held.next, Arc::new(Notify::new()));
         held.next += 1;
@@ -136,8 +136,8 @@
             asked: false,
             leave: leave.clone(),
         };
-        held.seats.insert(id, state);
-        Seat { seats: self.clone(), id, leave }
+        held.slots.insert(id, state);
+        Slot { slots: self.clone(), id, leave }
     }
 }
 
@@ -150,11 +150,11 @@
     }
 }
 
-impl Seat {
+impl Slot {
     fn with(&self, change: impl FnOnce(&mut State)) {
-        let mut held = self.seats.held();
+        let mut held = self.slots.held();
         let leaving = held.leaving;
-        if let Some(state) = held.seats.get_mut(&self.id) {
+        if let Some(state) = held.slots.get_mut(&self.id) {
             state.since = Instant::now();
             change(state);
             if leaving {
@@ -167,7 +167,7 @@
     pub(crate) fn busy(&self, open: usize) {
         self.with(|s| s.busy = open as u32);
         if open == 0 {
-            self.seats.freed.notify_one();
+            self.slots.freed.notify_one();
         }
     }
 
@@ -179,7 +179,7 @@
     /// See `opened`.
     pub(crate) fn closed(&self) {
         self.with(|s| s.busy = s.busy.saturating_sub(1));
-        self.seats.freed.notify_one();
+        self.slots.freed.notify_one();
     }
 
     /// It has brought a call that opens no request.
@@ -189,7 +189,7 @@
 
     /// Whether it has brought a call.
     pub(crate) fn heard(&self) -> bool {
-        self.seats.held().seats.get(&self.id).is_some_and(|s| s.heard)
+        self.slots.held().slots.get(&self.id).is_some_and(|s| s.heard)
     }
 
     /// It has been served: no stranger any more.
@@ -207,7 +207,7 @@
     pub(crate) async fn leaves(&self, quiet: Duration) {
         loop {
             self.asked_to_leave().await;
-            let state = || self.seats.held().seats.get(&self.id).map(|s| (s.busy, s.since));
+            let state = || self.slots.held().slots.get(&self.id).map(|s| (s.busy, s.since));
             loop {
                 let before = state();
                 sleep(quiet).await;
@@ -226,10 +226,10 @@
     }
 }
 
-impl Drop for Seat {
+impl Drop for Slot {
     fn drop(&mut self) {
-        self.seats.held().seats.remove(&self.id);
-        self.seats.freed.notify_one();
+        self.slots.held().slots.remove(&self.id);
+        self.slots.freed.notify_one();
     }
 }
 
--- a/src/duty.rs
+++ b/src/lifecycle.rs
@@ -28,11 +28,11 @@
 }
 
 /// The one place where the state is held.
-pub(crate) struct Duty(watch::Sender<State>);
+pub(crate) struct Lifecycle(watch::Sender<State>);
 
-impl Duty {
-    pub(crate) fn new() -> Duty {
-        Duty(watch::channel(State::default()).0)
+impl Lifecycle {
+    pub(crate) fn new() -> Lifecycle {
+        Lifecycle(watch::channel(State::default()).0)
     }
 
     pub(crate) fn now(&self) -> State {
--- a/src/node.rs
+++ b/src/node.rs
@@ -5,9 +5,9 @@
 use crate::config::{Config, ConfigError, Speech, loopback};
 use crate::core::{Clock, Core, Handle, Input, start};
 use crate::counters::Counters;
-use crate::duty::Duty;
 use crate::engines::{Fleet, House};
 use crate::file::{self, Known, Operators};
+use crate::lifecycle::Lifecycle;
 use crate::limits::Limits;
 use crate::list;
 use crate::operations::{self, Desk};
@@ -44,7 +44,7 @@
     /// The operators' file, and the policy of attempts in force.
     operators: (Option<std::path::PathBuf>, Arc<Mutex<Arc<Policy>>>),
     feed: watch::Sender<SocketAddr>,
-    duty: Arc<Duty>,
+    lifecycle: Arc<Lifecycle>,
     core: Handle,
     /// The platform holds the listening socket: whoever comes waits there for a successor, which may have said that
     /// it is ready a moment ago, before this process could know of it.
@@ -95,7 +95,7 @@
         let clock = Clock::new();
         let (core, inputs) = Handle::new(limits.mailbox, clock);
         let house = House::new(core.clone(), limits.clone(), counters.clone(), speech == Speech::Flight);
-        let duty = Arc::new(Duty::new());
+        let lifecycle = Arc::new(Lifecycle::new());
         let made = Core::new(
             parsed.settings.clone(),
             // A process beside another one of the same seed would take its turns at the same times.
@@ -127,10 +127,10 @@
         }
         let in_force = Arc::new(Mutex::new(policy));
         let ops = desk.map(|(listener, at)| {
-            let (core, counters, limits, duty) =
-                (core.clone(), counters.clone(), limits.clone(), duty.clone());
+            let (core, counters, limits, lifecycle) =
+                (core.clone(), counters.clone(), limits.clone(), lifecycle.clone());
             let (policy, parsed) = (in_force.clone(), settings.clone());
-            let desk = Desk { core, counters, limits, duty, scribe, policy, parsed };
+            let desk = Desk { core, counters, limits, lifecycle, scribe, policy, parsed };
             tokio::spawn(operations::listen(listener, desk));
             at
         });
@@ -142,7 +142,7 @@
             parsed: settings,
             limits: limits.clone(),
             counters: counters.clone(),
-            duty: duty.clone(),
+            lifecycle: lifecycle.clone(),
             stocks: Arc::default(),
         };
         if succeeds {
@@ -159,7 +159,7 @@
             tokio::spawn(agent.listen(socket));
             at
         });
-        duty.set(|state| state.serving = true);
+        lifecycle.set(|state| state.serving = true);
         let (handed, used) = (config.listen_fd.is_some(), Mutex::new(config.values));
         Ok(Node {
             listen,
@@ -173,7 +173,7 @@
             parsed,
             operators: (path, in_force),
             feed,
-            duty,
+            lifecycle,
             core,
             handed,
         })
@@ -249,14 +249,14 @@
     /// Asks for the end: from now on it says that it is not fit.
     pub fn stop(&self) {
         let handed = self.handed;
-        self.duty.set(|state| (state.ending, state.handed) = (true, handed));
+        self.lifecycle.set(|state| (state.ending, state.handed) = (true, handed));
     }
 
     /// Ends as planned: goes on accepting and answering until the late arrivals are in and nothing is open. Where a
     /// successor accepts, none arrive late, and it ends once the connections that it accepted are closed.
     pub async fn finish(&self) {
         self.stop();
-        let handed = self.duty.now().handed;
+        let handed = self.lifecycle.now().handed;
         // Guard: the process is killed after the longest deadline, which counts as no longer than the bound here; what is
         // open then would have no answer.
         let (most, spare) = if handed { self.limits.handed_end } else { self.limits.planned_end };
--- a/src/operations.rs
+++ b/src/operations.rs
@@ -6,7 +6,7 @@
 use crate::config::engine_named;
 use crate::core::Handle;
 use crate::counters::Counters;
-use crate::duty::Duty;
+use crate::lifecycle::Lifecycle;
 use crate::limits::Limits;
 use crate::net::linger;
 use crate::settings::Parsed;
@@ -24,7 +24,7 @@
     pub(crate) core: Handle,
     pub(crate) counters: Arc<Counters>,
     pub(crate) limits: Arc<Limits>,
-    pub(crate) duty: Arc<Duty>,
+    pub(crate) lifecycle: Arc<Lifecycle>,
     pub(crate) scribe: Scribe,
     /// The operators' policy of attempts in force, and the settings that it was held against.
     pub(crate) policy: Arc<Mutex<Arc<Policy>>>,
@@ -125,7 +125,7 @@
     async fn answer(&self, line: &str) -> String {
         let words: Vec<&str> = line.split_ascii_whitespace().collect();
         let said = match words[..] {
-            ["READY"] if self.duty.fit() => Ok("ready"),
+            ["READY"] if self.lifecycle.fit() => Ok("ready"),
             ["READY"] => Err("not ready"),
             ["STATS"] => return format!("{}EOF\n", self.counters.figures()),
             ["POLICY", class] => return self.policy(class, None),
@@ -133,11 +133,11 @@
             ["DISABLE", id] => self.ban(id, true).await.map(|()| "taken out"),
             ["ENABLE", id] => self.ban(id, false).await.map(|()| "may serve again"),
             ["DRAIN"] => {
-                self.duty.set(|state| state.drained = true);
+                self.lifecycle.set(|state| state.drained = true);
                 Ok("clients are sent away")
             }
             ["UNDRAIN"] => {
-                self.duty.set(|state| state.drained = false);
+                self.lifecycle.set(|state| state.drained = false);
                 Ok("clients may come")
             }
             [] => Err("an empty line"),
