--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -1459,10 +1459,7 @@
     let mut child = Reaped(program("signals", &good(), ""));
     let mut said = BufReader::new(child.stderr.take().expect("stderr"));
     let mut line = String::new();
-    let signal = |name: &str| {
-        let sent = Command::new("kill").args(["-s", name, &child.id().to_string()]).status();
-        assert!(sent.expect("kill").success());
-    };
+    let signal = |name: &str| signal(&child, name);
     said.read_line(&mut line).expect("line");
     assert!(line.contains("n1 serves on 127.0.0.1:"), "{line}");
     signal("USR1");
@@ -1487,15 +1484,47 @@
     assert!(child.wait().expect("end").success());
 }
 
+fn signal(child: &Child, name: &str) {
+    let sent = Command::new("kill").args(["-s", name, &child.id().to_string()]).status();
+    assert!(sent.expect("kill").success());
+}
+
+/// A client's connection to a program that says where it serves.
+fn client_of(said: &mut impl BufRead) -> TcpStream {
+    let serves = line_with(said, "serves on");
+    let at = serves.split("serves on ").nth(1).and_then(|rest| rest.split(',').next()).expect("address");
+    TcpStream::connect(at).expect("connect")
+}
+
+/// Guard: a client that takes none of its answers does not keep the program from its planned end.
+#[test]
+fn a_client_that_reads_nothing_and_the_end() {
+    let mut child = Reaped(program("reads_nothing", &good(), ""));
+    let mut said = BufReader::new(child.stderr.take().expect("stderr"));
+    let mut client = client_of(&mut said);
+    client.set_write_timeout(Some(std::time::Duration::from_millis(500))).expect("option");
+    // Until neither side takes anything more.
+    let call = |id: u32| [b"\x94\x00\xce", &id.to_be_bytes()[..], b"\xa6health\x91\x80"].concat();
+    assert!((1u32..).map(call).any(|call| client.write_all(&call).is_err()));
+    signal(&child, "TERM");
+    let since = std::time::Instant::now();
+    let ended = loop {
+        if let Some(ended) = child.try_wait().expect("end") {
+            break ended;
+        }
+        assert!(since.elapsed().as_secs() < 15, "it waits for a client that reads nothing");
+        std::thread::sleep(std::time::Duration::from_millis(10));
+    };
+    assert!(ended.success());
+}
+
 /// Guard: a planned end hears a new configuration, as what is open goes by the list until it is over. A client keeps half a
 /// request open, so that the program has not ended when the file is read.
 #[test]
 fn the_feed_moves_while_the_program_ends() {
     let mut child = Reaped(program("feed_moves", &good(), ""));
     let mut said = BufReader::new(child.stderr.take().expect("stderr"));
-    let serves = line_with(&mut said, "serves on");
-    let at = serves.split("serves on ").nth(1).and_then(|rest| rest.split(',').next()).expect("address");
-    let mut client = TcpStream::connect(at).expect("connect");
+    let mut client = client_of(&mut said);
     client.write_all(b"\x94\x00\x01\xa6health\x91\x80").expect("write");
     client.read_exact(&mut [0; 7]).expect("an answer");
     client.write_all(b"\x94\x00\x02\xa6hea").expect("write");
@@ -1503,10 +1532,7 @@
     let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("feed_moves.json");
     let address = feed.local_addr().expect("address").to_string();
     std::fs::write(&path, good().replace("127.0.0.1:1", &address)).expect("file");
-    for name in ["TERM", "HUP"] {
-        let sent = Command::new("kill").args(["-s", name, &child.id().to_string()]).status();
-        assert!(sent.expect("kill").success());
-    }
+    ["TERM", "HUP"].into_iter().for_each(|name| signal(&child, name));
     line_with(&mut said, &format!("follows the control feed at {address}"));
     let mut last = [0; 8];
     feed.accept().expect("accept").0.read_exact(&mut last).expect("the last event");
