--- a/src/clients/platform/tests.rs
+++ b/src/clients/platform/tests.rs
@@ -28,11 +28,14 @@
     socket.set_recv_buffer_size(2048).expect("option");
     let mut client = socket.connect(at).await.expect("connect");
     let asks = async {
-        for id in 1u32.. {
-            let mut call = vec![0x94, 0, 0xce];
-            call.extend(id.to_be_bytes());
-            call.extend(b"\xa6health\x91\x80");
-            if client.write_all(&call).await.is_err() {
+        for n in 1u32.. {
+            let mut calls = Vec::new();
+            for id in n * 4096..(n + 1) * 4096 {
+                calls.extend([0x94, 0, 0xce]);
+                calls.extend(id.to_be_bytes());
+                calls.extend(b"\xa6health\x91\x80");
+            }
+            if client.write_all(&calls).await.is_err() {
                 return;
             }
         }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -1489,11 +1489,19 @@
     assert!(sent.expect("kill").success());
 }
 
-/// A client's connection to a program that says where it serves.
-fn client_of(said: &mut impl BufRead) -> TcpStream {
+/// A client's connection to a program that says where it serves, with a buffer of about so many bytes for answers.
+fn client_of(said: &mut impl BufRead, buffer: u32) -> TcpStream {
     let serves = line_with(said, "serves on");
     let at = serves.split("serves on ").nth(1).and_then(|rest| rest.split(',').next()).expect("address");
-    TcpStream::connect(at).expect("connect")
+    let at: SocketAddr = at.parse().expect("address");
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("runtime");
+    let stream = runtime.block_on(async {
+        let socket = tokio::net::TcpSocket::new_v4().expect("socket");
+        socket.set_recv_buffer_size(buffer).expect("option");
+        socket.connect(at).await.expect("connect").into_std().expect("stream")
+    });
+    stream.set_nonblocking(false).expect("option");
+    stream
 }
 
 /// Guard: a client that takes none of its answers does not keep the program from its planned end.
@@ -1501,11 +1509,12 @@
 fn a_client_that_reads_nothing_and_the_end() {
     let mut child = Reaped(program("reads_nothing", &good(), ""));
     let mut said = BufReader::new(child.stderr.take().expect("stderr"));
-    let mut client = client_of(&mut said);
+    let mut client = client_of(&mut said, 2048);
     client.set_write_timeout(Some(std::time::Duration::from_millis(500))).expect("option");
     // Until neither side takes anything more.
     let call = |id: u32| [b"\x94\x00\xce", &id.to_be_bytes()[..], b"\xa6health\x91\x80"].concat();
-    assert!((1u32..).map(call).any(|call| client.write_all(&call).is_err()));
+    let calls = |n: u32| (n * 4096..(n + 1) * 4096).flat_map(call).collect::<Vec<u8>>();
+    assert!((1u32..).map(calls).any(|calls| client.write_all(&calls).is_err()));
     signal(&child, "TERM");
     let since = std::time::Instant::now();
     let ended = loop {
@@ -1524,7 +1533,7 @@
 fn the_feed_moves_while_the_program_ends() {
     let mut child = Reaped(program("feed_moves", &good(), ""));
     let mut said = BufReader::new(child.stderr.take().expect("stderr"));
-    let mut client = client_of(&mut said);
+    let mut client = client_of(&mut said, 65_536);
     client.write_all(b"\x94\x00\x01\xa6health\x91\x80").expect("write");
     client.read_exact(&mut [0; 7]).expect("an answer");
     client.write_all(b"\x94\x00\x02\xa6hea").expect("write");
