Keep one word of a drain, one read of an engine's socket and one look at a repeat's time

A line connection held a drain of its own beside the gate that it shares; where the order of an engine that is ready again found the mailbox full, that one stayed for good. The same read stood twice in serve, the comparison of a repeat's time in send and launch, and kill in two tests. Roster::forget had one caller.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -447,9 +447,10 @@
     }
 
     /// Until when an attempt may be written at this engine: infinite where none that may have run went before, or the
-    /// request may be repeated at any time; none where it may not at all. By key a repeat is dropped by the engines of
+    /// request may be repeated at any time; none where it may not, or no more. By key a repeat is dropped by the engines of
     /// one group, and for a while from the first attempt that may have run.
-    fn repeat_until(&self, open: &Open, engine: EngineId) -> Option<Millis> {
+    fn repeat_until(&self, now: Millis, id: RequestId, engine: EngineId) -> Option<Millis> {
+        let open = self.requests.get(&id)?;
         let class = &open.taken.class.class;
         if !open.tries.has_run() || class.effect == Effect::Repeatable {
             return Some(Millis::INFINITY);
@@ -462,7 +463,7 @@
             DedupScope::Cell => cell == first.cell,
         };
         let keyed = remembers && open.taken.idempotency_key.is_some();
-        keyed.then_some(first.at + class.memory_span_ms - REPEAT_MARGIN_MS)
+        keyed.then_some(first.at + class.memory_span_ms - REPEAT_MARGIN_MS).filter(|until| now < *until)
     }
 
     /// Starts an attempt, or says why it cannot be; then it provably never ran.
@@ -473,8 +474,7 @@
         engine: EngineId,
         timeout_ms: Option<Millis>,
     ) -> Option<Outcome> {
-        let until_ms = self.repeat_until(self.requests.get(&id)?, engine);
-        let repeatable = until_ms.is_some_and(|until| now < until);
+        let repeatable = self.repeat_until(now, id, engine).is_some();
         let ready = self.roster.ready(engine) && !self.gateway.bans().contains(&engine);
         let cap = self.gateway.settings().attempts_cap;
         let open = self.requests.get_mut(&id)?;
@@ -505,8 +505,7 @@
         timeout_ms: Option<Millis>,
     ) -> Option<Outcome> {
         // Guard: where it has waited out a back-off, its time may be over.
-        let until_ms = self.repeat_until(self.requests.get(&id)?, engine).filter(|until| now < *until);
-        let Some(until_ms) = until_ms else { return Some(Outcome::Moot) };
+        let Some(until_ms) = self.repeat_until(now, id, engine) else { return Some(Outcome::Moot) };
         let (zone, cell) = self.roster.group(engine).unwrap_or_default();
         let open = self.requests.get_mut(&id)?;
         let own = open.keys.attempt_timeout_ms;
--- a/src/core/roster.rs
+++ b/src/core/roster.rs
@@ -152,13 +152,8 @@
     }
 
     fn leave(&mut self, id: EngineId) {
-        if let Some(line) = self.held.remove(&id) {
-            self.forget(id, line.address);
-        }
-    }
-
-    fn forget(&mut self, id: EngineId, address: SocketAddr) {
-        if self.at.get(&address) == Some(&id) {
+        let address = self.held.remove(&id).map(|line| line.address);
+        if let Some(address) = address.filter(|at| self.at.get(at) == Some(&id)) {
             self.at.remove(&address);
         }
     }
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -158,7 +158,7 @@
         open.tries.sent(0, engine_id(1), Sent { zone: 0, cell: 1, at: 100.0 });
         open.tries.ended(0, true).expect("out");
         for (n, reached) in (1..=3).zip(reach) {
-            let until = core.repeat_until(&core.requests[&1], engine_id(n));
+            let until = core.repeat_until(700.0, 1, engine_id(n));
             assert_eq!(until, (reached > 0).then_some(799.0), "{scope} {key} {n}");
         }
         assert_eq!(core.send(800.0, 1, engine_id(1), None), Some(Outcome::Moot));
--- a/src/engines/lines/connection.rs
+++ b/src/engines/lines/connection.rs
@@ -77,7 +77,6 @@
     pub(super) idle_words: usize,
     /// When a gone engine's connections are cut.
     cut: Option<Instant>,
-    drained: bool,
     gate: Arc<Gate>,
     /// The engine's actor has ended: no more orders come.
     orphaned: bool,
@@ -110,7 +109,6 @@
             half_since: None,
             idle_words: 0,
             cut: None,
-            drained: false,
             gate,
             orphaned: false,
         }
@@ -216,9 +214,7 @@
             // runtime has looked there; an attempt written after either may have run for nothing.
             if self.attempts.is_empty() && !self.waiting.is_empty() {
                 tokio::task::yield_now().await;
-                let open = net::read(stream, &mut self.input, self.house.limits.page_bytes * 2);
-                self.read().await?;
-                if !open? {
+                if !self.hear(stream).await? {
                     return Ok(());
                 }
             }
@@ -247,10 +243,7 @@
                 // First: a connection that broke while it idled is seen before anything is written to it.
                 ready = stream.readable() => {
                     ready?;
-                    let open = net::read(stream, &mut self.input, self.house.limits.page_bytes * 2);
-                    // What came whole before the break counts.
-                    self.read().await?;
-                    if !open? {
+                    if !self.hear(stream).await? {
                         return Ok(());
                     }
                 }
@@ -285,6 +278,14 @@
         }
     }
 
+    /// Reads what is there; false at the end of the stream.
+    async fn hear(&mut self, stream: &TcpStream) -> Result<bool, Broken> {
+        let open = net::read(stream, &mut self.input, self.house.limits.page_bytes * 2);
+        // What came whole before the break counts.
+        self.read().await?;
+        Ok(open?)
+    }
+
     /// What was given up is over.
     fn given_up(&mut self, name: &Bytes, end: End) {
         let Some(attempt) = self.attempts.remove(name) else { return };
@@ -334,7 +335,6 @@
 
     /// The engine is no longer listed: what it holds gets a moment to end.
     fn gone(&mut self) {
-        self.drained = true;
         self.cut = self.cut.or(Some(Instant::now() + self.house.limits.gone_grace));
     }
 
@@ -392,10 +392,9 @@
             }
             Order::Banned if self.shut() => self.unsent(),
             Order::Banned => {}
-            Order::Listed(ListState::Ready) => (self.drained, self.cut) = (false, None),
+            Order::Listed(ListState::Ready) => self.cut = None,
             Order::Listed(state) => {
                 // Guard: what is not yet begun by the word of a drain is not begun at all.
-                self.drained = true;
                 self.unsent();
                 if state == ListState::Gone {
                     self.gone();
@@ -406,7 +405,7 @@
 
     /// Whether nothing new may go to its engine.
     fn shut(&self) -> bool {
-        self.drained || self.gate.shut()
+        self.gate.shut()
     }
 
     fn name_of(&self, id: RequestId, attempt: u16) -> Option<Bytes> {
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -1398,8 +1398,8 @@
         answer[5] == 0xc3
     };
     let end = |mut child: Child| {
-        let sent = Command::new("kill").args(["-s", "TERM", &child.id().to_string()]).status();
-        assert!(sent.expect("kill").success() && child.wait().expect("end").success());
+        signal(&child, "TERM");
+        assert!(child.wait().expect("end").success());
     };
     let (old, mut old_said, old_ops) = start();
     assert!(call(old_ops, "READY").starts_with("200"));
