--- a/src/choice.rs
+++ b/src/choice.rs
@@ -532,6 +532,8 @@
     fn on_tick(&mut self, actions: &mut Vec<Action>) {
         actions.push(Action::Timer { after_ms: TICK_MS, token: TICK });
         self.rate *= 1.0 - TICK_MS / RATE_MS;
+        // Guard: a key outlives its last request by its rest, and no longer.
+        self.keys.retain(|_, (held, rest)| !held.is_empty() || *rest > self.now);
         self.came.0 *= 1.0 - TICK_MS / TRAFFIC_MS;
         self.came.1 += TICK_MS - self.came.1 * TICK_MS / TRAFFIC_MS;
         if self.set.must_ask && !std::mem::replace(&mut self.asked, true) {
@@ -962,11 +964,8 @@
         }
         let (key, seq) = (r.key, r.seq);
         self.reqs.remove(&id);
-        if let Some((held, rest)) = self.keys.get_mut(&key) {
+        if let Some((held, _)) = self.keys.get_mut(&key) {
             held.remove(&seq);
-            if held.is_empty() && *rest <= self.now {
-                self.keys.remove(&key);
-            }
         }
     }
 
--- a/src/clients/flight.rs
+++ b/src/clients/flight.rs
@@ -276,6 +276,9 @@
         let text = |key: &str| metadata.get(key).map(|v| v.as_bytes());
         let class = text(CLASS).ok_or_else(|| invalid(format!("no {CLASS}")))?;
         let class = self.front.class(class).ok_or_else(|| invalid(format!("unknown {CLASS}")))?;
+        if class.class.ordered {
+            return Err(invalid(format!("{CLASS} keeps order by a key, which calls here cannot carry")));
+        }
         let member = text(TENANT).unwrap_or_default();
         if !self.front.knows_tenant(member) {
             return Err(invalid(format!("unknown {TENANT}")));
@@ -396,6 +399,7 @@
             member: call.member,
             front: crate::attempts::Front::Flight,
             idempotency_key: None,
+            order_key: None,
             statement: call.statement,
             kind,
             client: Arc::new(Port(Mutex::new(Some(port)))),
--- a/src/clients/platform.rs
+++ b/src/clients/platform.rs
@@ -3,11 +3,12 @@
 use super::msgpack::{self, Message};
 use super::slots::{Slot, Slots};
 use super::{Front, figure, is_ref, is_token};
-use crate::core::{Answer, Body, ClientPort, Input, Kind, Taken, Why};
+use crate::core::{Answer, Body, ClientPort, Input, Kind, OrderKey, Taken, Why};
 use crate::counters::Ends;
 use crate::interface::{Effect, RequestId};
 use crate::limits::Hold;
 use crate::net::{self, Outbox};
+use crate::settings::Named;
 use crate::{rows, sql};
 use bytes::{Bytes, BytesMut};
 use std::collections::HashMap;
@@ -354,6 +355,8 @@
             Some(key) if !is_token(key, self.front.limits.key_bytes) => return Err("ArgumentError"),
             key => key.cloned(),
         };
+        let order_key = self.order_key(&class, &fields)?;
+        self.count_retry(&fields)?;
         let estimate = |field: &str| match fields.get(field) {
             None => Ok(None),
             Some(text) => self.front.estimate(text).map(Some).ok_or("ArgumentError"),
@@ -370,11 +373,33 @@
             front: crate::attempts::Front::Platform,
             kind: if sql::reads(&statement) { Kind::Query } else { Kind::Update },
             idempotency_key,
+            order_key,
             statement,
             client: self.port.clone(),
         })
     }
 
+    /// The key by which a request takes its turn. Guard: one of a class that keeps order and names none could run
+    /// beside any other.
+    fn order_key(&self, class: &Named, fields: &msgpack::Fields) -> Result<Option<OrderKey>, &'static str> {
+        if !class.class.ordered {
+            return Ok(None);
+        }
+        let text = fields.get("lookup").ok_or("ArgumentError")?;
+        let usable = is_token(text, self.front.limits.key_bytes);
+        usable.then(|| Some(OrderKey::new(text))).ok_or("ArgumentError")
+    }
+
+    /// Counts a request that its client marks as a retry.
+    fn count_retry(&self, fields: &msgpack::Fields) -> Result<(), &'static str> {
+        match fields.get("dup").map(|mark| mark.as_ref()) {
+            None => {}
+            Some(b"1") => self.front.counters.client_retries.up(),
+            Some(_) => return Err("ArgumentError"),
+        }
+        Ok(())
+    }
+
     fn answer(&mut self, id: RequestId, answer: Answer) {
         // Gone where the client has cancelled: then no answer is owed.
         let Some((message, ends)) = self.open.remove(&id) else { return };
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -294,7 +294,7 @@
         let request = Request {
             id,
             class,
-            key: 0,
+            key: taken.order_key.map_or(0, OrderKey::get),
             due_ms: taken.due_ms,
             cost_ms: taken.cost_ms,
             dataset: taken.dataset,
--- a/src/core/narrow/tests.rs
+++ b/src/core/narrow/tests.rs
@@ -101,6 +101,7 @@
             member: Bytes::new(),
             front: crate::attempts::Front::Platform,
             idempotency_key: None,
+            order_key: None,
             statement: Bytes::from_static(b"select 1"),
             kind: Kind::Query,
             client: self.client.clone(),
--- a/src/core/ports.rs
+++ b/src/core/ports.rs
@@ -5,6 +5,8 @@
 use crate::interface::*;
 use crate::settings::Named;
 use bytes::Bytes;
+use std::hash::{DefaultHasher, Hasher};
+use std::num::NonZeroU64;
 use std::sync::Arc;
 use tokio::sync::{mpsc, oneshot};
 
@@ -82,6 +84,25 @@
     fn answer(&self, id: RequestId, answer: Answer);
 }
 
+/// Names the requests of one key among all that keep order: a hash of the client's text, which any front may take.
+/// Two texts with one hash run in turn as well, which keeps every rule.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct OrderKey(NonZeroU64);
+
+impl OrderKey {
+    /// The key of this text. The same build always gives the same one.
+    pub fn new(text: &[u8]) -> OrderKey {
+        let mut hasher = DefaultHasher::new();
+        hasher.write(text);
+        OrderKey(NonZeroU64::new(hasher.finish()).unwrap_or(NonZeroU64::MIN))
+    }
+
+    /// The module's form of it, in which 0 stands for a request without a key.
+    pub fn get(self) -> u64 {
+        self.0.get()
+    }
+}
+
 /// A request as a front took it.
 pub struct Taken {
     /// The id that the core's handle gave out.
@@ -104,6 +125,8 @@
     pub front: crate::attempts::Front,
     /// The key by which engines tell a repeat of it, where its class may be repeated by key.
     pub idempotency_key: Option<Bytes>,
+    /// The key whose requests run one at a time, where its class keeps order.
+    pub order_key: Option<OrderKey>,
     /// The statement.
     pub statement: Bytes,
     /// What its client wants of it.
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -54,6 +54,7 @@
         member: Bytes::new(),
         front: crate::attempts::Front::Platform,
         idempotency_key: None,
+        order_key: None,
         statement: Bytes::new(),
         kind: Kind::Query,
         client,
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -208,6 +208,8 @@
     list_unusable,
     /// Whole lists that leave out more than half of the engines held.
     list_cut,
+    /// Requests that their clients mark as a retry.
+    client_retries,
 }
 
 /// Times from the shortest to the longest, in a histogram of fixed size.
