--- /dev/null
+++ b/tests/order.rs
@@ -0,0 +1,210 @@
+//! Requests that keep order: on real connections those of one key run one at a time, in the order in which they were
+//! taken, and the key rests after an attempt that may still run.
+//!
+//! `wait sent=N` fails where more than N attempts have left the core, which sends in the turn in which it takes.
+
+mod scene;
+
+use magpiechute::config::Speech;
+use rstest::rstest;
+use scene::play;
+
+#[rstest]
+#[case::two_requests_of_one_key_take_turns(
+    "
+    n send settings fifoByKey=true
+    c1 send 1 seat-check lookup=7f3a9c21e0b4d655
+    e expect ASK c1.1
+    c2 send 1 seat-check lookup=7f3a9c21e0b4d655
+    wait taken=2
+    wait sent=1
+    c3 send 1 seat-check lookup=7f3a9c21e0b4d655
+    wait taken=3
+    wait sent=1
+    c1 send 2 seat-check lookup=00000000000000aa
+    e expect ASK c1.2
+    e send c1.2 served batches=1 another\\n
+    c1 expect 2 served another\\n
+    wait sent=2
+    e send c1.1 served batches=1 first\\n
+    c1 expect 1 served first\\n
+    e expect ASK c2.1
+    wait sent=3
+    e send c2.1 served batches=1 second\\n
+    c2 expect 1 served second\\n
+    e expect ASK c3.1
+    e send c3.1 served batches=1 third\\n
+    c3 expect 1 served third\\n
+"
+)]
+#[case::every_class_that_keeps_order_shares_the_keys(
+    "
+    n send settings fifoByKey=true
+    c1 send 1 seat-check lookup=7f3a9c21e0b4d655
+    e expect ASK c1.1
+    c2 send 1 log-load lookup=7f3a9c21e0b4d655
+    wait taken=2
+    wait sent=1
+    e send c1.1 served batches=1 a\\n
+    e expect ASK c2.1
+    e send c2.1 served batches=1 b\\n
+    c1 expect 1 served a\\n
+    c2 expect 1 served b\\n
+"
+)]
+#[case::a_key_of_zeros_is_a_key(
+    "
+    n send settings fifoByKey=true
+    c1 send 1 seat-check lookup=0000000000000000
+    e expect ASK c1.1
+    c2 send 1 seat-check lookup=0000000000000000
+    wait taken=2
+    wait sent=1
+    e send c1.1 served batches=1 a\\n
+    e expect ASK c2.1
+    e send c2.1 served batches=1 b\\n
+    c2 expect 1 served b\\n
+"
+)]
+#[case::a_class_without_order_needs_no_key(
+    "
+    c1 send 1 seat-check lookup=a,b
+    e expect ASK c1.1
+    c2 send 1 seat-check
+    e expect ASK c2.1
+    e send c1.1 served batches=1 a\\n
+    e send c2.1 served batches=1 b\\n
+    c1 expect 1 served a\\n
+    c2 expect 1 served b\\n
+"
+)]
+#[case::a_key_that_is_absent_or_unusable_is_answered(
+    "
+    n send settings fifoByKey=true
+    c1 send 1 seat-check
+    c1 expect 1 ArgumentError
+    c1 send 2 seat-check lookup=a,b
+    c1 expect 2 ArgumentError
+    c1 send 3 seat-check lookup=7f3a9c21e0b4d655 dup=2
+    c1 expect 3 ArgumentError
+    wait client_bad_calls=3
+    wait taken=0
+    c1 send 4 seat-check lookup=7f3a9c21e0b4d655 dup=1
+    e expect ASK c1.4
+    e send c1.4 served batches=1 a\\n
+    c1 expect 4 served a\\n
+    wait client_retries=1
+    f1 send 1 seat-check
+    f1 expect 1 InvalidArgument
+"
+)]
+#[case::the_request_that_has_the_turn_is_tried_again_within_it(
+    "
+    n send settings fifoByKey=true
+    c1 send 1 seat-check lookup=7f3a9c21e0b4d655
+    e expect ASK c1.1
+    c2 send 1 seat-check lookup=7f3a9c21e0b4d655
+    wait taken=2
+    e close c1.1
+    e expect ASK c1.1
+    wait sent=2
+    e send c1.1 served batches=1 a\\n
+    c1 expect 1 served a\\n
+    e expect ASK c2.1
+    e send c2.1 served batches=1 b\\n
+    c2 expect 1 served b\\n
+"
+)]
+#[case::a_key_rests_after_a_reset(
+    "
+    n send settings fifoByKey=true
+    c1 send 1 log-load lookup=7f3a9c21e0b4d655
+    e expect ASK c1.1
+    c2 send 1 seat-check lookup=7f3a9c21e0b4d655
+    wait taken=2
+    e close c1.1
+    c1 expect 1 Internal
+    wait ended_reset=1
+    wait sent=1
+    e expect ASK c2.1
+    e send c2.1 served batches=1 b\\n
+    c2 expect 1 served b\\n
+"
+)]
+#[case::a_key_rests_after_a_cancel(
+    "
+    n send settings fifoByKey=true
+    c1 send 1 seat-check lookup=7f3a9c21e0b4d655
+    e expect ASK c1.1
+    c2 send 1 seat-check lookup=7f3a9c21e0b4d655
+    wait taken=2
+    c1 send cancel 1
+    e expect QUIT c1.1
+    wait given_up=1
+    wait sent=1
+    e expect ASK c2.1
+    e send c2.1 served batches=1 b\\n
+    c2 expect 1 served b\\n
+"
+)]
+#[case::a_key_rests_after_a_time_out(
+    "
+    n send settings fifoByKey=true
+    c1 send 1 seat-check lookup=7f3a9c21e0b4d655 allow=400
+    e expect ASK c1.1
+    c2 send 1 seat-check lookup=7f3a9c21e0b4d655
+    wait taken=2
+    c1 expect 1 DeadlineExceeded
+    e expect QUIT c1.1
+    wait given_up=1
+    wait sent=1
+    e expect ASK c2.1
+    e send c2.1 served batches=1 b\\n
+    c2 expect 1 served b\\n
+"
+)]
+#[case::a_connection_that_closes_gives_its_turns_up(
+    "
+    n send settings fifoByKey=true
+    c1 send 1 seat-check lookup=7f3a9c21e0b4d655
+    e expect ASK c1.1
+    c1 send 2 seat-check lookup=7f3a9c21e0b4d655
+    wait taken=2
+    c2 send 1 seat-check lookup=7f3a9c21e0b4d655
+    wait taken=3
+    c1 close
+    e expect QUIT c1.1
+    wait left=2
+    wait given_up=1
+    wait sent=1
+    e expect ASK c2.1
+    e send c2.1 served batches=1 b\\n
+    c2 expect 1 served b\\n
+"
+)]
+#[case::turns_outlast_new_settings(
+    "
+    n send settings fifoByKey=true
+    c1 send 1 seat-check lookup=7f3a9c21e0b4d655
+    e expect ASK c1.1
+    c2 send 1 seat-check lookup=7f3a9c21e0b4d655
+    wait taken=2
+    n send settings fifoByKey=true promiseMs=7000
+    wait reloads=2
+    c3 send 1 seat-check lookup=7f3a9c21e0b4d655
+    wait taken=3
+    wait sent=1
+    e send c1.1 served batches=1 a\\n
+    e expect ASK c2.1
+    wait sent=2
+    e send c2.1 served batches=1 b\\n
+    e expect ASK c3.1
+    e send c3.1 served batches=1 c\\n
+    c1 expect 1 served a\\n
+    c2 expect 1 served b\\n
+    c3 expect 1 served c\\n
+"
+)]
+fn order(#[case] script: &str) {
+    play(3, Speech::Lines, script);
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -126,6 +126,21 @@
     assert!(sent(&rig.tick(60.0), 2).is_some());
 }
 
+/// Guard: keys come from clients, so one is held while it has requests or rests, and no longer.
+#[test]
+fn rule_5_a_key_is_forgotten_after_its_rest() {
+    let ordered = Class { ordered: true, ..keyed(DedupScope::All) };
+    let mut rig = Rig::new(settings(vec![ordered]), 3);
+    for id in 1..=100 {
+        let at = sent(&rig.request(id, 0, u64::from(id)), id).unwrap();
+        rig.event(Event::ClientGone { id });
+        rig.ended(id, 0, at, Outcome::Reset);
+    }
+    assert_eq!(rig.gateway.held()[2], 100, "all of them rest");
+    rig.tick(400.0);
+    assert_eq!(rig.gateway.held()[2], 0);
+}
+
 #[test]
 fn rule_6_a_bound_class_waits_for_its_engines() {
     let bound = Class { zones: Some(vec![1]), kinds: Some(vec![0]), ..class(1, 1000.0, 1.0) };
--- a/tests/scene/mod.rs
+++ b/tests/scene/mod.rs
@@ -52,7 +52,8 @@
     let class = |name: &str, effect: &str, promise: u32| {
         format!(
             r#"{{"name":"{name}","effect":"{effect}","promiseMs":{promise},"aimStretch":3.0,"giveUpMs":15000,
-                "points":1,"lateWorth":0.5,"memorySpanMs":5000,"dedupScope":"all"}}"#
+                "points":1,"lateWorth":0.5,"memorySpanMs":5000,"dedupScope":"all",
+                "fifoByKey":false}}"#
         )
     };
     let classes = [class("seat-check", "repeatable", 5000), class("usage-report", "repeatable", 9000)];
@@ -60,8 +61,8 @@
     format!(
         r#"{{"nInstances":1,"classes":[{classes}],"discovery":"push","zones":["hall-a"],"shapes":["std-8c"],
         "tenants":[{{"name":"member-north","quotaPerS":28}}],"report":{{"how":"inline","names":["rif"]}},
-        "guarantees":{{"coldMs":15000,"coldShare":0.3,"overloadForMs":1500,"tipMultiple":3}},
-        "limits":{{"attemptsCap":6,"cancel":true,"retryAfter":true,"maxRetryAfterMs":1000,"connectTimeoutMs":250,
+        "guarantees":{{"coldMs":15000,"coldShare":0.3,"overloadForMs":1500,"tipMultiple":3,
+        "orderPauseMs":300}},"limits":{{"attemptsCap":6,"cancel":true,"retryAfter":true,"maxRetryAfterMs":1000,"connectTimeoutMs":250,
         "connIdleMs":15000,"streamsPerConn":100,"maxOpen":200}},
         "specifics":{{"classThreads":[1,3,2],"sizeCores":[8],"bills":true,"progressMs":500,"takesGrants":true}}}}"#
     )
