--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 	cargo build --locked --release
 
 test:
-	cargo test --locked
+	.ci/test
 
 lint:
 	cargo fmt --all -- --check
