Break the import circles of attempts, core and counters, and of engines' places and slots

Cause: attempts asked core which outcomes prove that an attempt never ran, and counters read core's answers, while core imports both (and log, file behind them). engines::slots took the load of a connection from engines::place, which asks slots for descriptors; and both lay below engines, which they imported.

Change: attempt::never_ran stands beside the other proofs of an end; the Flight front counts its answers itself, as the platform's does; attempts::keys holds the keys that policies and routes share; engines::load and engines::context hold what engines' modules share; the way back from a connection stands with the connection. Top-level modules import in one direction now. Left within one folder: core with core::actor, file with file::check.

--- a/src/attempt.rs
+++ b/src/attempt.rs
@@ -27,6 +27,11 @@
     }
 }
 
+/// Whether an outcome proves that the attempt never ran.
+pub fn never_ran(outcome: Outcome) -> bool {
+    matches!(outcome, Outcome::Full | Outcome::NoConnection | Outcome::Moot | Outcome::NoRoom)
+}
+
 /// Where an attempt is. A mark counts what a connection has been given to write, in whatever unit its speech has.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Phase {
--- /dev/null
+++ b/src/attempts/keys.rs
@@ -0,0 +1,202 @@
+//! The keys that a table of the operators' file sets, with the types of their values, and what they allow after an
+//! attempt's end.
+
+use super::budget::Budget;
+use crate::attempt::never_ran;
+use crate::interface::{Millis, Outcome};
+use std::sync::Arc;
+
+/// The ends of an attempt that may be followed by another one, as a set.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Ends(u8);
+
+/// Those ends with their names in the operators' file.
+pub const ENDS: [(&str, Outcome); 6] = [
+    ("no-connection", Outcome::NoConnection),
+    ("full", Outcome::Full),
+    ("never-sent", Outcome::Moot),
+    ("reset", Outcome::Reset),
+    ("error", Outcome::Error),
+    ("timed-out", Outcome::TimedOut),
+];
+
+impl Ends {
+    /// All of them.
+    pub fn all() -> Ends {
+        ENDS.iter().fold(Ends::default(), |all, (_, end)| all.with(*end))
+    }
+
+    /// This set and one more. A called-off attempt counts as timed out: it took too long.
+    #[must_use]
+    pub fn with(self, end: Outcome) -> Ends {
+        Ends(self.0 | Ends::bit(end))
+    }
+
+    /// Whether it has this end.
+    pub fn has(self, end: Outcome) -> bool {
+        self.0 & Ends::bit(end) != 0
+    }
+
+    /// Those among them after which the attempt may have run.
+    pub fn that_may_have_run(self) -> impl Iterator<Item = &'static str> {
+        ENDS.iter().filter(move |(_, end)| self.has(*end) && !never_ran(*end)).map(|(name, _)| *name)
+    }
+
+    fn bit(end: Outcome) -> u8 {
+        let end = if end == Outcome::Cancelled { Outcome::TimedOut } else { end };
+        ENDS.iter().position(|(_, e)| *e == end).map_or(0, |at| 1 << at)
+    }
+}
+
+/// Waits before further attempts, in ms.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct BackOff {
+    /// Before the second attempt; twice as long before each further one.
+    pub base_ms: Millis,
+    /// At most.
+    pub max_ms: Millis,
+    /// The share of a wait, from 0 to 1, that chance may take off.
+    pub jitter: f64,
+}
+
+impl BackOff {
+    /// The wait before the next attempt, after so many (from 1); `chance` is from 0 to 1.
+    pub fn wait_ms(&self, made: u16, chance: f64) -> Millis {
+        let doublings = i32::from(made.saturating_sub(1).min(30));
+        let whole = (self.base_ms * 2f64.powi(doublings)).min(self.max_ms);
+        whole * (1.0 - self.jitter * chance.clamp(0.0, 1.0))
+    }
+
+    /// All waits of so many attempts, without jitter.
+    pub fn all_ms(&self, attempts: u32) -> Millis {
+        (1..attempts.min(64)).map(|made| self.wait_ms(made as u16, 0.0)).sum()
+    }
+}
+
+/// When a second copy of an attempt goes out.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum After {
+    /// Once the attempt has been out this long, in ms.
+    Ms(Millis),
+    /// Once it has been out for longer than this share of its class's usual ones, as 0.95.
+    Quantile(f64),
+}
+
+/// Second copies.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SecondCopy {
+    /// When.
+    pub after: After,
+    /// Copies against first attempts.
+    pub ratio: f64,
+}
+
+/// The keys that a table of the operators' file sets; none where it leaves one out.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Keys {
+    /// The whole request, in ms.
+    pub timeout_ms: Option<Millis>,
+    /// One attempt, in ms.
+    pub attempt_timeout_ms: Option<Millis>,
+    /// Attempts, the first included.
+    pub max_attempts: Option<u32>,
+    /// The ends that may be followed by another attempt.
+    pub retry_on: Option<Ends>,
+    /// Waits before further attempts.
+    pub backoff: Option<BackOff>,
+    /// Further attempts of all requests that take it from here.
+    pub budget: Option<Arc<Budget>>,
+    /// Second copies.
+    pub second_copy: Option<SecondCopy>,
+}
+
+impl Keys {
+    /// These, and those of `over` in the place of any that both set.
+    pub fn lay(&mut self, over: &Keys) {
+        fn one<T: Clone>(under: &mut Option<T>, over: &Option<T>) {
+            if over.is_some() {
+                under.clone_from(over);
+            }
+        }
+        one(&mut self.timeout_ms, &over.timeout_ms);
+        one(&mut self.attempt_timeout_ms, &over.attempt_timeout_ms);
+        one(&mut self.max_attempts, &over.max_attempts);
+        one(&mut self.retry_on, &over.retry_on);
+        one(&mut self.backoff, &over.backoff);
+        one(&mut self.budget, &over.budget);
+        one(&mut self.second_copy, &over.second_copy);
+    }
+
+    /// The names of the keys that both set, and to different values.
+    pub fn disagree(&self, other: &Keys) -> Vec<&'static str> {
+        let differ = |((key, a), (_, b)): (Shown, Shown)| {
+            matches!((a, b), (Some(a), Some(b)) if a != b).then_some(key)
+        };
+        self.shown().into_iter().zip(other.shown()).filter_map(differ).collect()
+    }
+
+    /// Each key with its value as the file writes it, none where this table leaves it out.
+    pub fn shown(&self) -> [Shown; 7] {
+        let ends = |ends: &Ends| {
+            let names: Vec<String> =
+                ENDS.iter().filter(|(_, e)| ends.has(*e)).map(|(n, _)| format!("{n:?}")).collect();
+            format!("[{}]", names.join(", "))
+        };
+        let wait = |b: &BackOff| {
+            format!("{{ base_ms = {}, max_ms = {}, jitter = {} }}", b.base_ms, b.max_ms, b.jitter)
+        };
+        let budget = |b: &Arc<Budget>| {
+            let window_s = b.window_ms / 1000.0;
+            format!("{{ ratio = {}, min_per_s = {}, window_s = {window_s} }}", b.ratio, b.min_per_s)
+        };
+        let copy = |c: &SecondCopy| match c.after {
+            After::Ms(ms) => format!("{{ after_ms = {ms}, ratio = {} }}", c.ratio),
+            After::Quantile(q) => format!("{{ after = \"p{}\", ratio = {} }}", q * 100.0, c.ratio),
+        };
+        [
+            ("timeout_ms", self.timeout_ms.map(|ms| ms.to_string())),
+            ("attempt_timeout_ms", self.attempt_timeout_ms.map(|ms| ms.to_string())),
+            ("max_attempts", self.max_attempts.map(|n| n.to_string())),
+            ("retry_on", self.retry_on.as_ref().map(ends)),
+            ("backoff", self.backoff.as_ref().map(wait)),
+            ("budget", self.budget.as_ref().map(budget)),
+            ("second_copy", self.second_copy.as_ref().map(copy)),
+        ]
+    }
+}
+
+/// A key with its value as the file writes it, none where a table leaves it out.
+pub type Shown = (&'static str, Option<String>);
+
+impl Keys {
+    /// Whether another attempt may follow this end after so many, budget aside.
+    pub fn may_follow(&self, made: u16, end: Outcome) -> bool {
+        self.max_attempts.is_none_or(|most| u32::from(made) < most)
+            && self.retry_on.is_none_or(|ends| ends.has(end))
+    }
+}
+
+/// What may follow an end.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Next {
+    /// Another attempt, after this wait in ms.
+    After(Millis),
+    /// None: the policy has no attempt left, or none after such an end.
+    Ended,
+    /// None for now: the budget is spent.
+    Held,
+}
+
+impl Keys {
+    /// What may follow this end of an attempt, after so many, at `now`; a further attempt is counted against the
+    /// budget. `chance` is from 0 to 1. A key that nothing sets bars nothing.
+    pub fn next(&self, made: u16, end: Outcome, now: Millis, chance: f64) -> Next {
+        if !self.may_follow(made, end) {
+            return Next::Ended;
+        }
+        if self.budget.as_ref().is_some_and(|budget| !budget.take(now)) {
+            return Next::Held;
+        }
+        Next::After(self.backoff.map_or(0.0, |wait| wait.wait_ms(made, chance)))
+    }
+}
--- a/src/attempts/policy.rs
+++ b/src/attempts/policy.rs
@@ -1,8 +1,9 @@
 //! The policy of attempts in force: the index of the tables, and the tables themselves for telling where each value
 //! of a request's keys comes from.
 
+use super::keys::{ENDS, Ends, Keys};
 use super::routes::{Fault, Route, Routes, Where};
-use super::{Ends, Keys};
+use crate::attempt::never_ran;
 use std::cmp::Reverse;
 
 /// Where a value of a request's keys comes from, as `POLICY` and `explain` tell it.
@@ -117,7 +118,7 @@
     /// end at which the attempt may have run.
     pub fn for_once(&self) -> Keys {
         let never = |ends: Ends| {
-            let kept = super::ENDS.iter().filter(move |(_, e)| crate::core::never_ran(*e) && ends.has(*e));
+            let kept = ENDS.iter().filter(move |(_, e)| never_ran(*e) && ends.has(*e));
             kept.fold(Ends::default(), |all, (_, e)| all.with(*e))
         };
         let retry_on = self.retry_on.map(never);
--- a/src/attempts/tests.rs
+++ b/src/attempts/tests.rs
@@ -2,9 +2,11 @@
 
 use super::routes::Fault;
 use super::*;
+use crate::interface::Outcome;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use std::collections::BTreeSet;
+use std::sync::Arc;
 
 fn keys(timeout_ms: Option<f64>, max_attempts: Option<u32>) -> Keys {
     Keys { timeout_ms, max_attempts, ..Keys::default() }
--- a/src/clients/flight.rs
+++ b/src/clients/flight.rs
@@ -407,7 +407,13 @@
         self.front.core.tell(Input::Take(taken)).await;
         let answer = answer.await;
         owed.over = true;
-        ends.count(answer.as_ref().ok());
+        match &answer {
+            Ok(Answer::Served(_)) => &ends.passed,
+            Ok(Answer::Refused { .. }) => &ends.dropped,
+            // No answer at all is a failure, too.
+            Ok(Answer::Failed(_)) | Err(_) => &ends.bad_gateway,
+        }
+        .up();
         match answer {
             Ok(Answer::Served(body)) => {
                 owed.over = body.rest.is_none();
--- a/src/core/ends.rs
+++ b/src/core/ends.rs
@@ -188,8 +188,3 @@
         }
     }
 }
-
-/// Whether an outcome proves that the attempt never ran.
-pub fn never_ran(outcome: Outcome) -> bool {
-    matches!(outcome, Outcome::Full | Outcome::NoConnection | Outcome::Moot | Outcome::NoRoom)
-}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -13,10 +13,9 @@
 mod roster;
 
 pub use actor::{Clock, Handle, Inputs, start};
-pub use ends::never_ran;
 pub use ports::*;
 
-use crate::attempt::{Sent, Tries};
+use crate::attempt::{Sent, Tries, never_ran};
 use crate::attempts::{Keys, Policy, Where};
 use crate::config::{ListEvent, engine_text};
 use crate::counters::Counters;
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -1,7 +1,6 @@
 //! What the program takes in, sends and answers, counted in one table where it happens: printed on SIGUSR1 and at
 //! exit, told at the operations address, and read by the SNMP agent in the order that stands here.
 
-use crate::core::Answer;
 use hdrhistogram::Histogram;
 use std::fmt::{self, Write};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -261,17 +260,6 @@
     pub bad_gateway: Count,
 }
 
-impl Ends {
-    /// Counts what a client is told; no answer at all is a failure.
-    pub(crate) fn count(&self, answer: Option<&Answer>) {
-        match answer {
-            Some(Answer::Served(_)) => self.passed.up(),
-            Some(Answer::Refused { .. }) => self.dropped.up(),
-            _ => self.bad_gateway.up(),
-        }
-    }
-}
-
 /// Names of classes kept at most. They come from configurations alone, so this is for an endless row of those.
 const CLASSES: usize = 256;
 
--- /dev/null
+++ b/src/engines/context.rs
@@ -0,0 +1,81 @@
+//! What every engine's actor holds, and the orders that it takes.
+
+use super::slots::Slots;
+use crate::core::{Ask, EngineNews, Handle, Input};
+use crate::counters::Counters;
+use crate::interface::{EngineId, ListState, LoadReport, RequestId};
+use crate::limits::{Limits, Stock};
+use std::sync::Arc;
+
+/// What every engine's actor holds.
+#[derive(Clone)]
+pub(crate) struct House {
+    pub(crate) core: Handle,
+    pub(crate) limits: Arc<Limits>,
+    pub(crate) counters: Arc<Counters>,
+    /// Whether the engines speak Flight SQL and not lines.
+    pub(crate) flight: bool,
+    /// Bytes of results that are not whole yet.
+    pub(crate) held: Arc<Stock>,
+    /// Descriptors of connections to engines.
+    pub(crate) slots: Arc<Slots>,
+}
+
+impl House {
+    pub(crate) fn new(core: Handle, limits: Arc<Limits>, counters: Arc<Counters>, flight: bool) -> House {
+        let slots = Slots::new(limits.clone(), counters.clone());
+        House { core, limits, counters, flight, held: Arc::default(), slots }
+    }
+
+    /// Tells the core news of an attempt.
+    pub(crate) async fn tell(
+        &self,
+        engine: EngineId,
+        (id, attempt): (RequestId, u16),
+        report: LoadReport,
+        news: EngineNews,
+    ) {
+        self.core.tell(Input::Engine { engine, id, attempt, report, news }).await;
+    }
+
+    /// Tells the core the end of an attempt about which its engine reported nothing.
+    pub(crate) async fn tell_end(&self, engine: EngineId, ask: &Ask, news: EngineNews) {
+        self.tell(engine, (ask.id, ask.attempt), LoadReport::default(), news).await;
+    }
+}
+
+#[cfg(test)]
+impl House {
+    /// One for tests of engines' actors.
+    pub(crate) fn for_tests(core: Handle) -> House {
+        House::with_sockets(core, 256)
+    }
+
+    /// The same with so many descriptors.
+    pub(crate) fn with_sockets(core: Handle, sockets: usize) -> House {
+        let limits = Arc::new(Limits::new(sockets, 32, true, &House::settings_for_tests()));
+        House::new(core, limits, Arc::default(), false)
+    }
+
+    /// Settings with one class.
+    pub(crate) fn settings_for_tests() -> crate::settings::Parsed {
+        let text = r#"{"nInstances":1,"classes":[{"name":"a","effect":"repeatable","promiseMs":5000,"giveUpMs":15000}],
+            "guarantees":{"coldMs":1,"coldShare":0.3,"overloadForMs":1,"tipMultiple":3},
+            "limits":{"attemptsCap":6},"shapes":["std-8c"],"specifics":{"sizeCores":[8]}}"#;
+        crate::settings::parse(text.as_bytes()).expect("settings")
+    }
+}
+
+/// What an engine's actor is told.
+#[derive(Clone, Debug)]
+pub(crate) enum Order {
+    /// Boxed, as a mailbox has room for some orders from the start.
+    Ask(Box<Ask>),
+    /// Given up; and whether another attempt may follow.
+    Quit(RequestId, u16, bool),
+    Priority(RequestId, u16, u8),
+    /// The list's word on it.
+    Listed(ListState),
+    /// Staff took it out, or gave it back.
+    Banned,
+}
--- a/src/engines/flight/mod.rs
+++ b/src/engines/flight/mod.rs
@@ -3,10 +3,10 @@
 
 mod wire;
 
+use super::context::{House, Order};
 use super::gate::Gate;
-use super::place::Load;
+use super::load::Load;
 use super::slots::Need;
-use super::{House, Order};
 use crate::attempt::{End, Life};
 use crate::clients::flight::{CLASS, REF};
 use crate::core::{Ask, Body, EngineNews, Flow, Form, Kind};
--- a/src/engines/lines/answers.rs
+++ b/src/engines/lines/answers.rs
@@ -1,8 +1,8 @@
 //! What an engine answers on a connection: ends, pages of results and notes.
 
 use super::connection::{Attempt, Connection, Pages, once};
-use crate::attempt::End;
-use crate::core::{Body, EngineNews, Form, never_ran};
+use crate::attempt::{End, never_ran};
+use crate::core::{Body, EngineNews, Form};
 use crate::engines::reply::{Broken, Reply, number_of, rows_of, take};
 use crate::interface::{LoadReport, Note, Outcome};
 use crate::limits::Hold;
--- a/src/engines/lines/connection.rs
+++ b/src/engines/lines/connection.rs
@@ -1,13 +1,12 @@
 //! One connection to an engine: an actor that writes attempts and the words for them, and hears the answers.
 
-use super::{Back, ended};
 use crate::attempt::{End, Life};
 use crate::core::{Ask, EngineNews};
+use crate::engines::context::{House, Order};
 use crate::engines::gate::Gate;
-use crate::engines::place::Load;
+use crate::engines::load::Load;
 use crate::engines::reply::Broken;
 use crate::engines::slots::Slot;
-use crate::engines::{House, Order};
 use crate::interface::{Effect, EngineId, ListState, LoadReport, Outcome, RequestId};
 use crate::limits::Hold;
 use crate::net::{self, Outbox};
@@ -15,11 +14,19 @@
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep_until, timeout};
 
+/// The way back from a connection, for attempts that it was never sent; nothing where it is over.
+#[derive(Clone)]
+pub(super) struct Back {
+    pub(super) asks: mpsc::UnboundedSender<Option<Box<Ask>>>,
+    /// Connections that ended since the engine last answered: where there are several, it is the engine's fault.
+    pub(super) broken: Arc<AtomicUsize>,
+}
+
 /// An attempt on this connection, by the client's name for its request.
 pub(super) struct Attempt {
     pub(super) ask: Box<Ask>,
@@ -204,7 +211,7 @@
 
     async fn report(&mut self) {
         for (ask, told) in std::mem::take(&mut self.ends) {
-            ended(&self.house, self.engine, &ask, told).await;
+            self.house.tell_end(self.engine, &ask, told).await;
         }
     }
 
--- a/src/engines/lines/mod.rs
+++ b/src/engines/lines/mod.rs
@@ -4,15 +4,14 @@
 mod answers;
 mod connection;
 
+use super::context::{House, Order};
 use super::gate::Gate;
 use super::place::{Conn, Place, place};
-use super::{House, Order};
-use crate::core::{Ask, EngineNews};
-use crate::interface::{Effect, EngineId, LoadReport, Outcome};
-use connection::Connection;
+use crate::core::EngineNews;
+use crate::interface::{Effect, EngineId, Outcome};
+use connection::{Back, Connection};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicUsize;
 use tokio::sync::mpsc;
 
 /// Runs one engine as long as it has connections, or until the list drops it and its attempts are over.
@@ -53,7 +52,7 @@
         };
         // Guard: what a broken connection gave back finds no new one to what drains or was taken out meanwhile.
         if gate.shut() {
-            ended(&house, engine, &ask, EngineNews::end(Outcome::NoConnection)).await;
+            house.tell_end(engine, &ask, EngineNews::end(Outcome::NoConnection)).await;
             let _ = back.asks.send(None);
             continue;
         }
@@ -61,7 +60,7 @@
         let conn = match place(&conns, once, &house) {
             Place::On(conn) => conn,
             Place::Nowhere => {
-                ended(&house, engine, &ask, EngineNews::end(Outcome::NoRoom)).await;
+                house.tell_end(engine, &ask, EngineNews::end(Outcome::NoRoom)).await;
                 let _ = back.asks.send(None); // without a connection it is over
                 continue;
             }
@@ -78,7 +77,7 @@
         if let Err(refused) = conns[conn].orders.try_send(Order::Ask(ask)) {
             conns[conn].load.take_off(once);
             if let Order::Ask(ask) = refused.into_inner() {
-                ended(&house, engine, &ask, EngineNews::end(Outcome::NoConnection)).await;
+                house.tell_end(engine, &ask, EngineNews::end(Outcome::NoConnection)).await;
             }
         }
     }
@@ -90,22 +89,10 @@
     orders.close();
     while let Ok(order) = orders.try_recv() {
         if let Order::Ask(ask) = order {
-            ended(house, engine, &ask, EngineNews::end(Outcome::NoRoom)).await;
+            house.tell_end(engine, &ask, EngineNews::end(Outcome::NoRoom)).await;
         }
     }
 }
 
-/// The way back from a connection, for attempts that it was never sent; nothing where it is over.
-#[derive(Clone)]
-struct Back {
-    asks: mpsc::UnboundedSender<Option<Box<Ask>>>,
-    /// Connections that ended since the engine last answered: where there are several, it is the engine's fault.
-    broken: Arc<AtomicUsize>,
-}
-
-async fn ended(house: &House, engine: EngineId, ask: &Ask, news: EngineNews) {
-    house.tell(engine, (ask.id, ask.attempt), LoadReport::default(), news).await;
-}
-
 #[cfg(test)]
 mod tests;
--- a/src/engines/lines/tests.rs
+++ b/src/engines/lines/tests.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 use crate::attempt::End;
+use crate::core::Ask;
 use crate::engines::tests::{LARGE, Rig, ask, ask_of, block, given_up};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
--- a/src/engines/many.rs
+++ b/src/engines/many.rs
@@ -1,7 +1,8 @@
 //! Tests of a manager with more engines in its list than descriptors, and of a list that churns.
 
+use super::Fleet;
+use super::context::{House, Order};
 use super::tests::{ask, block, line};
-use super::{Fleet, House, Order};
 use crate::config::{ListEvent, Listed, engine_id};
 use crate::core::tests::taken;
 use crate::core::{
--- a/src/engines/mod.rs
+++ b/src/engines/mod.rs
@@ -1,9 +1,11 @@
 //! Engines, by the protocol that they speak: one actor an engine, which owns its connections and lives as long as it
 //! has any. Without one an engine costs its entry in the list alone.
 
+mod context;
 pub(crate) mod flight;
 mod gate;
 pub(crate) mod lines;
+mod load;
 #[cfg(test)]
 mod many;
 mod place;
@@ -13,85 +15,16 @@
 mod tests;
 
 use crate::config::Listed;
-use crate::core::{Ask, EngineNews, EnginePort, Handle, Input};
-use crate::counters::Counters;
-use crate::interface::{EngineId, ListState, LoadReport, RequestId};
-use crate::limits::{Limits, Stock};
+use crate::core::{Ask, EnginePort};
+use crate::interface::{EngineId, ListState, RequestId};
+pub(crate) use context::House;
+use context::Order;
 use gate::Gate;
-use slots::Slots;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use tokio::sync::mpsc::{self, error::TrySendError};
 
-/// What every engine's actor holds.
-#[derive(Clone)]
-pub(crate) struct House {
-    pub(crate) core: Handle,
-    pub(crate) limits: Arc<Limits>,
-    pub(crate) counters: Arc<Counters>,
-    /// Whether the engines speak Flight SQL and not lines.
-    pub(crate) flight: bool,
-    /// Bytes of results that are not whole yet.
-    pub(crate) held: Arc<Stock>,
-    /// Descriptors of connections to engines.
-    pub(crate) slots: Arc<Slots>,
-}
-
-impl House {
-    pub(crate) fn new(core: Handle, limits: Arc<Limits>, counters: Arc<Counters>, flight: bool) -> House {
-        let slots = Slots::new(limits.clone(), counters.clone());
-        House { core, limits, counters, flight, held: Arc::default(), slots }
-    }
-
-    /// Tells the core news of an attempt.
-    pub(crate) async fn tell(
-        &self,
-        engine: EngineId,
-        (id, attempt): (RequestId, u16),
-        report: LoadReport,
-        news: EngineNews,
-    ) {
-        self.core.tell(Input::Engine { engine, id, attempt, report, news }).await;
-    }
-}
-
-#[cfg(test)]
-impl House {
-    /// One for tests of engines' actors.
-    pub(crate) fn for_tests(core: Handle) -> House {
-        House::with_sockets(core, 256)
-    }
-
-    /// The same with so many descriptors.
-    pub(crate) fn with_sockets(core: Handle, sockets: usize) -> House {
-        let limits = Arc::new(Limits::new(sockets, 32, true, &House::settings_for_tests()));
-        House::new(core, limits, Arc::default(), false)
-    }
-
-    /// Settings with one class.
-    pub(crate) fn settings_for_tests() -> crate::settings::Parsed {
-        let text = r#"{"nInstances":1,"classes":[{"name":"a","effect":"repeatable","promiseMs":5000,"giveUpMs":15000}],
-            "guarantees":{"coldMs":1,"coldShare":0.3,"overloadForMs":1,"tipMultiple":3},
-            "limits":{"attemptsCap":6},"shapes":["std-8c"],"specifics":{"sizeCores":[8]}}"#;
-        crate::settings::parse(text.as_bytes()).expect("settings")
-    }
-}
-
-/// What an engine's actor is told.
-#[derive(Clone, Debug)]
-pub(crate) enum Order {
-    /// Boxed, as a mailbox has room for some orders from the start.
-    Ask(Box<Ask>),
-    /// Given up; and whether another attempt may follow.
-    Quit(RequestId, u16, bool),
-    Priority(RequestId, u16, u8),
-    /// The list's word on it.
-    Listed(ListState),
-    /// Staff took it out, or gave it back.
-    Banned,
-}
-
 struct Peer {
     address: SocketAddr,
     /// Its actor's mailbox, once it has had one: it ends with its last connection, and comes back with the next attempt.
--- a/src/engines/slots.rs
+++ b/src/engines/slots.rs
@@ -2,7 +2,7 @@
 //! descriptor, so there may be many more engines than descriptors: a connection on which nothing is out gives way to
 //! the one that is needed now, the longest idle first.
 
-use super::place::Load;
+use super::load::Load;
 use crate::counters::Counters;
 use crate::limits::Limits;
 use std::collections::BTreeMap;
--- a/src/engines/tests.rs
+++ b/src/engines/tests.rs
@@ -1,7 +1,8 @@
 //! What the tests of engines' actors share: an actor of either speech and the bare socket that it connects to.
 
+use super::context::{House, Order};
 use super::gate::Gate;
-use super::{Fleet, House, Order, flight, lines};
+use super::{Fleet, flight, lines};
 use crate::attempt::End;
 use crate::config::{Listed, engine_id};
 use crate::core::{Ask, Clock, EngineNews, EnginePort, Handle, Input, Inputs, Kind};
