--- a/src/attempt.rs
+++ b/src/attempt.rs
@@ -1,5 +1,5 @@
 //! The life of an attempt, from the decision to send it to the proof that it is over. Sans-I/O: what speaks to an
-//! engine tells a [`Life`] what was queued, written, answered and closed; the core keeps the [`Tries`] of each
+//! engine tells a [`Life`] what was queued, written, answered and closed; the core keeps the [`AttemptHistory`] of each
 //! request and lets a further attempt out only once the one before is proven over. `docs/ends.md` has the table
 //! of all ends.
 
@@ -14,7 +14,7 @@
     Refused,
     /// The engine said how it ended.
     Answered,
-    /// The word that gives it up has left; where another attempt may follow, the engine has read it.
+    /// Its cancellation was sent; where another attempt may follow, the engine has confirmed it.
     GivenUp,
     /// The engine had it whole, and its connection is closed, which gives it up.
     Broken,
@@ -43,11 +43,11 @@
     Out,
     /// The engine has told its result; what is left to pass is the result alone.
     Told,
-    /// Its last part lies before the first mark, and the word that gives it up ends at the second; whether the engine
-    /// has to have read that.
-    GivingUp(u64, u64, bool),
-    /// The word has left, and the engine has not said that it has read it.
-    Unheard,
+    /// Its last part lies before the mark `whole`, and its cancellation ends at the mark `cancelled`; whether the engine
+    /// has to confirm that it has read the cancellation.
+    GivingUp { whole: u64, cancelled: u64, confirm: bool },
+    /// The cancellation was sent, and the engine has not confirmed it.
+    Unconfirmed,
     /// It is over.
     Ended,
 }
@@ -70,12 +70,16 @@
         }
     }
 
-    /// So much has left. The end, where a word that gives it up has left with that.
+    /// So much was written. The end, where its cancellation was written with that and needs no confirmation.
     pub fn left(&mut self, written: u64) -> Option<End> {
         match self.0 {
             Phase::Writing(whole) if whole <= written => self.0 = Phase::Out,
-            Phase::GivingUp(_, word, true) if word <= written => self.0 = Phase::Unheard,
-            Phase::GivingUp(_, word, false) if word <= written => return self.end(End::GivenUp),
+            Phase::GivingUp { cancelled, confirm, .. } if cancelled <= written => {
+                if !confirm {
+                    return self.end(End::GivenUp);
+                }
+                self.0 = Phase::Unconfirmed;
+            }
             _ => {}
         }
         None
@@ -83,14 +87,14 @@
 
     /// Whether it is being given up.
     pub fn giving_up(&self) -> bool {
-        matches!(self.0, Phase::GivingUp(..) | Phase::Unheard)
+        matches!(self.0, Phase::GivingUp { .. } | Phase::Unconfirmed)
     }
 
-    /// The engine says that it has read what was sent up to the word that gives it up. Guard: connections are read in
-    /// no order among each other, so an attempt that follows over another one could be read before a word that has
-    /// merely left.
-    pub fn heard(&mut self) -> Option<End> {
-        if matches!(self.0, Phase::GivingUp(_, _, true) | Phase::Unheard) {
+    /// The engine confirms that it has read all up to the cancellation. Guard: connections are read in no order among
+    /// each other, so an attempt that follows over another one could be read before a cancellation that was merely
+    /// written.
+    pub fn confirmed(&mut self) -> Option<End> {
+        if matches!(self.0, Phase::GivingUp { confirm: true, .. } | Phase::Unconfirmed) {
             self.end(End::GivenUp)
         } else {
             None
@@ -102,26 +106,26 @@
         self.0 == Phase::Told
     }
 
-    /// It is no longer wanted. `word` queues the word for the engine and returns the mark at which that ends; it is
-    /// asked for where the engine may have or get the attempt. `again` is whether another attempt may follow, so that
-    /// the engine has to have read it. The end, where there is nothing to wait for.
-    pub fn give_up(&mut self, again: bool, word: impl FnOnce() -> u64) -> Option<End> {
+    /// It is no longer wanted. `cancel` queues the cancellation for the engine and returns the mark at which that ends;
+    /// it is called where the engine may have or get the attempt. `again` is whether another attempt may follow, so that
+    /// the engine has to confirm the cancellation. The end, where there is nothing to wait for.
+    pub fn give_up(&mut self, again: bool, cancel: impl FnOnce() -> u64) -> Option<End> {
         match self.0 {
             Phase::Waiting => self.end(End::Unsent),
-            // The engine is done with it: the word frees what it holds of the result.
+            // The engine is done with it: the message frees what it holds of the result.
             Phase::Told => {
-                word();
+                cancel();
                 self.end(End::Answered)
             }
             Phase::Writing(whole) => {
-                self.0 = Phase::GivingUp(whole, word(), again);
+                self.0 = Phase::GivingUp { whole, cancelled: cancel(), confirm: again };
                 None
             }
             Phase::Out => {
-                self.0 = Phase::GivingUp(0, word(), again);
+                self.0 = Phase::GivingUp { whole: 0, cancelled: cancel(), confirm: again };
                 None
             }
-            Phase::GivingUp(..) | Phase::Unheard | Phase::Ended => None,
+            Phase::GivingUp { .. } | Phase::Unconfirmed | Phase::Ended => None,
         }
     }
 
@@ -144,9 +148,9 @@
     pub fn closed(&mut self, written: u64) -> End {
         let end = match self.0 {
             Phase::Waiting => End::Unsent,
-            Phase::Writing(whole) | Phase::GivingUp(whole, ..) if written < whole => End::Unsent,
+            Phase::Writing(whole) | Phase::GivingUp { whole, .. } if written < whole => End::Unsent,
             Phase::Told | Phase::Ended => End::Answered,
-            Phase::Writing(_) | Phase::Out | Phase::GivingUp(..) | Phase::Unheard => End::Broken,
+            Phase::Writing(_) | Phase::Out | Phase::GivingUp { .. } | Phase::Unconfirmed => End::Broken,
         };
         self.0 = Phase::Ended;
         end
@@ -197,7 +201,7 @@
 
 /// The attempts of one request, and what their ends prove together.
 #[derive(Clone, Debug, Default)]
-pub struct Tries {
+pub struct AttemptHistory {
     made: u16,
     /// Of these, those that count as none.
     uncounted: u16,
@@ -207,7 +211,7 @@
     first_ran: Option<Sent>,
 }
 
-impl Tries {
+impl AttemptHistory {
     /// The attempt that is out.
     pub fn out(&self) -> Option<&Out> {
         self.out.as_ref()
@@ -254,8 +258,8 @@
         let number = self.made;
         self.made = self.made.saturating_add(1);
         match self {
-            Tries { out: Some(_), .. } => Err(Barred::Out),
-            Tries { ran: true, .. } if !repeatable => Err(Barred::Ran),
+            AttemptHistory { out: Some(_), .. } => Err(Barred::Out),
+            AttemptHistory { ran: true, .. } if !repeatable => Err(Barred::Ran),
             _ if u32::from(self.counted()) > cap => Err(Barred::Spent),
             _ => Ok(number),
         }
--- a/src/attempt/tests.rs
+++ b/src/attempt/tests.rs
@@ -19,16 +19,16 @@
     assert_eq!((Life::default().closed(99), writing().closed(9)), (End::Unsent, End::Unsent));
     assert_eq!((writing().closed(10), out().closed(10)), (End::Broken, End::Broken));
     for mut life in [writing(), out()] {
-        assert_eq!(life.give_up(false, || 20), None, "not before the word has left");
+        assert_eq!(life.give_up(false, || 20), None, "not before the cancellation was sent");
         assert!(life.giving_up() && life.left(19).is_none() && !life.tell());
         assert_eq!((life.left(20), life.left(20)), (Some(End::GivenUp), None));
     }
     let mut life = out();
     assert_eq!(life.give_up(true, || 20), None);
     assert_eq!((life.left(20), life.giving_up()), (None, true), "it may be read late");
-    assert_eq!((life.heard(), life.heard()), (Some(End::GivenUp), None));
-    assert_eq!(out().heard(), None);
-    // Half of the word has left: the engine has the attempt whole. Half of the attempt: it has not.
+    assert_eq!((life.confirmed(), life.confirmed()), (Some(End::GivenUp), None));
+    assert_eq!(out().confirmed(), None);
+    // Half of the cancellation was sent: the engine has the attempt whole. Half of the attempt: it has not.
     for (written, end) in [(15, End::Broken), (9, End::Unsent)] {
         let mut life = writing();
         life.give_up(false, || 20);
@@ -43,20 +43,21 @@
 #[test]
 fn one_attempt_at_a_time() {
     let at = EngineId::default();
-    let mut tries = Tries::default();
-    assert_eq!(tries.next(true, 6), Ok(0));
-    tries.sent(0, at, Sent { at: 5.0, ..Sent::default() });
-    assert!(tries.may_have_run() && tries.next(true, 6) == Err(Barred::Out));
+    let mut history = AttemptHistory::default();
+    assert_eq!(history.next(true, 6), Ok(0));
+    history.sent(0, at, Sent { at: 5.0, ..Sent::default() });
+    assert!(history.may_have_run() && history.next(true, 6) == Err(Barred::Out));
     assert!(
-        tries.give_up(6.0, Outcome::TimedOut).is_some() && tries.give_up(7.0, Outcome::Cancelled).is_none()
+        history.give_up(6.0, Outcome::TimedOut).is_some()
+            && history.give_up(7.0, Outcome::Cancelled).is_none()
     );
-    assert_eq!(tries.next(true, 6), Err(Barred::Out), "nothing is proven yet");
-    assert!(tries.ended(1, true).is_none() && tries.ended(0, false).is_some());
-    assert!(!tries.may_have_run());
-    assert_eq!(tries.next(false, 6), Ok(3));
-    tries.sent(3, at, Sent { at: 8.0, ..Sent::default() });
-    assert!(tries.ended(3, true).is_some());
-    assert_eq!(tries.next(false, 6), Err(Barred::Ran));
-    assert_eq!((tries.next(true, 6), tries.next(true, 6)), (Ok(5), Err(Barred::Spent)));
-    assert_eq!(tries.first_ran().map(|sent| sent.at), Some(8.0), "the one before did not run");
+    assert_eq!(history.next(true, 6), Err(Barred::Out), "nothing is proven yet");
+    assert!(history.ended(1, true).is_none() && history.ended(0, false).is_some());
+    assert!(!history.may_have_run());
+    assert_eq!(history.next(false, 6), Ok(3));
+    history.sent(3, at, Sent { at: 8.0, ..Sent::default() });
+    assert!(history.ended(3, true).is_some());
+    assert_eq!(history.next(false, 6), Err(Barred::Ran));
+    assert_eq!((history.next(true, 6), history.next(true, 6)), (Ok(5), Err(Barred::Spent)));
+    assert_eq!(history.first_ran().map(|sent| sent.at), Some(8.0), "the one before did not run");
 }
--- a/src/clients/mod.rs
+++ b/src/clients/mod.rs
@@ -8,7 +8,7 @@
 use crate::core::Handle;
 use crate::counters::{Counters, Ends};
 use crate::lifecycle::Lifecycle;
-use crate::limits::{Limits, Stock};
+use crate::limits::{Limits, MemoryPool};
 use crate::settings::{Named, Parsed};
 use std::sync::Arc;
 use tokio::sync::watch;
@@ -23,14 +23,14 @@
     pub(crate) counters: Arc<Counters>,
     /// Whether clients are to come or go.
     pub(crate) lifecycle: Arc<Lifecycle>,
-    pub(crate) stocks: Arc<Stocks>,
+    pub(crate) pools: Arc<BufferPools>,
 }
 
 /// Bytes that all connections hold together.
 #[derive(Default)]
-pub(crate) struct Stocks {
-    pub(crate) input: Arc<Stock>,
-    pub(crate) output: Arc<Stock>,
+pub(crate) struct BufferPools {
+    pub(crate) input: Arc<MemoryPool>,
+    pub(crate) output: Arc<MemoryPool>,
 }
 
 impl Front {
--- a/src/clients/platform.rs
+++ b/src/clients/platform.rs
@@ -6,7 +6,7 @@
 use crate::core::{Answer, Body, ClientPort, Input, Kind, OrderKey, Taken, Why};
 use crate::counters::Ends;
 use crate::interface::{Effect, RequestId};
-use crate::limits::Hold;
+use crate::limits::MemoryReservation;
 use crate::net::{self, Outbox};
 use crate::settings::Named;
 use crate::{rows, sql};
@@ -81,7 +81,7 @@
     taken_at: Instant,
     slot: Slot,
     /// Bytes held in `input` and `out`.
-    held: (Hold, Hold),
+    held: (MemoryReservation, MemoryReservation),
     /// Calls that are no use, and calls over the limit.
     faults: usize,
     /// Whether it is counted as owing an answer or a close in order; the exit waits for those.
@@ -120,7 +120,7 @@
             half_since: Some(Instant::now()),
             taken_at: Instant::now(),
             slot,
-            held: (Hold::new(&front.stocks.input), Hold::new(&front.stocks.output)),
+            held: (MemoryReservation::new(&front.pools.input), MemoryReservation::new(&front.pools.output)),
             faults: 0,
             owing: false,
             deaf: None,
--- a/src/clients/platform/tests.rs
+++ b/src/clients/platform/tests.rs
@@ -3,7 +3,7 @@
 use super::*;
 use crate::core::{Clock, Handle};
 use crate::counters::Counters;
-use crate::engines::House;
+use crate::engines::EngineContext;
 use crate::lifecycle::Lifecycle;
 use crate::limits::Limits;
 use std::time::Duration;
@@ -15,12 +15,12 @@
 #[tokio::test]
 async fn a_client_that_takes_no_answer() {
     let (core, _inputs) = Handle::new(64, Clock::new());
-    let mut limits = Limits::clone(&House::for_tests(core.clone()).limits);
+    let mut limits = Limits::clone(&EngineContext::for_tests(core.clone()).limits);
     limits.client_idle = Duration::from_millis(50);
     let (counters, lifecycle) = (Arc::<Counters>::default(), Arc::new(Lifecycle::new()));
-    let (_settings, parsed) = watch::channel(Arc::new(House::settings_for_tests()));
+    let (_settings, parsed) = watch::channel(Arc::new(EngineContext::settings_for_tests()));
     let limits = Arc::new(limits);
-    let front = Front { core, parsed, limits, counters: counters.clone(), lifecycle, stocks: Arc::default() };
+    let front = Front { core, parsed, limits, counters: counters.clone(), lifecycle, pools: Arc::default() };
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
     let at = listener.local_addr().expect("address");
     tokio::spawn(listen(listener, front));
--- a/src/clients/slots/tests.rs
+++ b/src/clients/slots/tests.rs
@@ -6,7 +6,8 @@
 /// Guard: a drain sends away who has been served and has nothing open, on either front, and nobody else.
 #[test]
 fn a_drain_asks_those_that_idle() {
-    let limits = crate::engines::House::for_tests(crate::core::Handle::new(1, Default::default()).0).limits;
+    let limits =
+        crate::engines::EngineContext::for_tests(crate::core::Handle::new(1, Default::default()).0).limits;
     let slots = Slots::new(8, limits, Arc::default());
     let [idle, busy, stranger] = [(); 3].map(|()| slots.take());
     idle.speaks();
--- a/src/core/ends.rs
+++ b/src/core/ends.rs
@@ -8,7 +8,7 @@
     pub(super) fn streaming(&mut self, now: Millis, id: RequestId, attempt: u16, body: Body) {
         let Some(open) = self.requests.get_mut(&id).filter(|o| !o.streaming) else { return };
         open.streaming = true;
-        open.tries.streams();
+        open.history.streams();
         self.counters.served.up();
         open.taken.client.answer(id, Answer::Served(body));
         self.tell(now, Event::Streaming { id, attempt });
@@ -29,7 +29,7 @@
             return self.ended(now, id, attempt, (Outcome::Error, true), report, billed);
         };
         let Some(open) = self.requests.get_mut(&id) else { return };
-        let Some(out) = open.tries.ended(attempt, true) else { return };
+        let Some(out) = open.history.ended(attempt, true) else { return };
         if !open.over && !open.streaming {
             self.counters.served.up();
             open.taken.client.answer(id, Answer::Served(body));
@@ -49,9 +49,9 @@
         billed: (Option<f64>, Option<f64>),
     ) {
         let Some(open) = self.requests.get_mut(&id) else { return };
-        let Some(out) = open.tries.ended(attempt, ran) else { return };
+        let Some(out) = open.history.ended(attempt, ran) else { return };
         match outcome {
-            Outcome::NoRoom => open.tries.uncount(),
+            Outcome::NoRoom => open.history.uncount(),
             _ => open.last = Some((outcome, out.engine)),
         }
         // The client of a stream was told by the break in it.
@@ -107,7 +107,7 @@
     /// what may run once only waits on, as no other attempt is allowed anyway.
     pub(super) fn silence(&mut self, now: Millis, id: RequestId, attempt: u16, armed: Millis) {
         let Some(open) = self.requests.get_mut(&id).filter(|o| !o.streaming) else { return };
-        let Some(heard) = open.tries.out_as(attempt, None).map(|o| o.heard) else { return };
+        let Some(heard) = open.history.out_as(attempt, None).map(|o| o.heard) else { return };
         let due = heard + self.limits.silence_ms;
         if due > armed {
             self.arm(due, Alarm::Silence(id, attempt));
@@ -120,7 +120,7 @@
     /// proven it over: a further attempt before that would be out beside it.
     pub(super) fn give_up(&mut self, now: Millis, id: RequestId, as_what: Outcome) {
         let Some(open) = self.requests.get_mut(&id) else { return };
-        let Some(out) = open.tries.give_up(now, as_what) else { return };
+        let Some(out) = open.history.give_up(now, as_what) else { return };
         self.engines.quit(out.engine, id, out.number, !open.over);
         self.arm(now + self.limits.quit_again_ms, Alarm::Quit(id, out.number));
     }
@@ -130,7 +130,7 @@
     pub(super) fn unproven(&mut self, now: Millis, id: RequestId, attempt: u16) {
         let Some(open) = self.requests.get_mut(&id) else { return };
         let (over, streaming) = (open.over, open.streaming);
-        let Some(out) = open.tries.out_as(attempt, None) else { return };
+        let Some(out) = open.history.out_as(attempt, None) else { return };
         let (engine, Some((since, _))) = (out.engine, out.quitting) else { return };
         if now - since < self.limits.unproven_ms {
             self.engines.quit(engine, id, attempt, !over);
@@ -166,7 +166,7 @@
         let open = self.requests.get_mut(&id).filter(|o| !o.over)?;
         open.over = true;
         let (client, out, waiting) =
-            (open.taken.client.clone(), open.tries.out().is_some(), open.waiting.take());
+            (open.taken.client.clone(), open.history.out().is_some(), open.waiting.take());
         self.counters.open.down();
         match out {
             true => self.give_up(now, id, as_what),
--- a/src/core/interleavings.rs
+++ b/src/core/interleavings.rs
@@ -15,7 +15,7 @@
 const ENGINES: u32 = 2;
 /// Connections to one engine at most.
 const CONNS: usize = 2;
-/// Bytes of an attempt and of a word, in the model's unit: each may leave in parts.
+/// Bytes of an attempt and of a cancellation, in the model's unit: each may leave in parts.
 const PARTS: u64 = 2;
 
 type Key = (RequestId, u16);
@@ -159,7 +159,7 @@
         let Some(attempt) = conn.attempts.get_mut(&key) else { return };
         let given_up = attempt.life.giving_up();
         let told = match said {
-            None => attempt.life.heard().map(EngineNews::GivenUp),
+            None => attempt.life.confirmed().map(EngineNews::GivenUp),
             Some(outcome) => {
                 let end = attempt.life.answered(!never_ran(outcome));
                 let body = (outcome == Outcome::Ok).then(|| Body::whole(Form::Text, Vec::new()));
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -15,7 +15,7 @@
 pub use actor::{Clock, Handle, Inputs, start};
 pub use ports::*;
 
-use crate::attempt::{Sent, Tries, never_ran};
+use crate::attempt::{AttemptHistory, Sent, never_ran};
 use crate::attempts::{Keys, Policy, Where};
 use crate::config::{ListEvent, engine_text};
 use crate::counters::Counters;
@@ -29,7 +29,7 @@
 
 struct Open {
     taken: Taken,
-    tries: Tries,
+    history: AttemptHistory,
     streaming: bool,
     /// Its client has the final answer, or has left; it is held for the attempt that is not proven over.
     over: bool,
@@ -193,7 +193,7 @@
             Input::Engine { engine, id, attempt, report, news } => {
                 let Some(open) = self.requests.get_mut(&id) else { return };
                 let over = open.over;
-                let Some(out) = open.tries.out_as(attempt, Some(engine)) else {
+                let Some(out) = open.history.out_as(attempt, Some(engine)) else {
                     return; // proven over before this came
                 };
                 out.heard = now;
@@ -205,7 +205,7 @@
                     EngineNews::Note(_) => {}
                     EngineNews::Streaming(_) if over || quitting.is_some() => {}
                     EngineNews::Streaming(body) => self.streaming(now, id, attempt, body),
-                    // A good answer that crossed the word is one all the same, as long as an answer is owed.
+                    // A good answer that crossed the cancellation is one all the same, as long as an answer is owed.
                     EngineNews::Ended { outcome: Outcome::Ok, billed_ms, billed_mb, body } => {
                         self.served(now, id, attempt, report, (billed_ms, billed_mb), body)
                     }
@@ -303,7 +303,7 @@
         self.arm(taken.due_ms - self.limits.answer_margin_ms, Alarm::Deadline(id));
         let open = Open {
             taken,
-            tries: Tries::default(),
+            history: AttemptHistory::default(),
             streaming: false,
             over: false,
             memory_mb: 0.0,
@@ -377,7 +377,7 @@
                 Alarm::Module(_) => true,
                 Alarm::Deadline(id) => requests.contains_key(id),
                 Alarm::Quit(id, n) | Alarm::Silence(id, n) | Alarm::AttemptDue(id, n) => {
-                    requests.get(id).and_then(|r| r.tries.out()).is_some_and(|out| out.number == *n)
+                    requests.get(id).and_then(|r| r.history.out()).is_some_and(|out| out.number == *n)
                 }
                 Alarm::BackOff(id, n) => requests.get(id).and_then(|r| r.waiting).is_some_and(|w| w.0 == *n),
             });
@@ -399,7 +399,7 @@
                 Action::Terms { id, memory_mb, priority } => self.terms(id, memory_mb, priority),
                 Action::Refuse { id, hold_off_ms } => {
                     // Guard: a refusal says that a repeat is harmless, so it may not cover a load that may have run.
-                    let ran = self.requests.get(&id).is_none_or(|o| o.tries.may_have_run());
+                    let ran = self.requests.get(&id).is_none_or(|o| o.history.may_have_run());
                     let sure = !ran || self.repeatable(id);
                     let answer =
                         if sure { Answer::Refused { hold_off_ms } } else { Answer::Failed(Why::Lost) };
@@ -415,7 +415,7 @@
         }
         self.actions = actions;
         for (id, engine, outcome) in moot {
-            let attempt = self.requests.get(&id).map_or(0, |o| o.tries.made().saturating_sub(1));
+            let attempt = self.requests.get(&id).map_or(0, |o| o.history.made().saturating_sub(1));
             self.unsent(now, id, attempt, engine, outcome);
         }
     }
@@ -451,10 +451,12 @@
     fn repeat_until(&self, now: Millis, id: RequestId, engine: EngineId) -> Option<Millis> {
         let open = self.requests.get(&id)?;
         let class = &open.taken.class.class;
-        if !open.tries.has_run() || class.effect == Effect::Repeatable {
+        if !open.history.has_run() || class.effect == Effect::Repeatable {
             return Some(Millis::INFINITY);
         }
-        let (Effect::Keyed(scope), Some(first)) = (class.effect, open.tries.first_ran()) else { return None };
+        let (Effect::Keyed(scope), Some(first)) = (class.effect, open.history.first_ran()) else {
+            return None;
+        };
         let (zone, cell) = self.roster.group(engine)?;
         let remembers = match scope {
             DedupScope::All => true,
@@ -479,7 +481,7 @@
         let open = self.requests.get_mut(&id)?;
         // Guards: one attempt out at a time, also while one waits out its back-off; no second run of what may run
         // once, no more than the cap, none for who has an answer.
-        let next = open.tries.next(repeatable, cap).ok().filter(|_| !open.over && open.waiting.is_none());
+        let next = open.history.next(repeatable, cap).ok().filter(|_| !open.over && open.waiting.is_none());
         let Some(number) = next.filter(|_| ready) else {
             self.counters.guarded.up();
             return Some(if next.is_none() { Outcome::Moot } else { Outcome::NoConnection });
@@ -526,7 +528,7 @@
         if !self.engines.ask(engine, ask) {
             return Some(Outcome::NoConnection);
         }
-        open.tries.sent(number, engine, Sent { zone, cell, at: now });
+        open.history.sent(number, engine, Sent { zone, cell, at: now });
         tracing::debug!(id, %engine, attempt = number, due_ms, "sent");
         self.counters.sent.up();
         if self.limits.silence_ms.is_finite() {
@@ -542,7 +544,7 @@
         let Some(open) = self.requests.get_mut(&id) else { return };
         open.memory_mb = memory_mb.clamp(0.0, self.limits.grant_mb);
         let before = std::mem::replace(&mut open.priority, priority.min(3));
-        if let Some(out) = open.tries.out().filter(|o| before != open.priority && o.quitting.is_none()) {
+        if let Some(out) = open.history.out().filter(|o| before != open.priority && o.quitting.is_none()) {
             self.engines.priority(out.engine, id, out.number, open.priority);
         }
     }
--- a/src/core/narrow.rs
+++ b/src/core/narrow.rs
@@ -16,7 +16,7 @@
         engine: EngineId,
     ) -> Option<Result<(), Millis>> {
         let open = self.requests.get_mut(&id)?;
-        let made = open.tries.counted().saturating_sub(1);
+        let made = open.history.counted().saturating_sub(1);
         if made == 0 {
             open.keys.budget.iter().for_each(|budget| budget.first(now));
             return Some(Ok(()));
@@ -73,7 +73,7 @@
     /// An attempt has had its time: it is given up as timed out, and its end proven as for any other.
     pub(super) fn attempt_due(&mut self, now: Millis, id: RequestId, number: u16) {
         let Some(open) = self.requests.get_mut(&id).filter(|o| !o.streaming && !o.over) else { return };
-        if open.tries.out_as(number, None).is_some_and(|out| out.quitting.is_none()) {
+        if open.history.out_as(number, None).is_some_and(|out| out.quitting.is_none()) {
             self.counters.attempt_timeouts.up();
             self.give_up(now, id, Outcome::TimedOut);
         }
@@ -83,10 +83,10 @@
     /// on, as it may still answer.
     pub(super) fn call_off(&mut self, now: Millis, id: RequestId, attempt: u16) {
         let Some(open) = self.requests.get_mut(&id).filter(|o| !o.streaming) else { return };
-        if open.tries.out_as(attempt, None).is_none() {
+        if open.history.out_as(attempt, None).is_none() {
             return;
         }
-        if open.keys.may_follow(open.tries.counted(), Outcome::Cancelled) {
+        if open.keys.may_follow(open.history.counted(), Outcome::Cancelled) {
             self.give_up(now, id, Outcome::Cancelled);
         } else {
             self.counters.policy_kept.up();
--- a/src/core/ports.rs
+++ b/src/core/ports.rs
@@ -183,7 +183,7 @@
     fn quit(&mut self, engine: EngineId, id: RequestId, attempt: u16, again: bool);
     /// Names a new priority for an attempt that is out.
     fn priority(&mut self, engine: EngineId, id: RequestId, attempt: u16, priority: u8);
-    /// The list's word on an engine: nothing new may go where it is not ready.
+    /// What the list says of an engine: nothing new may go where it is not ready.
     fn listed(&mut self, line: &Listed);
     /// The list names it no longer.
     fn dropped(&mut self, engine: EngineId);
@@ -191,7 +191,7 @@
     fn banned(&mut self, engine: EngineId, out: bool);
 }
 
-/// News from an engine's side of the house.
+/// What an engine's actor tells the core of an attempt.
 #[derive(Debug)]
 pub enum EngineNews {
     /// A running attempt's note, or a mere sign of life.
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -155,9 +155,9 @@
         one.idempotency_key = key.then(|| Bytes::from_static(b"k"));
         core.handle(0.0, Input::Take(one));
         let open = core.requests.get_mut(&1).expect("open");
-        open.tries = Tries::default();
-        open.tries.sent(0, engine_id(1), Sent { zone: 0, cell: 1, at: 100.0 });
-        open.tries.ended(0, true).expect("out");
+        open.history = AttemptHistory::default();
+        open.history.sent(0, engine_id(1), Sent { zone: 0, cell: 1, at: 100.0 });
+        open.history.ended(0, true).expect("out");
         for (n, reached) in (1..=3).zip(reach) {
             let until = core.repeat_until(700.0, 1, engine_id(n));
             assert_eq!(until, (reached > 0).then_some(799.0), "{scope} {key} {n}");
@@ -244,7 +244,7 @@
 /// Staff may take out as many engines as the list has places: of a thousand listed ones all, and each comes back.
 #[test]
 fn a_thousand_engines_out_by_hand() {
-    let parsed = crate::engines::House::settings_for_tests();
+    let parsed = crate::engines::EngineContext::settings_for_tests();
     let limits = Arc::new(Limits::new(256, 32, true, &parsed));
     let mut core = Core::new(parsed.settings, 7, Silent::default(), limits, Arc::default()).expect("core");
     let entries = (1..=1024).map(|n| listed(n, ListState::Ready)).collect();
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -169,11 +169,11 @@
     beside,
     /// States of calls by hand that could not be read or written.
     states_bad,
-    /// Attempts given up whose end was proven by the word for that, or as they were never sent.
+    /// Attempts given up whose end was proven by their cancellation, or as they were never sent.
     given_up,
     /// Attempts given up whose end nothing proved in its time; their requests ended.
     unproven,
-    /// Connections to engines closed as the word for what was given up did not leave in its time.
+    /// Connections to engines closed as a cancellation was not sent or not confirmed in time.
     quits_stuck,
     /// Further attempts that the operators' policy allowed no more, by their number or after that end.
     policy_ended,
@@ -195,7 +195,7 @@
     engine_evicted,
     /// Engines of the list that wait for a place.
     engines_waiting,
-    /// Engines of the list that were passed over as all places were taken.
+    /// Engines of the list that were skipped as all places were taken.
     engines_passed,
     /// Records of the list that end an engine that is not known.
     list_unknown,
--- a/src/engines/gate.rs
+++ b/src/engines/admission.rs
@@ -1,16 +1,16 @@
-//! Whether an engine takes anything new.
+//! Whether an engine may be sent new attempts.
 
 use std::sync::atomic::{AtomicBool, Ordering};
 
-/// Shared by an engine's actor and its connections, and read before each attempt is written: the words of the list and
-/// of staff hold at once, also where the orders that carry them wait in a mailbox, or find it full.
+/// Shared by an engine's actor and its connections, and read before each attempt is written: what the list and staff
+/// say takes effect at once, also where the orders that carry it wait in a mailbox, or find it full.
 #[derive(Debug, Default)]
-pub(crate) struct Gate {
+pub(crate) struct Admission {
     banned: AtomicBool,
     drained: AtomicBool,
 }
 
-impl Gate {
+impl Admission {
     /// Staff took the engine out, or gave it back.
     pub(crate) fn ban(&self, out: bool) {
         self.banned.store(out, Ordering::Relaxed);
@@ -22,7 +22,7 @@
     }
 
     /// Whether nothing new may go there.
-    pub(crate) fn shut(&self) -> bool {
+    pub(crate) fn closed(&self) -> bool {
         self.banned.load(Ordering::Relaxed) || self.drained.load(Ordering::Relaxed)
     }
 }
--- a/src/engines/context.rs
+++ b/src/engines/context.rs
@@ -1,30 +1,35 @@
-//! What every engine's actor holds, and the orders that it takes.
+//! What all engines' actors share, and the orders that an actor takes.
 
 use super::slots::Slots;
 use crate::core::{Ask, EngineNews, Handle, Input};
 use crate::counters::Counters;
 use crate::interface::{EngineId, ListState, LoadReport, RequestId};
-use crate::limits::{Limits, Stock};
+use crate::limits::{Limits, MemoryPool};
 use std::sync::Arc;
 
-/// What every engine's actor holds.
+/// What all engines' actors share.
 #[derive(Clone)]
-pub(crate) struct House {
+pub(crate) struct EngineContext {
     pub(crate) core: Handle,
     pub(crate) limits: Arc<Limits>,
     pub(crate) counters: Arc<Counters>,
     /// Whether the engines speak Flight SQL and not lines.
     pub(crate) flight: bool,
-    /// Bytes of results that are not whole yet.
-    pub(crate) held: Arc<Stock>,
+    /// Memory for results that are not complete yet.
+    pub(crate) held: Arc<MemoryPool>,
     /// Descriptors of connections to engines.
     pub(crate) slots: Arc<Slots>,
 }
 
-impl House {
-    pub(crate) fn new(core: Handle, limits: Arc<Limits>, counters: Arc<Counters>, flight: bool) -> House {
+impl EngineContext {
+    pub(crate) fn new(
+        core: Handle,
+        limits: Arc<Limits>,
+        counters: Arc<Counters>,
+        flight: bool,
+    ) -> EngineContext {
         let slots = Slots::new(limits.clone(), counters.clone());
-        House { core, limits, counters, flight, held: Arc::default(), slots }
+        EngineContext { core, limits, counters, flight, held: Arc::default(), slots }
     }
 
     /// Tells the core news of an attempt.
@@ -45,16 +50,16 @@
 }
 
 #[cfg(test)]
-impl House {
+impl EngineContext {
     /// One for tests of engines' actors.
-    pub(crate) fn for_tests(core: Handle) -> House {
-        House::with_sockets(core, 256)
+    pub(crate) fn for_tests(core: Handle) -> EngineContext {
+        EngineContext::with_sockets(core, 256)
     }
 
     /// The same with so many descriptors.
-    pub(crate) fn with_sockets(core: Handle, sockets: usize) -> House {
-        let limits = Arc::new(Limits::new(sockets, 32, true, &House::settings_for_tests()));
-        House::new(core, limits, Arc::default(), false)
+    pub(crate) fn with_sockets(core: Handle, sockets: usize) -> EngineContext {
+        let limits = Arc::new(Limits::new(sockets, 32, true, &EngineContext::settings_for_tests()));
+        EngineContext::new(core, limits, Arc::default(), false)
     }
 
     /// Settings with one class.
@@ -74,7 +79,7 @@
     /// Given up; and whether another attempt may follow.
     Quit(RequestId, u16, bool),
     Priority(RequestId, u16, u8),
-    /// The list's word on it.
+    /// What the list says of the engine.
     Listed(ListState),
     /// Staff took it out, or gave it back.
     Banned,
--- a/src/engines/flight/mod.rs
+++ b/src/engines/flight/mod.rs
@@ -3,15 +3,15 @@
 
 mod wire;
 
-use super::context::{House, Order};
-use super::gate::Gate;
+use super::admission::Admission;
+use super::context::{EngineContext, Order};
 use super::load::Load;
 use super::slots::Need;
 use crate::attempt::{End, Life};
 use crate::clients::flight::{CLASS, REF};
 use crate::core::{Ask, Body, EngineNews, Flow, Form, Kind};
 use crate::interface::{EngineId, ListState, LoadReport, Outcome, RequestId};
-use crate::limits::Hold;
+use crate::limits::MemoryReservation;
 use crate::rows;
 use arrow_flight::flight_service_client::FlightServiceClient;
 use arrow_flight::sql::{CommandStatementQuery, CommandStatementUpdate, DoPutUpdateResult, ProstMessageExt};
@@ -24,7 +24,7 @@
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 use tokio::sync::{Mutex, mpsc};
-use tokio::task::{AbortHandle, Id, JoinSet};
+use tokio::task::{AbortHandle, Id, JoinError, JoinSet};
 use tokio::time::{Instant, sleep_until, timeout};
 use tonic::metadata::MetadataMap;
 use tonic::{Code, Request, Status};
@@ -57,97 +57,108 @@
     engine: EngineId,
     address: SocketAddr,
     mut orders: mpsc::Receiver<Order>,
-    house: House,
-    gate: Arc<Gate>,
+    context: EngineContext,
+    admission: Arc<Admission>,
 ) {
-    let link = Arc::new(Link { engine, address, house, wire: Mutex::default(), gate });
-    let mut tasks = JoinSet::new();
-    let mut running: HashMap<Id, Running> = HashMap::new();
-    let (mut listed, mut cut) = (true, None);
-    while listed || !tasks.is_empty() {
-        let until = cut.unwrap_or_else(|| Instant::now() + link.house.limits.engine_idle);
+    let link = Arc::new(Link { engine, address, context, wire: Mutex::default(), admission });
+    let mut engine = Engine { link, tasks: JoinSet::new(), running: HashMap::new(), listed: true, cut: None };
+    while engine.listed || !engine.tasks.is_empty() {
+        let wake = engine.cut.unwrap_or_else(|| Instant::now() + engine.link.context.limits.engine_idle);
         tokio::select! {
-            order = orders.recv(), if listed => match order {
-                Some(Order::Ask(ask)) => {
-                    let (key, wire) = ((ask.id, ask.attempt), Arc::<OnceLock<Wire>>::default());
-                    let task = tasks.spawn(attempt(link.clone(), *ask, wire.clone()));
-                    running.insert(task.id(), Running { key, task, wire, quit: None });
-                }
-                Some(Order::Quit(id, attempt, again)) => {
-                    for one in running.values_mut().filter(|r| r.key == (id, attempt)) {
-                        one.quit = one.quit.or(Some(again));
-                        one.task.abort();
-                    }
-                }
-                // Flight SQL has no word for a query's new priority.
-                Some(Order::Priority(..) | Order::Banned) => {}
-                Some(Order::Listed(state)) => {
-                    let gone = state == ListState::Gone;
-                    cut = gone.then(|| cut.unwrap_or(Instant::now() + link.house.limits.gone_grace));
-                }
-                None => {
-                    listed = false;
-                    cut = cut.or(Some(Instant::now() + link.house.limits.gone_grace));
-                }
+            order = orders.recv(), if engine.listed => match order {
+                Some(order) => engine.order(order),
+                None => engine.dropped(),
             },
-            Some(done) = tasks.join_next_with_id(), if !tasks.is_empty() => {
-                let id = match &done {
-                    Ok((id, ())) => *id,
-                    Err(e) => e.id(),
-                };
-                // What ended by itself has told its end; what was dropped has told nothing.
-                if let Some(one) = running.remove(&id).filter(|_| done.is_err()) {
-                    tasks.spawn(prove(link.clone(), one.key, one.wire, one.quit));
-                }
-            }
-            () = sleep_until(until) => if cut.is_none() {
-                let held = link.wire.try_lock();
-                let over = held.is_ok_and(|held| held.as_ref().is_none_or(|(wire, _)| wire.closed()));
+            Some(done) = engine.tasks.join_next_with_id(), if !engine.tasks.is_empty() => engine.task_over(done),
+            () = sleep_until(wake) => if engine.cut.take().is_some() {
+                engine.cut_off().await;
+            } else if engine.idle() && orders.is_empty() {
                 // Nothing waits between this and the end, so that nothing can be handed over meanwhile.
-                if over && tasks.is_empty() && orders.is_empty() {
-                    return;
-                }
-            } else if cut.take().is_some() {
-                // The engine is gone and its connection was not reset: what it held may have run.
-                link.wire.lock().await.take().inspect(|(wire, _)| wire.cut());
-                running.values().for_each(|one| {
-                    one.wire.get().inspect(|wire| wire.cut());
-                    one.task.abort();
-                });
+                return;
             }
         }
     }
 }
 
-/// Tells the end of an attempt whose task was dropped, once that is proven. Guard: a peer that takes no more would
-/// keep the attempt out for ever, so its connection is closed; what else is on it ends as on any broken one.
-async fn prove(link: Arc<Link>, key: Key, wire: Arc<OnceLock<Wire>>, quit: Option<bool>) {
-    let (limits, again) = (&link.house.limits, quit.unwrap_or(false));
-    let mut life = Life::default();
-    let end = match wire.get() {
-        None => life.give_up(again, || 0),
-        Some(wire) => {
-            let mut wire = wire.clone();
-            let mark = wire.mark();
-            // When the attempt itself left is not known: it may have, from the moment that it had a connection.
-            life.write(0);
-            life.give_up(again, || mark);
-            let mut end = match timeout(limits.quit_write, wire.left(mark)).await {
-                Ok(true) => life.left(mark),
-                _ => None,
-            };
-            if end.is_none() && again && matches!(timeout(limits.quit_heard, wire.heard()).await, Ok(true)) {
-                end = life.heard();
+/// One engine, as its actor holds it.
+struct Engine {
+    link: Arc<Link>,
+    tasks: JoinSet<()>,
+    running: HashMap<Id, Running>,
+    /// The list has not dropped it: orders may come.
+    listed: bool,
+    /// When a gone engine's connection is cut.
+    cut: Option<Instant>,
+}
+
+impl Engine {
+    fn order(&mut self, order: Order) {
+        match order {
+            Order::Ask(ask) => {
+                let (key, wire) = ((ask.id, ask.attempt), Arc::<OnceLock<Wire>>::default());
+                let task = self.tasks.spawn(attempt(self.link.clone(), *ask, wire.clone()));
+                self.running.insert(task.id(), Running { key, task, wire, quit: None });
             }
-            if end.is_none() && !wire.closed() {
-                link.house.counters.quits_stuck.up();
-                wire.cut();
-                let _ = wire.left(u64::MAX).await;
+            Order::Quit(id, attempt, again) => {
+                for one in self.running.values_mut().filter(|r| r.key == (id, attempt)) {
+                    one.quit = one.quit.or(Some(again));
+                    one.task.abort();
+                }
             }
-            end.or_else(|| Some(life.closed(0)))
+            // Flight SQL has no message for a query's new priority.
+            Order::Priority(..) | Order::Banned => {}
+            Order::Listed(ListState::Gone) => self.cut_later(),
+            Order::Listed(_) => self.cut = None,
         }
+    }
+
+    /// No more orders come.
+    fn dropped(&mut self) {
+        self.listed = false;
+        self.cut_later();
+    }
+
+    /// What a gone engine holds gets a moment to end.
+    fn cut_later(&mut self) {
+        let grace = self.link.context.limits.gone_grace;
+        self.cut.get_or_insert_with(|| Instant::now() + grace);
+    }
+
+    fn task_over(&mut self, done: Result<(Id, ()), JoinError>) {
+        let id = match &done {
+            Ok((id, ())) => *id,
+            Err(e) => e.id(),
+        };
+        // What ended by itself has told its end; what was dropped has told nothing.
+        if let Some(one) = self.running.remove(&id).filter(|_| done.is_err()) {
+            self.tasks.spawn(prove(self.link.clone(), one.key, one.wire, one.quit));
+        }
+    }
+
+    /// Whether it has no connection, and nothing is open.
+    fn idle(&self) -> bool {
+        let held = self.link.wire.try_lock();
+        let unconnected = held.is_ok_and(|held| held.as_ref().is_none_or(|(wire, _)| wire.closed()));
+        unconnected && self.tasks.is_empty()
+    }
+
+    /// The engine is gone and its connection was not reset: what it held may have run.
+    async fn cut_off(&mut self) {
+        self.link.wire.lock().await.take().inspect(|(wire, _)| wire.cut());
+        self.running.values().for_each(|one| {
+            one.wire.get().inspect(|wire| wire.cut());
+            one.task.abort();
+        });
+    }
+}
+
+/// Tells the end of an attempt whose task was dropped, once that is proven.
+async fn prove(link: Arc<Link>, key: Key, wire: Arc<OnceLock<Wire>>, quit: Option<bool>) {
+    let again = quit.unwrap_or(false);
+    let end = match wire.get() {
+        None => Life::default().give_up(again, || 0).unwrap_or(End::Unsent),
+        Some(wire) => prove_on(&link, wire.clone(), again).await,
     };
-    let end = end.unwrap_or(End::Broken);
     let news = match (quit, end) {
         (Some(_), end) => EngineNews::GivenUp(end),
         (None, End::Unsent) => EngineNews::end(Outcome::NoConnection),
@@ -156,39 +167,64 @@
     link.tell(key, LoadReport::default(), news).await;
 }
 
+/// The end of a dropped attempt that had a connection, once its reset was sent and, where another attempt may follow,
+/// confirmed. Guard: a peer that takes no more would keep the attempt out for ever, so its connection is closed; what
+/// else is on it ends as on any broken one.
+async fn prove_on(link: &Link, mut wire: Wire, again: bool) -> End {
+    let limits = &link.context.limits;
+    let mut life = Life::default();
+    let mark = wire.mark();
+    // When the attempt itself was sent is not known: it may have been, from the moment that it had a connection.
+    life.write(0);
+    life.give_up(again, || mark);
+    let mut end = match timeout(limits.quit_write, wire.left(mark)).await {
+        Ok(true) => life.left(mark),
+        _ => None,
+    };
+    if end.is_none() && again && matches!(timeout(limits.quit_heard, wire.heard()).await, Ok(true)) {
+        end = life.confirmed();
+    }
+    if end.is_none() && !wire.closed() {
+        link.context.counters.quits_stuck.up();
+        wire.cut();
+        let _ = wire.left(u64::MAX).await;
+    }
+    end.unwrap_or_else(|| life.closed(0))
+}
+
 struct Link {
     engine: EngineId,
     address: SocketAddr,
-    house: House,
+    context: EngineContext,
     wire: Mutex<Option<(Wire, Arc<Load>)>>,
-    gate: Arc<Gate>,
+    admission: Arc<Admission>,
 }
 
 impl Link {
     /// Whether nothing new may go to its engine.
-    fn shut(&self) -> bool {
-        self.gate.shut()
+    fn closed(&self) -> bool {
+        self.admission.closed()
     }
 
     /// The connection, which is up, to carry one more attempt; why not, where there is none, so that nothing was sent.
     async fn wire(&self) -> Result<(Wire, Carried), Lost> {
         let mut held = self.wire.lock().await;
         if let Some((wire, load)) = held.as_ref().filter(|(wire, load)| !wire.closed() && !load.leaving()) {
-            return Ok((wire.clone(), Carried::on(load, self.house.core.now())));
+            return Ok((wire.clone(), Carried::on(load, self.context.core.now())));
         }
         *held = None;
         let load = Arc::<Load>::default();
-        let carried = Carried::on(&load, self.house.core.now());
-        let slot = self.house.slots.take(&load, Need::First).ok_or(Lost(Outcome::NoRoom))?;
-        let wire = Wire::connect(self.address, &self.house.limits, slot).await;
+        let carried = Carried::on(&load, self.context.core.now());
+        let slot = self.context.slots.take(&load, Need::First).ok_or(Lost(Outcome::NoRoom))?;
+        let wire = Wire::connect(self.address, &self.context.limits, slot).await;
         let wire = wire.ok_or(Lost(Outcome::NoConnection))?;
-        self.house.counters.engine_conns.up();
+        self.context.counters.engine_conns.up();
         *held = Some((wire.clone(), load));
         Ok((wire, carried))
     }
 
     async fn tell(&self, key: Key, report: LoadReport, news: EngineNews) {
-        self.house.tell(self.engine, key, report, news).await;
+        self.context.tell(self.engine, key, report, news).await;
     }
 
     async fn ended(&self, key: Key, outcome: Outcome, told: &MetadataMap, body: Option<Body>) {
@@ -238,7 +274,7 @@
         cause = e.source();
     }
     match status.code() {
-        Code::ResourceExhausted => Outcome::Full, // the engine's own word that it never ran
+        Code::ResourceExhausted => Outcome::Full, // the engine says itself that it never ran
         Code::DeadlineExceeded => Outcome::TimedOut,
         Code::Unavailable | Code::Cancelled => Outcome::Reset,
         _ => Outcome::Error,
@@ -256,10 +292,10 @@
     let mut told = MetadataMap::new();
     let done = match link.wire().await {
         // Guard: a drain that came while the connection did stops the attempt before its first byte.
-        Ok(_) if let Some(late) = ask.late(link.house.core.now()) => {
+        Ok(_) if let Some(late) = ask.late(link.context.core.now()) => {
             return link.tell(key, LoadReport::default(), late).await;
         }
-        Ok((wire, _carried)) if !link.shut() => {
+        Ok((wire, _carried)) if !link.closed() => {
             let _ = on.set(wire.clone());
             send(&link, &ask, wire, &mut told).await
         }
@@ -279,9 +315,9 @@
 }
 
 /// A request with the metadata that every call of an attempt carries.
-fn dress<T>(link: &Link, ask: &Ask, message: T) -> Request<T> {
+fn request<T>(link: &Link, ask: &Ask, message: T) -> Request<T> {
     let mut request = Request::new(message);
-    let left = (ask.due_ms - link.house.core.now()).max(1.0);
+    let left = (ask.due_ms - link.context.core.now()).max(1.0);
     request.set_timeout(Duration::from_micros((left * 1000.0) as u64));
     let class = ask.class.name.clone();
     let name = String::from_utf8_lossy(&ask.name).into_owned();
@@ -304,35 +340,54 @@
 
 /// One attempt: a result that is held whole, or `None` where it streamed to the client.
 async fn send(link: &Link, ask: &Ask, wire: Wire, told: &mut MetadataMap) -> Result<Option<Body>, Lost> {
-    let limits = &link.house.limits;
     let origin = format!("http://{}", link.address).parse().map_err(|_| Lost(Outcome::NoConnection))?;
-    let mut client =
-        FlightServiceClient::with_origin(wire, origin).max_decoding_message_size(limits.flight_message_bytes);
-    // The call follows at once; a stream hands over nothing that tells when its last byte has left.
-    link.house.counters.written.up();
+    let client = FlightServiceClient::with_origin(wire, origin)
+        .max_decoding_message_size(link.context.limits.flight_message_bytes);
+    // The call follows at once; a stream hands over nothing that tells when its last byte was sent.
+    link.context.counters.written.up();
     let text = String::from_utf8(ask.statement.to_vec()).map_err(|_| Lost(Outcome::Moot))?;
-    if ask.kind == Kind::Update {
-        let command = CommandStatementUpdate { query: text, transaction_id: None };
-        let descriptor = FlightDescriptor::new_cmd(command.as_any().encode_to_vec());
-        let data = FlightData::new().with_descriptor(descriptor);
-        let response = client.do_put(dress(link, ask, stream::iter([data]))).await?;
-        note(told, response.metadata());
-        let mut results = response.into_inner();
-        // An update that ends without its result may have run.
-        let result = results.message().await?.ok_or(Lost(Outcome::Error))?;
-        let count = DoPutUpdateResult::decode(result.app_metadata).map_err(|_| Lost(Outcome::Error))?;
-        while results.message().await?.is_some() {}
-        return Ok(Some(rows::counted(count.record_count)));
+    match ask.kind {
+        Kind::Update => update(link, ask, client, text, told).await.map(Some),
+        Kind::Query => query(link, ask, client, text, told).await,
     }
-    let command = CommandStatementQuery { query: text, transaction_id: None };
+}
+
+/// An update, with the count of rows that it changed.
+async fn update(
+    link: &Link,
+    ask: &Ask,
+    mut client: FlightServiceClient<Wire>,
+    query: String,
+    told: &mut MetadataMap,
+) -> Result<Body, Lost> {
+    let command = CommandStatementUpdate { query, transaction_id: None };
+    let descriptor = FlightDescriptor::new_cmd(command.as_any().encode_to_vec());
+    let data = FlightData::new().with_descriptor(descriptor);
+    let response = client.do_put(request(link, ask, stream::iter([data]))).await?;
+    note(told, response.metadata());
+    let mut results = response.into_inner();
+    // An update that ends without its result may have run.
+    let result = results.message().await?.ok_or(Lost(Outcome::Error))?;
+    let count = DoPutUpdateResult::decode(result.app_metadata).map_err(|_| Lost(Outcome::Error))?;
+    while results.message().await?.is_some() {}
+    Ok(rows::counted(count.record_count))
+}
+
+/// A query, with the rows of all its endpoints.
+async fn query(
+    link: &Link,
+    ask: &Ask,
+    mut client: FlightServiceClient<Wire>,
+    query: String,
+    told: &mut MetadataMap,
+) -> Result<Option<Body>, Lost> {
+    let command = CommandStatementQuery { query, transaction_id: None };
     let descriptor = FlightDescriptor::new_cmd(command.as_any().encode_to_vec());
-    let info = client.get_flight_info(dress(link, ask, descriptor)).await?.into_inner();
-    let mut held: Vec<Bytes> = Vec::new();
-    let (mut size, mut flow) = (0, None::<mpsc::Sender<Flow>>);
-    let mut hold = Hold::new(&link.house.held);
+    let info = client.get_flight_info(request(link, ask, descriptor)).await?.into_inner();
+    let mut rows = Rows::new(link, (ask.id, ask.attempt));
     for (part, endpoint) in info.endpoint.into_iter().enumerate() {
         let ticket = endpoint.ticket.ok_or(Lost(Outcome::Error))?;
-        let response = client.do_get(dress(link, ask, ticket)).await?;
+        let response = client.do_get(request(link, ask, ticket)).await?;
         note(told, response.metadata());
         let mut data = response.into_inner();
         let mut first = part > 0;
@@ -341,36 +396,67 @@
             if std::mem::take(&mut first) {
                 continue;
             }
-            let piece = Bytes::from(message.encode_to_vec());
-            size += piece.len();
-            if let Some(to) = &flow {
-                // The client sets the pace; where it has left, nobody waits for the rest.
-                to.send(Flow::Piece(piece)).await.map_err(|_| Lost(Outcome::Cancelled))?;
-                continue;
-            }
-            held.push(piece);
-            // Guard: results that are not whole yet could fill the memory together.
-            if !hold.set(size, limits.share(limits.held_bytes)) {
-                return Err(Lost(Outcome::Error));
-            }
-            if size > limits.flight_held_bytes {
-                let (to, rest) = mpsc::channel(limits.flight_pieces);
-                let body = Body { form: Form::Arrow, pieces: std::mem::take(&mut held), rest: Some(rest) };
-                let (key, news) = ((ask.id, ask.attempt), EngineNews::Streaming(body));
-                link.tell(key, LoadReport::default(), news).await;
-                flow = Some(to);
-                hold.set(0, limits.share(limits.held_bytes));
-            }
+            rows.push(Bytes::from(message.encode_to_vec())).await?;
         }
         if let Some(trailers) = data.trailers().await? {
             note(told, &trailers);
         }
     }
-    // Only what ended well says so: a task that fails or is dropped leaves the result cut off.
-    if let Some(to) = &flow {
-        to.send(Flow::End).await.map_err(|_| Lost(Outcome::Cancelled))?;
+    rows.finish().await
+}
+
+/// The rows of a query as they come: held until they are whole, or streamed once they outgrow what is held.
+struct Rows<'a> {
+    link: &'a Link,
+    key: Key,
+    held: Vec<Bytes>,
+    /// Bytes of all pieces so far.
+    size: usize,
+    reservation: MemoryReservation,
+    /// The way to the client, once they stream.
+    stream: Option<mpsc::Sender<Flow>>,
+}
+
+impl<'a> Rows<'a> {
+    fn new(link: &'a Link, key: Key) -> Rows<'a> {
+        let reservation = MemoryReservation::new(&link.context.held);
+        Rows { link, key, held: Vec::new(), size: 0, reservation, stream: None }
+    }
+
+    /// Takes one piece. The client of a stream sets the pace; where it has left, nobody waits for the rest.
+    async fn push(&mut self, piece: Bytes) -> Result<(), Lost> {
+        self.size += piece.len();
+        if let Some(stream) = &self.stream {
+            return stream.send(Flow::Piece(piece)).await.map_err(|_| Lost(Outcome::Cancelled));
+        }
+        self.held.push(piece);
+        let limits = &self.link.context.limits;
+        // Guard: results that are not whole yet could fill the memory together.
+        if !self.reservation.set(self.size, limits.share(limits.held_bytes)) {
+            return Err(Lost(Outcome::Error));
+        }
+        if self.size > limits.flight_held_bytes {
+            self.begin_stream().await;
+        }
+        Ok(())
+    }
+
+    /// Hands what is held to the client, which gets the rest as it comes.
+    async fn begin_stream(&mut self) {
+        let limits = &self.link.context.limits;
+        let (stream, rest) = mpsc::channel(limits.flight_pieces);
+        let body = Body { form: Form::Arrow, pieces: std::mem::take(&mut self.held), rest: Some(rest) };
+        self.link.tell(self.key, LoadReport::default(), EngineNews::Streaming(body)).await;
+        self.stream = Some(stream);
+        self.reservation.set(0, limits.share(limits.held_bytes));
+    }
+
+    /// All pieces have come. Only what ended well says so: a task that fails or is dropped leaves the result cut off.
+    async fn finish(self) -> Result<Option<Body>, Lost> {
+        let Some(stream) = self.stream else { return Ok(Some(Body::whole(Form::Arrow, self.held))) };
+        stream.send(Flow::End).await.map_err(|_| Lost(Outcome::Cancelled))?;
+        Ok(None)
     }
-    Ok(flow.is_none().then(|| Body::whole(Form::Arrow, held)))
 }
 
 /// Keeps what an engine tells of itself and of the query.
--- a/src/engines/flight/tests.rs
+++ b/src/engines/flight/tests.rs
@@ -42,7 +42,7 @@
             _ = peer.accept() => panic!("a call"),
         }
         let reset = poll_fn(|cx| std::task::Poll::Ready(second.poll_reset(cx).is_ready())).await;
-        assert!(!reset && rig.house.counters.quits_stuck.get() == 0);
+        assert!(!reset && rig.context.counters.quits_stuck.get() == 0);
     });
 }
 
@@ -86,6 +86,6 @@
             gone |= given_up(&told, 1, End::Broken);
             reset |= matches!(told, (2, EngineNews::Ended { outcome: Outcome::Reset, .. }));
         }
-        assert!(gone && reset && rig.house.counters.quits_stuck.get() == 1);
+        assert!(gone && reset && rig.context.counters.quits_stuck.get() == 1);
     });
 }
--- a/src/engines/lines/connection.rs
+++ b/src/engines/lines/connection.rs
@@ -1,14 +1,14 @@
-//! One connection to an engine: an actor that writes attempts and the words for them, and hears the answers.
+//! One connection to an engine: an actor that writes attempts, priorities and cancellations, and reads the answers.
 
 use crate::attempt::{End, Life};
 use crate::core::{Ask, EngineNews};
-use crate::engines::context::{House, Order};
-use crate::engines::gate::Gate;
+use crate::engines::admission::Admission;
+use crate::engines::context::{EngineContext, Order};
 use crate::engines::load::Load;
 use crate::engines::reply::Broken;
 use crate::engines::slots::Slot;
-use crate::interface::{Effect, EngineId, ListState, LoadReport, Outcome, RequestId};
-use crate::limits::Hold;
+use crate::interface::{Effect, EngineId, ListState, LoadReport, Millis, Outcome, RequestId};
+use crate::limits::MemoryReservation;
 use crate::net::{self, Outbox};
 use bytes::{Bytes, BytesMut};
 use std::collections::{HashMap, VecDeque};
@@ -21,7 +21,7 @@
 
 /// The way back from a connection, for attempts that it was never sent; nothing where it is over.
 #[derive(Clone)]
-pub(super) struct Back {
+pub(super) struct ReturnPath {
     pub(super) asks: mpsc::UnboundedSender<Option<Box<Ask>>>,
     /// Connections that ended since the engine last answered: where there are several, it is the engine's fault.
     pub(super) broken: Arc<AtomicUsize>,
@@ -43,36 +43,62 @@
     pub(super) billed_mb: Option<f64>,
     pub(super) report: LoadReport,
     pub(super) until: Instant,
-    pub(super) hold: Hold,
+    pub(super) reservation: MemoryReservation,
 }
 
-/// A word that gives an attempt up, on its way to the engine.
-struct Word {
-    /// Count of bytes written by which it has left.
+/// A message that gives an attempt up, on its way to the engine.
+struct Cancellation {
+    /// Count of bytes written by which it was sent whole.
     mark: u64,
+    /// The name of its attempt.
     name: Bytes,
-    /// Under which the engine says that it has read it, where it has to.
+    /// The tag of the line by which the engine confirms that it has read it, where that is needed.
     tag: Option<Bytes>,
-    /// When it must have left, and been read.
+    /// When it must have been sent, and confirmed.
     until: Instant,
 }
 
+/// Times at which a connection has to act although nothing happens on it.
+struct Timers {
+    /// It has been idle for long enough to be closed.
+    idle: Option<Instant>,
+    /// Its engine is gone from the list, and what is open has had its time.
+    cut: Option<Instant>,
+    /// An answer stopped short.
+    half_answer: Option<Instant>,
+    /// A cancellation was not sent or confirmed.
+    cancellation: Option<Instant>,
+    /// The next page of a result did not come.
+    page: Option<Instant>,
+}
+
+impl Timers {
+    fn first(&self) -> Option<Instant> {
+        let all = [self.idle, self.cut, self.half_answer, self.cancellation, self.page];
+        all.into_iter().flatten().min()
+    }
+}
+
+fn due(timer: Option<Instant>, now: Instant) -> bool {
+    timer.is_some_and(|at| at <= now)
+}
+
 pub(super) struct Connection {
     pub(super) engine: EngineId,
     orders: mpsc::Receiver<Order>,
     /// Where attempts go back to that it was never sent.
-    pub(super) back: Back,
+    pub(super) back: ReturnPath,
     pub(super) load: Arc<Load>,
-    pub(super) house: House,
+    pub(super) context: EngineContext,
     /// Attempts of which nothing is written yet.
     waiting: VecDeque<Box<Ask>>,
     pub(super) attempts: HashMap<Bytes, Attempt>,
     pub(super) input: BytesMut,
     out: Outbox,
-    /// Count of bytes written by which the last attempt has left whole, until it has, and its name.
+    /// Count of bytes written by which the last attempt is sent whole, until it is, and its name.
     unwritten: Option<(u64, Bytes)>,
-    /// Words on their way, in order.
-    words: VecDeque<Word>,
+    /// Cancellations that were not sent or not confirmed yet, in order.
+    cancellations: VecDeque<Cancellation>,
     /// Tags given out.
     tags: u64,
     /// Ends that the core is to be told.
@@ -84,7 +110,7 @@
     pub(super) idle_words: usize,
     /// When a gone engine's connections are cut.
     cut: Option<Instant>,
-    gate: Arc<Gate>,
+    admission: Arc<Admission>,
     /// The engine's actor has ended: no more orders come.
     orphaned: bool,
 }
@@ -93,86 +119,106 @@
     pub(super) fn new(
         engine: EngineId,
         orders: mpsc::Receiver<Order>,
-        back: Back,
+        back: ReturnPath,
         load: Arc<Load>,
-        house: House,
-        gate: Arc<Gate>,
+        context: EngineContext,
+        admission: Arc<Admission>,
     ) -> Connection {
         Connection {
             engine,
             orders,
             back,
             load,
-            house,
+            context,
             waiting: VecDeque::new(),
             attempts: HashMap::new(),
             input: BytesMut::new(),
             out: Outbox::default(),
             unwritten: None,
-            words: VecDeque::new(),
+            cancellations: VecDeque::new(),
             tags: 0,
             ends: Vec::new(),
             idle_since: Instant::now(),
             half_since: None,
             idle_words: 0,
             cut: None,
-            gate,
+            admission,
             orphaned: false,
         }
     }
 
+    /// Connects, serves until the connection ends, and tells the ends of all that is left.
     pub(super) async fn run(mut self, address: SocketAddr, mut slot: Slot) {
-        let until = Instant::now() + self.house.limits.connect;
+        let stream = self.connect(address, &mut slot).await;
+        let was_up = stream.is_some();
+        if let Some(stream) = stream {
+            self.serve_and_close(stream, &slot).await;
+        }
+        self.orders.close();
+        self.read_orders();
+        self.give_back(was_up);
+        drop(slot);
+        self.unsent();
+        self.end_attempts();
+        self.report().await;
+        let _ = self.back.asks.send(None);
+    }
+
+    /// Connects; none where that fails, takes too long, or nothing waits for it any more. Orders are heard while the
+    /// connection comes up: an attempt given up or drained by then is not sent.
+    async fn connect(&mut self, address: SocketAddr, slot: &mut Slot) -> Option<TcpStream> {
+        let until = Instant::now() + self.context.limits.connect;
         let free = slot.free();
         let connect = async move {
             free.await;
             TcpStream::connect(address).await
         };
-        let mut connecting = Box::pin(timeout(self.house.limits.connect, connect));
-        // Orders are heard while the connection comes up: an attempt given up or drained by then is not sent.
-        let stream = loop {
+        // Dropped on return: a socket that is not up holds a descriptor.
+        let mut connecting = Box::pin(timeout(self.context.limits.connect, connect));
+        loop {
             tokio::select! {
-                up = &mut connecting => break up.ok().and_then(Result::ok),
-                () = slot.leaves() => break None,
+                up = &mut connecting => return up.ok().and_then(Result::ok),
+                () = slot.leaves() => return None,
                 Some(order) = self.orders.recv() => self.order(order),
             }
             self.report().await;
             if self.waiting.is_empty() && Instant::now() > until {
-                break None;
-            }
-        };
-        drop(connecting); // a socket that is not up holds a descriptor
-        let up = stream.is_some();
-        if let Some(stream) = stream {
-            let _ = stream.set_nodelay(true);
-            self.house.counters.engine_conns.up();
-            let _ = self.serve(&stream, &slot).await;
-            // Guard: what its peer has not taken by now it shall not take after the ends that follow from here.
-            if !self.out.is_empty() {
-                let _ = stream.set_zero_linger();
+                return None;
             }
         }
-        self.orders.close();
-        while let Ok(order) = self.orders.try_recv() {
-            self.order(order);
+    }
+
+    async fn serve_and_close(&mut self, stream: TcpStream, slot: &Slot) {
+        let _ = stream.set_nodelay(true);
+        self.context.counters.engine_conns.up();
+        let _ = self.serve(&stream, slot).await;
+        // Guard: what its peer has not taken by now it shall not take after the ends that follow from here.
+        if !self.out.is_empty() {
+            let _ = stream.set_zero_linger();
         }
-        // Guard: a connection that was up and broke says nothing of attempts that it was never sent; they go over
-        // another one. All of this is done before anything waits, so that no order can miss them in between.
+    }
+
+    /// Gives back what was never sent. Guard: a connection that was up and broke says nothing of attempts that it was
+    /// never sent; they go over another one. Nothing here waits, so that no order can miss them in between.
+    fn give_back(&mut self, was_up: bool) {
         // One that carried nothing was closed in order, and says nothing of its engine.
         let carried = usize::from(!self.attempts.is_empty() || !self.waiting.is_empty());
         let broken = self.back.broken.fetch_add(carried, Ordering::Relaxed);
-        if up && !self.shut() && broken < self.house.limits.give_backs {
-            for ask in std::mem::take(&mut self.waiting) {
-                self.load.take_off(once(&ask));
-                if let Err(mpsc::error::SendError(Some(ask))) = self.back.asks.send(Some(ask)) {
-                    // The engine's actor has ended.
-                    self.load.add(once(&ask), self.house.core.now());
-                    self.waiting.push_back(ask);
-                }
+        if !was_up || self.closed() || broken >= self.context.limits.give_backs {
+            return;
+        }
+        for ask in std::mem::take(&mut self.waiting) {
+            self.load.take_off(once(&ask));
+            if let Err(mpsc::error::SendError(Some(ask))) = self.back.asks.send(Some(ask)) {
+                // The engine's actor has ended.
+                self.load.add(once(&ask), self.context.core.now());
+                self.waiting.push_back(ask);
             }
         }
-        drop(slot);
-        self.unsent();
+    }
+
+    /// Ends the attempts that a closed connection leaves.
+    fn end_attempts(&mut self) {
         let written = self.out.written();
         for (_, mut attempt) in std::mem::take(&mut self.attempts) {
             let given_up = attempt.life.giving_up();
@@ -184,8 +230,6 @@
             };
             self.end(attempt.ask, told);
         }
-        self.report().await;
-        let _ = self.back.asks.send(None);
     }
 
     /// Counts an attempt off; the core hears of it with the next report.
@@ -211,23 +255,16 @@
 
     async fn report(&mut self) {
         for (ask, told) in std::mem::take(&mut self.ends) {
-            self.house.tell_end(self.engine, &ask, told).await;
+            self.context.tell_end(self.engine, &ask, told).await;
         }
     }
 
     async fn serve(&mut self, stream: &TcpStream, slot: &Slot) -> Result<(), Broken> {
         loop {
-            // Guard: a peer may have closed a connection that idled, and an order may stand in the mailbox, before the
-            // runtime has looked there; an attempt written after either may have run for nothing.
-            if self.attempts.is_empty() && !self.waiting.is_empty() {
-                tokio::task::yield_now().await;
-                if !self.hear(stream).await? {
-                    return Ok(());
-                }
-            }
-            while let Ok(order) = self.orders.try_recv() {
-                self.order(order);
+            if !self.look_before_sending(stream).await? {
+                return Ok(());
             }
+            self.read_orders();
             self.next_ask();
             self.out.flush(stream)?;
             self.left();
@@ -235,16 +272,11 @@
             if self.out.is_empty() && !self.waiting.is_empty() {
                 continue;
             }
-            let idle = self.attempts.is_empty() && self.waiting.is_empty() && self.out.is_empty();
-            if idle && self.shut() {
+            if self.idle() && self.closed() {
                 return Ok(());
             }
-            let pages = self.attempts.values().filter_map(|a| a.pages.as_ref().map(|p| p.until)).min();
-            let until = self.idle_since + self.house.limits.engine_idle;
-            let half = self.half_since.map(|since| since + self.house.limits.answer_stall);
-            let word = self.words.iter().map(|w| w.until).min();
-            let alarm = [pages, self.cut, half, word, idle.then_some(until)].into_iter().flatten().min();
-            let alarm_at = alarm.unwrap_or_else(|| Instant::now() + self.house.limits.engine_idle);
+            let timers = self.timers();
+            let wake = timers.first().unwrap_or_else(|| Instant::now() + self.context.limits.engine_idle);
             tokio::select! {
                 biased;
                 // First: a connection that broke while it idled is seen before anything is written to it.
@@ -264,30 +296,69 @@
                 },
                 ready = stream.writable(), if !self.out.is_empty() => ready?,
                 () = slot.leaves() => return Ok(()),
-                () = sleep_until(alarm_at) => {
-                    let now = Instant::now();
-                    if self.cut.is_some_and(|c| c <= now) || idle && until <= now {
-                        return Ok(());
-                    }
-                    // Guard: a peer that takes nothing, or says nothing, would keep the attempt out for ever.
-                    if word.is_some_and(|w| w <= now) {
-                        self.house.counters.quits_stuck.up();
-                        return Err(Broken);
-                    }
-                    // Guard: an answer that stops short leaves nothing behind it that could be read.
-                    if half.is_some_and(|h| h <= now) {
-                        return Err(self.malformed());
-                    }
-                    self.late_pages(now);
+                () = sleep_until(wake) => if !self.timers_due(&timers, Instant::now())? {
+                    return Ok(());
                 }
             }
             self.report().await;
         }
     }
 
+    /// Before the first attempt on an idle connection: reads what is there; false at the end of the stream. Guard: a
+    /// peer may have closed a connection that idled, and an order may stand in the mailbox, before the runtime has
+    /// looked there; an attempt written after either may have run for nothing.
+    async fn look_before_sending(&mut self, stream: &TcpStream) -> Result<bool, Broken> {
+        if !self.attempts.is_empty() || self.waiting.is_empty() {
+            return Ok(true);
+        }
+        tokio::task::yield_now().await;
+        self.hear(stream).await
+    }
+
+    fn read_orders(&mut self) {
+        while let Ok(order) = self.orders.try_recv() {
+            self.order(order);
+        }
+    }
+
+    /// Whether nothing is open on it.
+    fn idle(&self) -> bool {
+        self.attempts.is_empty() && self.waiting.is_empty() && self.out.is_empty()
+    }
+
+    fn timers(&self) -> Timers {
+        let limits = &self.context.limits;
+        let pages = self.attempts.values().filter_map(|a| a.pages.as_ref());
+        Timers {
+            idle: self.idle().then_some(self.idle_since + limits.engine_idle),
+            cut: self.cut,
+            half_answer: self.half_since.map(|since| since + limits.answer_stall),
+            cancellation: self.cancellations.iter().map(|c| c.until).min(),
+            page: pages.map(|p| p.until).min(),
+        }
+    }
+
+    /// Acts on the timers that are due; false where the connection is to be closed in order.
+    fn timers_due(&mut self, timers: &Timers, now: Instant) -> Result<bool, Broken> {
+        if due(timers.cut, now) || due(timers.idle, now) {
+            return Ok(false);
+        }
+        // Guard: a peer that takes nothing, or says nothing, would keep the attempt out for ever.
+        if due(timers.cancellation, now) {
+            self.context.counters.quits_stuck.up();
+            return Err(Broken);
+        }
+        // Guard: an answer that stops short leaves nothing behind it that could be read.
+        if due(timers.half_answer, now) {
+            return Err(self.malformed());
+        }
+        self.late_pages(now);
+        Ok(true)
+    }
+
     /// Reads what is there; false at the end of the stream.
     async fn hear(&mut self, stream: &TcpStream) -> Result<bool, Broken> {
-        let open = net::read(stream, &mut self.input, self.house.limits.page_bytes * 2);
+        let open = net::read(stream, &mut self.input, self.context.limits.page_bytes * 2);
         // What came whole before the break counts.
         self.read().await?;
         Ok(open?)
@@ -300,82 +371,66 @@
         self.end(attempt.ask, EngineNews::GivenUp(end));
     }
 
-    /// An attempt ended by an answer, so that nothing waits for the word any more. Guard: a connection is not closed for
-    /// a word that has no purpose left.
+    /// An attempt ended by an answer, so that nothing waits for its cancellation any more. Guard: a connection is not
+    /// closed for a cancellation that has no purpose left.
     pub(super) fn answered(&mut self, name: &Bytes) -> Option<Attempt> {
         self.idle_words = 0;
-        self.words.retain(|w| w.name != *name);
+        self.cancellations.retain(|c| c.name != *name);
         self.attempts.remove(name)
     }
 
-    /// The engine has read all up to this tag.
-    pub(super) fn heard(&mut self, tag: &Bytes) {
-        let Some(at) = self.words.iter().position(|w| w.tag.as_ref() == Some(tag)) else {
+    /// The engine confirms that it has read all up to this tag.
+    pub(super) fn confirmed(&mut self, tag: &Bytes) {
+        let Some(at) = self.cancellations.iter().position(|c| c.tag.as_ref() == Some(tag)) else {
             self.unasked();
             return;
         };
-        for word in self.words.drain(..=at).collect::<Vec<_>>() {
-            let end = self.attempts.get_mut(&word.name).and_then(|a| a.life.heard());
-            end.into_iter().for_each(|end| self.given_up(&word.name, end));
+        for cancellation in self.cancellations.drain(..=at).collect::<Vec<_>>() {
+            let end = self.attempts.get_mut(&cancellation.name).and_then(|a| a.life.confirmed());
+            end.into_iter().for_each(|end| self.given_up(&cancellation.name, end));
         }
     }
 
-    /// What has left by now: attempts that their engine has whole, and words that end others.
+    /// What was sent by now: attempts that their engine has whole, and cancellations that end others.
     fn left(&mut self) {
         let written = self.out.written();
-        let mut unheard = VecDeque::new();
-        while let Some(word) = self.words.pop_front_if(|w| w.mark <= written) {
-            let end = self.attempts.get_mut(&word.name).and_then(|a| a.life.left(written));
+        let mut unconfirmed = VecDeque::new();
+        while let Some(cancellation) = self.cancellations.pop_front_if(|c| c.mark <= written) {
+            let end = self.attempts.get_mut(&cancellation.name).and_then(|a| a.life.left(written));
             match end {
-                Some(end) => self.given_up(&word.name, end),
-                None if word.tag.is_some() => unheard.push_back(word),
+                Some(end) => self.given_up(&cancellation.name, end),
+                None if cancellation.tag.is_some() => unconfirmed.push_back(cancellation),
                 None => {}
             }
         }
-        unheard.append(&mut self.words);
-        self.words = unheard;
+        unconfirmed.append(&mut self.cancellations);
+        self.cancellations = unconfirmed;
         if let Some((_, name)) = self.unwritten.take_if(|(whole, _)| *whole <= written) {
-            self.house.counters.written.up();
+            self.context.counters.written.up();
             self.attempts.get_mut(&name).map(|a| a.life.left(written));
         }
     }
 
     /// The engine is no longer listed: what it holds gets a moment to end.
     fn gone(&mut self) {
-        self.cut = self.cut.or(Some(Instant::now() + self.house.limits.gone_grace));
+        self.cut = self.cut.or(Some(Instant::now() + self.context.limits.gone_grace));
     }
 
     /// Puts the next attempt into the queue for the socket, one at a time: so at most one can be caught half
     /// written when its engine drains.
     fn next_ask(&mut self) {
-        if self.shut() {
+        if self.closed() {
             self.unsent();
         }
         while self.out.is_empty() {
             let Some(ask) = self.waiting.pop_front() else { return };
-            let now = self.house.core.now();
+            let now = self.context.core.now();
             // Guard: it was chosen a while ago, and a connection may come up late or take nothing for long.
             if let Some(late) = ask.late(now) {
                 self.end(ask, late);
                 continue;
             }
-            let left = (ask.due_ms - now).max(1.0);
-            let mut head = Vec::with_capacity(96);
-            head.extend_from_slice(b"ASK ");
-            head.extend_from_slice(&ask.name);
-            head.extend_from_slice(format!(" sort={},patience={left:.0}", ask.class.name).as_bytes());
-            if ask.memory_mb > 0.0 {
-                head.extend_from_slice(format!(",mb={:.0}", ask.memory_mb.ceil()).as_bytes());
-            }
-            if ask.priority != 1 {
-                head.extend_from_slice(format!(",nice={}", ask.priority).as_bytes());
-            }
-            if let Some(key) = &ask.idempotency_key {
-                head.extend_from_slice(b",op=");
-                head.extend_from_slice(key);
-            }
-            head.extend_from_slice(format!(" {}\r\n", ask.statement.len()).as_bytes());
-            self.out.push(head);
+            self.out.push(ask_line(&ask, now));
             self.out.push(ask.statement.clone());
             let whole = self.out.push(&b"\r\n"[..]);
             self.unwritten = Some((whole, ask.name.clone()));
@@ -387,7 +442,7 @@
 
     fn order(&mut self, order: Order) {
         match order {
-            Order::Ask(ask) if self.shut() => self.end(ask, EngineNews::end(Outcome::NoConnection)),
+            Order::Ask(ask) if self.closed() => self.end(ask, EngineNews::end(Outcome::NoConnection)),
             Order::Ask(ask) => self.waiting.push_back(ask),
             Order::Quit(id, attempt, again) => self.quit(id, attempt, again),
             Order::Priority(id, attempt, n) => {
@@ -397,11 +452,11 @@
                     self.line("PRIO", &name, Some(usize::from(n)));
                 }
             }
-            Order::Banned if self.shut() => self.unsent(),
+            Order::Banned if self.closed() => self.unsent(),
             Order::Banned => {}
             Order::Listed(ListState::Ready) => self.cut = None,
             Order::Listed(state) => {
-                // Guard: what is not yet begun by the word of a drain is not begun at all.
+                // Guard: what is not begun when the drain is heard of is not begun at all.
                 self.unsent();
                 if state == ListState::Gone {
                     self.gone();
@@ -411,8 +466,8 @@
     }
 
     /// Whether nothing new may go to its engine.
-    fn shut(&self) -> bool {
-        self.gate.shut()
+    fn closed(&self) -> bool {
+        self.admission.closed()
     }
 
     fn name_of(&self, id: RequestId, attempt: u16) -> Option<Bytes> {
@@ -420,45 +475,71 @@
         found.map(|(name, _)| name.clone())
     }
 
-    /// Gives an attempt up. It is over once the word for that has left, and no sooner where anything of it has.
+    /// Gives an attempt up. It is over once its cancellation was sent, and no sooner where anything of it was.
     fn quit(&mut self, id: RequestId, attempt: u16, again: bool) {
-        if let Some(i) = self.waiting.iter().position(|a| a.id == id && a.attempt == attempt) {
-            let end = Life::default().give_up(again, || 0);
-            if let (Some(end), Some(ask)) = (end, self.waiting.remove(i)) {
-                self.end(ask, EngineNews::GivenUp(end));
-            }
-        }
+        self.quit_waiting(id, attempt, again);
         let Some(name) = self.name_of(id, attempt) else { return };
         let Some(at) = self.attempts.get_mut(&name) else { return };
-        // A query that has ended holds pages, one that has not runs on: each needs its own word.
-        let word = if at.life.told() { "FREE" } else { "QUIT" };
-        let (limits, out, words) = (&self.house.limits, &mut self.out, &mut self.words);
+        // A query that has ended holds pages, one that has not runs on: each has its own message.
+        let verb = if at.life.told() { "FREE" } else { "QUIT" };
+        let (limits, out) = (&self.context.limits, &mut self.out);
         let end = at.life.give_up(again, || {
-            let mark = line(out, word, &name, None);
+            let mark = line(out, verb, &name, None);
             let tag = again.then(|| {
                 self.tags += 1;
                 Bytes::from(format!("{:016x}", self.tags))
             });
             let patience = if again { limits.quit_heard } else { limits.quit_write };
-            // Lines are read in order: what answers this has read the word.
+            // Lines are read in order: what answers this has read the cancellation.
             if let Some(tag) = &tag {
                 line(out, "NOOP", tag, None);
             }
-            words.push_back(Word { mark, name: name.clone(), tag, until: Instant::now() + patience });
+            let until = Instant::now() + patience;
+            self.cancellations.push_back(Cancellation { mark, name: name.clone(), tag, until });
             mark
         });
         end.into_iter().for_each(|end| self.given_up(&name, end));
     }
 
-    pub(super) fn line(&mut self, word: &str, name: &Bytes, number: Option<usize>) {
-        line(&mut self.out, word, name, number);
+    /// Gives an attempt up of which nothing is written yet.
+    fn quit_waiting(&mut self, id: RequestId, attempt: u16, again: bool) {
+        let Some(i) = self.waiting.iter().position(|a| a.id == id && a.attempt == attempt) else { return };
+        let end = Life::default().give_up(again, || 0);
+        if let (Some(end), Some(ask)) = (end, self.waiting.remove(i)) {
+            self.end(ask, EngineNews::GivenUp(end));
+        }
+    }
+
+    pub(super) fn line(&mut self, verb: &str, name: &Bytes, number: Option<usize>) {
+        line(&mut self.out, verb, name, number);
+    }
+}
+
+/// The line that begins an attempt; its statement follows.
+fn ask_line(ask: &Ask, now: Millis) -> Vec<u8> {
+    let left = (ask.due_ms - now).max(1.0);
+    let mut head = Vec::with_capacity(96);
+    head.extend_from_slice(b"ASK ");
+    head.extend_from_slice(&ask.name);
+    head.extend_from_slice(format!(" sort={},patience={left:.0}", ask.class.name).as_bytes());
+    if ask.memory_mb > 0.0 {
+        head.extend_from_slice(format!(",mb={:.0}", ask.memory_mb.ceil()).as_bytes());
+    }
+    if ask.priority != 1 {
+        head.extend_from_slice(format!(",nice={}", ask.priority).as_bytes());
+    }
+    if let Some(key) = &ask.idempotency_key {
+        head.extend_from_slice(b",op=");
+        head.extend_from_slice(key);
     }
+    head.extend_from_slice(format!(" {}\r\n", ask.statement.len()).as_bytes());
+    head
 }
 
-/// Queues a line; returns the mark at which it has left.
-fn line(out: &mut Outbox, word: &str, name: &Bytes, number: Option<usize>) -> u64 {
+/// Queues a line; returns the mark at which it is sent whole.
+fn line(out: &mut Outbox, verb: &str, name: &Bytes, number: Option<usize>) -> u64 {
     let mut line = Vec::with_capacity(32);
-    line.extend_from_slice(word.as_bytes());
+    line.extend_from_slice(verb.as_bytes());
     line.push(b' ');
     line.extend_from_slice(name);
     if let Some(n) = number {
--- a/src/engines/lines/mod.rs
+++ b/src/engines/lines/mod.rs
@@ -1,31 +1,33 @@
-//! The platform's engines: lines of words over TCP. One actor an engine hands attempts to its connections,
+//! The platform's engines: a line protocol over TCP. One actor an engine hands attempts to its connections,
 //! each an actor too.
 
 mod answers;
 mod connection;
 
-use super::context::{House, Order};
-use super::gate::Gate;
+use super::admission::Admission;
+use super::context::{EngineContext, Order};
+use super::load::Load;
 use super::place::{Conn, Place, place};
-use crate::core::EngineNews;
+use super::slots::Slot;
+use crate::core::{Ask, EngineNews};
 use crate::interface::{Effect, EngineId, Outcome};
-use connection::{Back, Connection};
+use connection::{Connection, ReturnPath};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use tokio::sync::mpsc;
 
 /// Runs one engine as long as it has connections, or until the list drops it and its attempts are over.
 pub(crate) async fn run(
-    engine: EngineId,
+    id: EngineId,
     address: SocketAddr,
     mut orders: mpsc::Receiver<Order>,
-    house: House,
-    gate: Arc<Gate>,
+    context: EngineContext,
+    admission: Arc<Admission>,
 ) {
-    let mut conns: Vec<Conn> = Vec::new();
     // Holds no more than the core's attempts on this engine.
     let (asks, mut returned) = mpsc::unbounded_channel();
-    let back = Back { asks, broken: Arc::default() };
+    let back = ReturnPath { asks, broken: Arc::default() };
+    let mut engine = Engine { id, address, context, admission, back, conns: Vec::new() };
     loop {
         let order = tokio::select! {
             biased;
@@ -36,60 +38,86 @@
                 None => return,
             },
         };
-        conns.retain(|c| !c.orders.is_closed());
-        let Some(order) = order else {
-            if conns.is_empty() && returned.is_empty() && orders.is_empty() {
-                return retire(engine, orders, &house).await;
+        engine.conns.retain(|c| !c.orders.is_closed());
+        match order {
+            Some(Order::Ask(ask)) => engine.ask(ask).await,
+            Some(order) => engine.tell_connections(&order),
+            None if engine.conns.is_empty() && returned.is_empty() && orders.is_empty() => {
+                return engine.retire(orders).await;
             }
-            continue;
-        };
-        let Order::Ask(ask) = order else {
-            // Each connection knows its own attempts.
-            for conn in &conns {
-                let _ = conn.orders.try_send(order.clone());
-            }
-            continue;
-        };
+            None => {}
+        }
+    }
+}
+
+/// One engine, as its actor holds it.
+struct Engine {
+    id: EngineId,
+    address: SocketAddr,
+    context: EngineContext,
+    admission: Arc<Admission>,
+    back: ReturnPath,
+    conns: Vec<Conn>,
+}
+
+impl Engine {
+    /// Each connection knows its own attempts.
+    fn tell_connections(&self, order: &Order) {
+        for conn in &self.conns {
+            let _ = conn.orders.try_send(order.clone());
+        }
+    }
+
+    /// Hands an attempt to one of the connections, or to a new one.
+    async fn ask(&mut self, ask: Box<Ask>) {
         // Guard: what a broken connection gave back finds no new one to what drains or was taken out meanwhile.
-        if gate.shut() {
-            house.tell_end(engine, &ask, EngineNews::end(Outcome::NoConnection)).await;
-            let _ = back.asks.send(None);
-            continue;
+        if self.admission.closed() {
+            return self.turn_down(&ask, Outcome::NoConnection).await;
         }
         let once = ask.class.class.effect == Effect::Once;
-        let conn = match place(&conns, once, &house) {
+        let conn = match place(&self.conns, once, &self.context) {
             Place::On(conn) => conn,
-            Place::Nowhere => {
-                house.tell_end(engine, &ask, EngineNews::end(Outcome::NoRoom)).await;
-                let _ = back.asks.send(None); // without a connection it is over
-                continue;
-            }
-            Place::New(slot, load) => {
-                let (orders, mailbox) = mpsc::channel(house.limits.mailbox);
-                let connection =
-                    Connection::new(engine, mailbox, back.clone(), load.clone(), house.clone(), gate.clone());
-                tokio::spawn(connection.run(address, slot));
-                conns.push(Conn { orders, load });
-                conns.len() - 1
-            }
+            Place::New(slot, load) => self.connect(slot, load),
+            Place::Nowhere => return self.turn_down(&ask, Outcome::NoRoom).await,
         };
-        conns[conn].load.add(once, house.core.now());
-        if let Err(refused) = conns[conn].orders.try_send(Order::Ask(ask)) {
-            conns[conn].load.take_off(once);
+        let conn = &self.conns[conn];
+        conn.load.add(once, self.context.core.now());
+        if let Err(refused) = conn.orders.try_send(Order::Ask(ask)) {
+            conn.load.take_off(once);
             if let Order::Ask(ask) = refused.into_inner() {
-                house.tell_end(engine, &ask, EngineNews::end(Outcome::NoConnection)).await;
+                self.tell_unsent(&ask, Outcome::NoConnection).await;
             }
         }
     }
-}
 
-/// The last connection is over. Guard: what is handed over from now on finds the mailbox closed, and begins a new
-/// actor; what came just before goes back as it was.
-async fn retire(engine: EngineId, mut orders: mpsc::Receiver<Order>, house: &House) {
-    orders.close();
-    while let Ok(order) = orders.try_recv() {
-        if let Order::Ask(ask) = order {
-            house.tell_end(engine, &ask, EngineNews::end(Outcome::NoRoom)).await;
+    /// Starts a connection; returns its place.
+    fn connect(&mut self, slot: Slot, load: Arc<Load>) -> usize {
+        let (orders, mailbox) = mpsc::channel(self.context.limits.mailbox);
+        let (back, context, admission) = (self.back.clone(), self.context.clone(), self.admission.clone());
+        let connection = Connection::new(self.id, mailbox, back, load.clone(), context, admission);
+        tokio::spawn(connection.run(self.address, slot));
+        self.conns.push(Conn { orders, load });
+        self.conns.len() - 1
+    }
+
+    /// Tells the end of an attempt that finds no connection; an engine without any is over then.
+    async fn turn_down(&self, ask: &Ask, outcome: Outcome) {
+        self.tell_unsent(ask, outcome).await;
+        let _ = self.back.asks.send(None);
+    }
+
+    async fn tell_unsent(&self, ask: &Ask, outcome: Outcome) {
+        self.context.tell_end(self.id, ask, EngineNews::end(outcome)).await;
+    }
+
+    /// The last connection is over. Guard: what is handed over from now on finds the mailbox closed, and begins a new
+    /// actor; what came just before goes back as it was.
+    async fn retire(&self, mut orders: mpsc::Receiver<Order>) {
+        orders.close();
+        while let Ok(order) = orders.try_recv() {
+            if let Order::Ask(ask) = order {
+                self.tell_unsent(&ask, Outcome::NoRoom).await;
+            }
         }
     }
 }
--- a/src/engines/lines/tests.rs
+++ b/src/engines/lines/tests.rs
@@ -15,7 +15,7 @@
         let mut rig = Rig::lines().await;
         // Behind it in the mailbox: the flag is there before the order is read.
         rig.tell(ask(1)).await;
-        rig.gate.ban(true);
+        rig.admission.ban(true);
         assert!(matches!(rig.end().await, (1, EngineNews::Ended { outcome: Outcome::NoConnection, .. })));
         tokio::select! {
             biased;
@@ -48,7 +48,7 @@
 fn what_is_late_is_not_written() {
     block(async {
         let mut rig = Rig::lines().await;
-        let now = rig.house.core.now();
+        let now = rig.context.core.now();
         for (id, due_ms, until_ms) in [(1, now, f64::INFINITY), (2, 1e13, now), (3, 1e13, 1e13)] {
             let Order::Ask(one) = ask(id) else { unreachable!("an attempt") };
             rig.tell(Order::Ask(Box::new(Ask { due_ms, until_ms, ..*one }))).await;
@@ -125,14 +125,14 @@
                 }
             };
             assert!(matches!(told, (1, EngineNews::Ended { outcome: Outcome::Reset, .. })), "{told:?}");
-            assert_eq!(rig.house.counters.engine_malformed.get(), 1);
+            assert_eq!(rig.context.counters.engine_malformed.get(), 1);
             drop(writes);
         }
     });
 }
 
-/// An engine that reads a byte at a time has the attempt and the word in this order; the end is told once, also where
-/// the order is given again.
+/// An engine that reads a byte at a time has the attempt and the cancellation in this order; the end is told once, also
+/// where the order is given again.
 #[test]
 fn an_engine_that_reads_slowly() {
     block(async {
@@ -151,8 +151,8 @@
     });
 }
 
-/// Guard: where another attempt may follow, a word that has left proves nothing, as connections are read in no order
-/// among each other; that the engine answers what stands behind it does. A note meanwhile proves nothing either.
+/// Guard: where another attempt may follow, a cancellation that was sent proves nothing, as connections are read in no
+/// order among each other; that the engine answers what stands behind it does. A note meanwhile proves nothing either.
 #[test]
 fn an_attempt_may_follow_once_the_word_is_read() {
     block(async {
@@ -182,12 +182,12 @@
         rig.tell(Order::Quit(1, 0, true)).await;
         while peer.read_buf(&mut all).await.is_ok_and(|n| n > 0) {}
         assert!(given_up(&rig.end().await, 1, End::Broken));
-        assert_eq!(rig.house.counters.quits_stuck.get(), 1);
+        assert_eq!(rig.context.counters.quits_stuck.get(), 1);
     });
 }
 
-/// Guard: nothing is told before the word has left: a peer that does not read keeps the attempt out. Once it reads it
-/// finds the attempt whole and then the word.
+/// Guard: nothing is told before the cancellation was sent: a peer that does not read keeps the attempt out. Once it
+/// reads it finds the attempt whole and then the cancellation.
 #[test]
 fn no_proof_before_the_word_has_left() {
     block(async {
@@ -197,7 +197,7 @@
         let mut first = [0; 4];
         peer.read_exact(&mut first).await.expect("bytes");
         rig.tell(Order::Quit(1, 0, false)).await;
-        assert!(rig.silent().await, "the word is still here");
+        assert!(rig.silent().await, "the cancellation is still here");
         let mut all = Vec::new();
         while !all.ends_with(b"QUIT 0000000000000001\r\n") {
             assert!(peer.read_buf(&mut all).await.expect("bytes") > 0);
@@ -220,7 +220,7 @@
         rig.tell(Order::Quit(1, 0, false)).await;
         let mut other = rig.accept().await;
         assert!(given_up(&rig.end().await, 1, End::Unsent));
-        assert_eq!(rig.house.counters.quits_stuck.get(), 1);
+        assert_eq!(rig.context.counters.quits_stuck.get(), 1);
         let mut text = [0; 20];
         other.read_exact(&mut text).await.expect("bytes");
         assert_eq!(&text, b"ASK 0000000000000002");
@@ -230,7 +230,8 @@
     });
 }
 
-/// Guard: a connection that breaks while the word is queued is an end that is told once, as the one that was asked for.
+/// Guard: a connection that breaks while the cancellation is queued is an end that is told once, as the one that was
+/// asked for.
 #[test]
 fn a_break_with_the_word_queued() {
     block(async {
@@ -246,8 +247,8 @@
     });
 }
 
-/// A good answer that crosses the word is passed on; pages that the word let go are not asked for; and an answer that
-/// proves that nothing ran does so for what is given up too.
+/// A good answer that crosses the cancellation is passed on; pages that the cancellation let go are not asked for; and
+/// an answer that proves that nothing ran does so for what is given up too.
 #[test]
 fn answers_that_cross_the_word() {
     block(async {
@@ -258,7 +259,7 @@
             let mut peer = rig.accept().await;
             peer.read_exact(&mut [0; 20]).await.expect("bytes");
             rig.tell(Order::Quit(1, 0, false)).await;
-            assert!(rig.silent().await, "the word stands behind what is not read");
+            assert!(rig.silent().await, "the cancellation stands behind what is not read");
             peer.write_all(format!("0000000000000001 {answer}\r\n").as_bytes()).await.expect("answer");
             match rig.end().await {
                 (1, EngineNews::Ended { outcome: Outcome::Ok, body: Some(_), .. }) => assert!(page),
--- a/src/engines/many.rs
+++ b/src/engines/many.rs
@@ -1,7 +1,7 @@
 //! Tests of a manager with more engines in its list than descriptors, and of a list that churns.
 
 use super::Fleet;
-use super::context::{House, Order};
+use super::context::{EngineContext, Order};
 use super::tests::{ask, block, line};
 use crate::config::{ListEvent, Listed, engine_id};
 use crate::core::tests::taken;
@@ -57,7 +57,7 @@
 /// A fleet without a core, on the smallest machine's descriptors.
 struct Rig {
     fleet: Fleet,
-    house: House,
+    context: EngineContext,
     news: Inputs,
     most: u64,
 }
@@ -65,11 +65,11 @@
 impl Rig {
     async fn new(count: u32, hold: Option<Arc<Semaphore>>) -> Rig {
         let (core, news) = Handle::new(64, Clock::new());
-        let house = House::with_sockets(core, 64);
-        let most = (house.limits.engine_conns + house.limits.engine_conns_kept) as u64;
-        let mut fleet = Fleet::new(house.clone());
+        let context = EngineContext::with_sockets(core, 64);
+        let most = (context.limits.engine_conns + context.limits.engine_conns_kept) as u64;
+        let mut fleet = Fleet::new(context.clone());
         engines(count, hold).await.iter().for_each(|line| fleet.listed(line));
-        Rig { fleet, house, news, most }
+        Rig { fleet, context, news, most }
     }
 
     fn ask(&mut self, engine: u32, id: u32) {
@@ -79,7 +79,10 @@
 
     async fn end(&mut self) -> (RequestId, Outcome) {
         let input = timeout(Duration::from_secs(20), self.news.input()).await.expect("an end");
-        assert!(self.house.counters.engine_conns_open.get() <= self.most, "more descriptors than there are");
+        assert!(
+            self.context.counters.engine_conns_open.get() <= self.most,
+            "more descriptors than there are"
+        );
         match input {
             Some(Input::Engine { id, news: EngineNews::Ended { outcome, .. }, .. }) => (id, outcome),
             _ => panic!("no end"),
@@ -96,7 +99,7 @@
             rig.ask(id % 200 + 1, id);
             assert_eq!(rig.end().await, (id, Outcome::Ok));
         }
-        let counters = &rig.house.counters;
+        let counters = &rig.context.counters;
         assert_eq!(counters.engine_conns_open.get(), rig.most);
         assert_eq!(counters.engine_evicted.get(), 400 - rig.most);
     });
@@ -124,7 +127,7 @@
             assert_eq!(outcome, Outcome::Ok);
             open.retain(|n| *n != id);
         }
-        assert_eq!(rig.house.counters.engine_evicted.get(), 1);
+        assert_eq!(rig.context.counters.engine_evicted.get(), 1);
     });
 }
 
@@ -143,12 +146,12 @@
 fn more_engines_than_descriptors_serve_all() {
     block(async {
         let (handle, inputs) = Handle::new(64, Clock::new());
-        let house = House::with_sockets(handle.clone(), 64);
-        let parsed = House::settings_for_tests();
+        let context = EngineContext::with_sockets(handle.clone(), 64);
+        let parsed = EngineContext::settings_for_tests();
         let (settings, class) = (parsed.settings, parsed.classes[0].clone());
-        let most = (house.limits.engine_conns + house.limits.engine_conns_kept) as u64;
-        let (limits, counters) = (house.limits.clone(), house.counters.clone());
-        let core = Core::new(settings, 7, Fleet::new(house), limits, counters.clone()).expect("core");
+        let most = (context.limits.engine_conns + context.limits.engine_conns_kept) as u64;
+        let (limits, counters) = (context.limits.clone(), context.counters.clone());
+        let core = Core::new(settings, 7, Fleet::new(context), limits, counters.clone()).expect("core");
         tokio::spawn(start(core, inputs, Clock::new()));
         let entries = engines(200, None).await;
         handle
@@ -191,7 +194,7 @@
         rig.fleet.listed(&Listed { address, ..line(1, ListState::Ready) });
         rig.ask(1, 1);
         assert_eq!(rig.end().await, (1, Outcome::NoConnection));
-        assert_eq!(rig.house.counters.engine_conns_open.get(), 0);
+        assert_eq!(rig.context.counters.engine_conns_open.get(), 0);
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 tokio::spawn(serve(stream, None));
@@ -239,6 +242,6 @@
             }
         };
         timeout(Duration::from_secs(20), over).await.expect("no actor stays");
-        assert_eq!((rig.fleet.peers.len(), rig.house.counters.engine_conns_open.get()), (1024, 0));
+        assert_eq!((rig.fleet.peers.len(), rig.context.counters.engine_conns_open.get()), (1024, 0));
     });
 }
--- a/src/engines/mod.rs
+++ b/src/engines/mod.rs
@@ -1,9 +1,9 @@
 //! Engines, by the protocol that they speak: one actor an engine, which owns its connections and lives as long as it
 //! has any. Without one an engine costs its entry in the list alone.
 
+mod admission;
 mod context;
 pub(crate) mod flight;
-mod gate;
 pub(crate) mod lines;
 mod load;
 #[cfg(test)]
@@ -17,9 +17,9 @@
 use crate::config::Listed;
 use crate::core::{Ask, EnginePort};
 use crate::interface::{EngineId, ListState, RequestId};
-pub(crate) use context::House;
+use admission::Admission;
+pub(crate) use context::EngineContext;
 use context::Order;
-use gate::Gate;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -29,18 +29,18 @@
     address: SocketAddr,
     /// Its actor's mailbox, once it has had one: it ends with its last connection, and comes back with the next attempt.
     orders: Option<mpsc::Sender<Order>>,
-    gate: Arc<Gate>,
+    admission: Arc<Admission>,
 }
 
 /// All engines that the list has named.
 pub(crate) struct Fleet {
-    house: House,
+    context: EngineContext,
     peers: HashMap<EngineId, Peer>,
 }
 
 impl Fleet {
-    pub(crate) fn new(house: House) -> Fleet {
-        Fleet { house, peers: HashMap::new() }
+    pub(crate) fn new(context: EngineContext) -> Fleet {
+        Fleet { context, peers: HashMap::new() }
     }
 
     /// Tells its actor, if there is one.
@@ -62,11 +62,11 @@
                 Err(TrySendError::Closed(unread)) => order = unread,
             }
         }
-        let (orders, mailbox) = mpsc::channel(self.house.limits.mailbox);
-        let (house, gate) = (self.house.clone(), peer.gate.clone());
-        match house.flight {
-            true => tokio::spawn(flight::run(engine, peer.address, mailbox, house, gate)),
-            false => tokio::spawn(lines::run(engine, peer.address, mailbox, house, gate)),
+        let (orders, mailbox) = mpsc::channel(self.context.limits.mailbox);
+        let (context, admission) = (self.context.clone(), peer.admission.clone());
+        match context.flight {
+            true => tokio::spawn(flight::run(engine, peer.address, mailbox, context, admission)),
+            false => tokio::spawn(lines::run(engine, peer.address, mailbox, context, admission)),
         };
         peer.orders.insert(orders).try_send(order).is_ok()
     }
@@ -85,11 +85,11 @@
         if moved && state == ListState::Ready {
             // Guard: what is on its way to the old address would reach whoever has it now, if anybody.
             self.dropped(engine);
-            let peer = Peer { address: line.address, orders: None, gate: Arc::default() };
+            let peer = Peer { address: line.address, orders: None, admission: Arc::default() };
             self.peers.insert(engine, peer);
         }
         if let Some(peer) = self.peers.get(&engine) {
-            peer.gate.drain(state != ListState::Ready);
+            peer.admission.drain(state != ListState::Ready);
         }
         self.tell(engine, Order::Listed(state));
         if state == ListState::Gone {
@@ -99,7 +99,7 @@
 
     fn banned(&mut self, engine: EngineId, out: bool) {
         if let Some(peer) = self.peers.get(&engine) {
-            peer.gate.ban(out);
+            peer.admission.ban(out);
         }
         self.tell(engine, Order::Banned);
     }
@@ -107,7 +107,7 @@
     /// Its actor ends with its mailbox, once its attempts are over.
     fn dropped(&mut self, engine: EngineId) {
         if let Some(peer) = self.peers.remove(&engine) {
-            peer.gate.drain(true);
+            peer.admission.drain(true);
         }
     }
 }
--- a/src/engines/place.rs
+++ b/src/engines/place.rs
@@ -1,6 +1,6 @@
 //! Which of an engine's connections carries one more attempt.
 
-use super::context::{House, Order};
+use super::context::{EngineContext, Order};
 use super::load::Load;
 use super::slots::{Need, Slot};
 use std::sync::Arc;
@@ -27,9 +27,9 @@
 /// ends its connection and all that is on it, so what may run once only has one of its own, and others share one
 /// in small groups, as far as descriptors go. Guard: a connection that idles may be reset by the request that ends
 /// that, unread or not; what may run once only is then lost, so it takes a new one unless this one just answered.
-pub(super) fn place(conns: &[Conn], once: bool, house: &House) -> Place {
-    let limits = &house.limits;
-    let now = house.core.now();
+pub(super) fn place(conns: &[Conn], once: bool, context: &EngineContext) -> Place {
+    let limits = &context.limits;
+    let now = context.core.now();
     let heard = |i: usize| !conns[i].load.mute(now, limits);
     let stays = |c: &Conn| !c.load.leaving();
     let all = || conns.iter().enumerate().filter(|(_, c)| stays(c)).map(|(i, c)| (i, c.load.now()));
@@ -52,7 +52,7 @@
     };
     if conns.len() < limits.conns_per_engine {
         let load = Arc::<Load>::default();
-        if let Some(slot) = house.slots.take(&load, need) {
+        if let Some(slot) = context.slots.take(&load, need) {
             return Place::New(slot, load);
         }
     }
--- a/src/engines/reply.rs
+++ b/src/engines/reply.rs
@@ -1,4 +1,4 @@
-//! An engine's answers, as lines of words with a length and bytes behind it.
+//! An engine's answers: a line of space-separated fields, followed by as many bytes as its last field says.
 
 use bytes::{Bytes, BytesMut};
 
--- a/src/engines/slots/tests.rs
+++ b/src/engines/slots/tests.rs
@@ -2,13 +2,13 @@
 
 use super::*;
 use crate::core::{Clock, Handle};
-use crate::engines::House;
+use crate::engines::EngineContext;
 use futures::FutureExt;
 
 fn slots() -> (Arc<Slots>, usize, usize) {
-    let house = House::for_tests(Handle::new(1, Clock::new()).0);
-    let (most, kept) = (house.limits.engine_conns, house.limits.engine_conns_kept);
-    (house.slots, most, kept)
+    let context = EngineContext::for_tests(Handle::new(1, Clock::new()).0);
+    let (most, kept) = (context.limits.engine_conns, context.limits.engine_conns_kept);
+    (context.slots, most, kept)
 }
 
 fn busy(at: f64) -> Arc<Load> {
--- a/src/engines/tests.rs
+++ b/src/engines/tests.rs
@@ -1,7 +1,7 @@
 //! What the tests of engines' actors share: an actor of either speech and the bare socket that it connects to.
 
-use super::context::{House, Order};
-use super::gate::Gate;
+use super::admission::Admission;
+use super::context::{EngineContext, Order};
 use super::{Fleet, flight, lines};
 use crate::attempt::End;
 use crate::config::{Listed, engine_id};
@@ -23,8 +23,8 @@
     pub(super) listener: TcpListener,
     orders: mpsc::Sender<Order>,
     news: Inputs,
-    pub(super) house: House,
-    pub(super) gate: Arc<Gate>,
+    pub(super) context: EngineContext,
+    pub(super) admission: Arc<Admission>,
 }
 
 impl Rig {
@@ -40,14 +40,14 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
         let address = listener.local_addr().expect("address");
         let (core, news) = Handle::new(64, Clock::new());
-        let (house, gate) = (House::for_tests(core), Arc::<Gate>::default());
+        let (context, admission) = (EngineContext::for_tests(core), Arc::<Admission>::default());
         let (orders, mailbox) = mpsc::channel(64);
-        let (engine, shut) = (EngineId::default(), gate.clone());
+        let (engine, shut) = (EngineId::default(), admission.clone());
         match speaks_flight {
-            true => tokio::spawn(flight::run(engine, address, mailbox, house.clone(), shut)),
-            false => tokio::spawn(lines::run(engine, address, mailbox, house.clone(), shut)),
+            true => tokio::spawn(flight::run(engine, address, mailbox, context.clone(), shut)),
+            false => tokio::spawn(lines::run(engine, address, mailbox, context.clone(), shut)),
         };
-        Rig { listener, orders, news, house, gate }
+        Rig { listener, orders, news, context, admission }
     }
 
     pub(super) async fn tell(&self, order: Order) {
@@ -88,7 +88,7 @@
 fn every_listed_engine_takes_attempts() {
     block(async {
         let (core, _news) = Handle::new(64, Clock::new());
-        let mut fleet = Fleet::new(House::for_tests(core));
+        let mut fleet = Fleet::new(EngineContext::for_tests(core));
         (1..=1024).for_each(|id| fleet.listed(&line(id, ListState::Ready)));
         (1..=614).for_each(|id| fleet.listed(&line(id, ListState::Draining)));
         (2001..=2614).for_each(|id| fleet.listed(&line(id, ListState::Ready)));
@@ -99,28 +99,28 @@
     });
 }
 
-/// Guard: the word of a drain holds though its order finds the mailbox full, as after a turn in which much was said to one
+/// Guard: a drain takes effect though its order finds the mailbox full, as after a turn in which much was said to one
 /// engine. What waits behind is not sent on, and nothing is connected.
 #[test]
 fn a_drain_holds_though_the_mailbox_is_full() {
     block(async {
         let (core, mut news) = Handle::new(64, Clock::new());
-        let house = House::for_tests(core);
+        let context = EngineContext::for_tests(core);
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
         let address = listener.local_addr().expect("address");
         let at = |state| Listed { address, ..line(1, state) };
         for last in [ListState::Draining, ListState::Gone] {
-            let mut fleet = Fleet::new(house.clone());
+            let mut fleet = Fleet::new(context.clone());
             fleet.listed(&at(ListState::Ready));
             let Order::Ask(one) = ask(1) else { unreachable!("an attempt") };
             assert!(fleet.ask(engine_id(1), *one));
             // No actor has a turn before the test waits.
-            (1..house.limits.mailbox).for_each(|_| fleet.priority(engine_id(1), 9, 0, 2));
+            (1..context.limits.mailbox).for_each(|_| fleet.priority(engine_id(1), 9, 0, 2));
             fleet.listed(&at(last));
             let told = timeout(Duration::from_secs(20), news.input()).await.expect("an end");
             let Some(Input::Engine { id: 1, news: told, .. }) = told else { panic!("no end") };
             assert!(matches!(told, EngineNews::Ended { outcome: Outcome::NoConnection, .. }), "{told:?}");
-            assert_eq!(house.counters.engine_conns.get(), 0);
+            assert_eq!(context.counters.engine_conns.get(), 0);
         }
     });
 }
@@ -141,7 +141,7 @@
 
 /// An attempt on a statement of so many bytes.
 pub(super) fn ask_of(id: u32, bytes: usize) -> Order {
-    let class = House::settings_for_tests().classes[0].clone();
+    let class = EngineContext::settings_for_tests().classes[0].clone();
     Order::Ask(Box::new(Ask {
         id,
         attempt: 0,
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -275,34 +275,34 @@
     }
 }
 
-/// A stock that many actors draw on, as the sum of what they hold is what counts.
+/// Bytes that many actors reserve from together.
 #[derive(Debug, Default)]
-pub(crate) struct Stock(AtomicUsize);
+pub(crate) struct MemoryPool(AtomicUsize);
 
-/// What one of them holds; it goes back once this is dropped.
+/// The bytes that one of them has reserved; they go back once this is dropped.
 #[derive(Debug)]
-pub(crate) struct Hold {
-    stock: Arc<Stock>,
+pub(crate) struct MemoryReservation {
+    pool: Arc<MemoryPool>,
     bytes: usize,
 }
 
-impl Hold {
-    pub(crate) fn new(stock: &Arc<Stock>) -> Hold {
-        Hold { stock: stock.clone(), bytes: 0 }
+impl MemoryReservation {
+    pub(crate) fn new(pool: &Arc<MemoryPool>) -> MemoryReservation {
+        MemoryReservation { pool: pool.clone(), bytes: 0 }
     }
 
     /// Holds so many bytes from now on; false where all together hold more than `most`.
     pub(crate) fn set(&mut self, bytes: usize, most: usize) -> bool {
         let before = std::mem::replace(&mut self.bytes, bytes);
-        let all = self.stock.0.fetch_add(bytes, Ordering::Relaxed) + bytes - before;
-        self.stock.0.fetch_sub(before, Ordering::Relaxed);
+        let all = self.pool.0.fetch_add(bytes, Ordering::Relaxed) + bytes - before;
+        self.pool.0.fetch_sub(before, Ordering::Relaxed);
         all <= most || bytes <= before
     }
 }
 
-impl Drop for Hold {
+impl Drop for MemoryReservation {
     fn drop(&mut self) {
-        self.stock.0.fetch_sub(self.bytes, Ordering::Relaxed);
+        self.pool.0.fetch_sub(self.bytes, Ordering::Relaxed);
     }
 }
 
--- a/src/list/tests.rs
+++ b/src/list/tests.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 use crate::core::Clock;
-use crate::engines::House;
+use crate::engines::EngineContext;
 use tokio::net::TcpListener;
 
 /// A frame with one record for each engine, as the feed writes it.
@@ -36,12 +36,12 @@
     runtime.block_on(async {
         let feed = TcpListener::bind("127.0.0.1:0").await.expect("bind");
         let (core, mut inputs) = Handle::new(64, Clock::new());
-        let mut limits = Limits::clone(&House::for_tests(core.clone()).limits);
+        let mut limits = Limits::clone(&EngineContext::for_tests(core.clone()).limits);
         limits.feed_silence = std::time::Duration::from_millis(50);
         let counters: Arc<Counters> = Arc::default();
         let (_feed, address) = watch::channel(feed.local_addr().expect("address"));
         let (spoken, _) = watch::channel(false);
-        let (_settings, settings) = watch::channel(Arc::new(House::settings_for_tests()));
+        let (_settings, settings) = watch::channel(Arc::new(EngineContext::settings_for_tests()));
         tokio::spawn(follow(address, 0, core, Arc::new(limits), counters.clone(), spoken, settings));
         let (mut stream, last) = accept(&feed).await;
         assert_eq!(last, 0);
--- a/src/node.rs
+++ b/src/node.rs
@@ -2,18 +2,18 @@
 
 use crate::attempts::Policy;
 use crate::clients::{Front, flight, platform};
-use crate::config::{Config, ConfigError, Speech, loopback};
+use crate::config::{Config, ConfigError, Fronts, Speech, loopback};
 use crate::core::{Clock, Core, Handle, Input, start};
 use crate::counters::Counters;
-use crate::engines::{Fleet, House};
+use crate::engines::{EngineContext, Fleet};
 use crate::file::{self, Known, Operators};
 use crate::lifecycle::Lifecycle;
 use crate::limits::Limits;
 use crate::list;
-use crate::operations::{self, Desk};
+use crate::operations::{self, OperationsServer};
 use crate::settings::Parsed;
 use crate::snmp;
-use crate::successor::{self, Scribe, Store};
+use crate::successor::{self, StateWriter, Store};
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -55,52 +55,24 @@
     /// Starts everything that the configuration and the operators' file name.
     pub async fn start(config: Config, operators: impl Into<Operators>) -> Result<Node, ConfigError> {
         let Operators { fronts, policy, path, .. } = operators.into();
-        let parsed = Arc::new(config.parsed);
         let speech = fronts.flight.as_ref().map(|f| f.engines).unwrap_or_default();
-        let limits =
-            Arc::new(Limits::new(config.sockets, config.memory_mb, speech == Speech::Lines, &parsed));
-        let counters = Arc::new(Counters::default());
-        let fixed = (config.listen, (config.sockets, config.memory_mb));
-        let store = match &config.folder {
-            Some(folder) => {
-                let opened = Store::open(folder, &config.name, limits.clone(), counters.clone()).await;
-                // Guard: without the folder it is a workload manager all the same, and knows of no other process.
-                opened.inspect_err(|e| eprintln!("magpiechute: no state in {}: {e}", folder.display())).ok()
-            }
-            None => None,
-        };
+        let speaks_lines = speech == Speech::Lines;
+        let limits = Limits::new(config.sockets, config.memory_mb, speaks_lines, &config.parsed);
+        let (limits, counters) = (Arc::new(limits), Arc::<Counters>::default());
+        let store = open_store(&config, &limits, &counters).await;
         let succeeds = store.as_ref().is_some_and(Store::another);
-        let (listener, listen) = match config.listen_fd {
-            Some(fd) => inherited(fd).await?,
-            None => bind(config.listen).await?,
-        };
-        let flight_listener = match &fronts.flight {
-            Some(f) => Some(bind(loopback(&f.listen, "flight")?).await?),
-            None => None,
-        };
-        let desk = match config.ops {
-            Some(at) => Some(bind(at).await?),
-            None => None,
-        };
-        let agent = match fronts.snmp {
-            Some(agent) => {
-                let at = loopback(&agent.listen, "snmp")?;
-                let wrong = |e: std::io::Error| ConfigError(format!("cannot listen on {at}: {e}"));
-                let socket = UdpSocket::bind(at).await.map_err(wrong)?;
-                let at = socket.local_addr().map_err(wrong)?;
-                Some((socket, at, agent.community))
-            }
-            None => None,
-        };
+        let sockets = Sockets::bind(&config, fronts).await?;
+        let fixed = (config.listen, (config.sockets, config.memory_mb));
+        let parsed = Arc::new(config.parsed);
         let clock = Clock::new();
         let (core, inputs) = Handle::new(limits.mailbox, clock);
-        let house = House::new(core.clone(), limits.clone(), counters.clone(), speech == Speech::Flight);
+        let context = EngineContext::new(core.clone(), limits.clone(), counters.clone(), !speaks_lines);
         let lifecycle = Arc::new(Lifecycle::new());
         let made = Core::new(
             parsed.settings.clone(),
             // A process beside another one of the same seed would take its turns at the same times.
             if succeeds { config.seed ^ clock.now().to_bits() } else { config.seed },
-            Fleet::new(house),
+            Fleet::new(context),
             limits.clone(),
             counters.clone(),
         );
@@ -119,19 +91,19 @@
         let (parsed, settings) = watch::channel(parsed);
         let from = (core.clone(), limits.clone(), counters.clone());
         tokio::spawn(list::follow(address, last, from.0, from.1, from.2, spoken, settings.clone()));
-        let (scribe, said) = Scribe::new(&limits);
+        let (state_writer, said) = StateWriter::new(&limits);
         if let Some(mut store) = store {
             // Before it takes anything it knows what was taken out by hand.
             store.pass_on(&core).await;
             tokio::spawn(successor::run(store, said, core.clone(), limits.clone()));
         }
         let in_force = Arc::new(Mutex::new(policy));
-        let ops = desk.map(|(listener, at)| {
+        let ops = sockets.operations.map(|(listener, at)| {
             let (core, counters, limits, lifecycle) =
                 (core.clone(), counters.clone(), limits.clone(), lifecycle.clone());
             let (policy, parsed) = (in_force.clone(), settings.clone());
-            let desk = Desk { core, counters, limits, lifecycle, scribe, policy, parsed };
-            tokio::spawn(operations::listen(listener, desk));
+            let server = OperationsServer { core, counters, limits, lifecycle, state_writer, policy, parsed };
+            tokio::spawn(operations::listen(listener, server));
             at
         });
         for class in &settings.borrow().classes {
@@ -143,18 +115,19 @@
             limits: limits.clone(),
             counters: counters.clone(),
             lifecycle: lifecycle.clone(),
-            stocks: Arc::default(),
+            pools: Arc::default(),
         };
         if succeeds {
             // Guard: the list of the configuration is that of the first start, and may name engines that are gone.
             let _ = timeout(limits.feed_first, heard.wait_for(|heard| *heard)).await;
         }
-        let flight = flight_listener.map(|(listener, at)| {
+        let flight = sockets.flight.map(|(listener, at)| {
             tokio::spawn(flight::listen(listener, front.clone()));
             at
         });
+        let (listener, listen) = sockets.platform;
         tokio::spawn(platform::listen(listener, front));
-        let snmp = agent.map(|(socket, at, community)| {
+        let snmp = sockets.agent.map(|(socket, at, community)| {
             let agent = snmp::Agent::new(community, config.name, counters.clone(), limits.clone());
             tokio::spawn(agent.listen(socket));
             at
@@ -183,69 +156,63 @@
     /// Connections, requests and engines stay: the settings and the control feed's address may change while the
     /// program runs, and `known` is of the start. The feed tells what is new under its own numbers.
     pub async fn reload(&self, config: Result<Config, ConfigError>) {
-        let whole = config.and_then(|config| {
-            let used = self.used.lock().unwrap_or_else(PoisonError::into_inner);
-            match config.lacks(&used) {
-                None => Ok(config),
-                // Guard: what goes without saying at a start would change here without a word.
-                Some(key) => Err(ConfigError(format!("configuration: {key} is missing"))),
-            }
-        });
-        // Guard: the operators' file is held against the new settings, and both are taken or neither.
-        let whole = whole.and_then(|config| match &self.operators.0 {
-            Some(path) => match file::load(path, &Known::of(&config.parsed)) {
-                Ok(loaded) => Ok((config, loaded.map(|l| Arc::new(l.policy)).unwrap_or_default())),
-                Err(faults) => {
-                    self.counters.file_refused.up();
-                    Err(ConfigError(faults.to_string()))
-                }
-            },
-            None => Ok((config, Arc::default())),
-        });
-        let (config, policy) = match whole {
+        let (config, policy) = match config.and_then(|config| self.checked(config)) {
             Ok(both) => both,
             Err(problem) => {
                 self.counters.reloads_bad.up();
                 return eprintln!("magpiechute: goes on with the old configuration: {problem}");
             }
         };
-        let (listen, machine) = &self.fixed;
-        let before = self.parsed.borrow().clone();
-        let (old, new) = (&*before, &config.parsed);
-        let of_connections = |p: &Parsed| {
-            (p.connect_timeout_ms, p.conn_idle_ms, p.streams_per_conn, p.max_open, p.settings.progress_ms)
-        };
-        let kept = [
-            ("listen", config.listen != *listen),
-            ("limits", (config.sockets, config.memory_mb) != *machine),
-            ("settings of connections", of_connections(old) != of_connections(new)),
-        ];
-        for (name, _) in kept.iter().filter(|(_, differs)| *differs) {
-            eprintln!("magpiechute: {name} in the new configuration waits for the next start");
-        }
-        // One step: nothing comes between the fronts' settings and the core's place in its mailbox, so that what
-        // came under the old ones is taken under them, and what comes next under the new.
-        if let Some(place) = self.core.place().await {
-            let settings = (*old != *new).then(|| Box::new(new.settings.clone()));
-            if settings.is_some() {
-                for class in &new.classes {
-                    self.counters.class(&class.name);
-                }
-                self.parsed.send_replace(Arc::new(new.clone()));
-                eprintln!("magpiechute: goes by new settings");
-            }
-            *self.operators.1.lock().unwrap_or_else(PoisonError::into_inner) = policy.clone();
-            place.send(Input::Settings { settings, policy });
-            if self.operators.0.as_ref().is_some_and(|p| p.exists()) {
-                self.counters.file_loads.up();
+        let old = self.parsed.borrow().clone();
+        for (name, changed) in changed_for_good(&self.fixed, &old, &config) {
+            if changed {
+                eprintln!("magpiechute: {name} in the new configuration waits for the next start");
             }
         }
+        self.put_in_force(&old, &config.parsed, policy).await;
         *self.used.lock().unwrap_or_else(PoisonError::into_inner) = config.values;
         self.feed.send_if_modified(|at| std::mem::replace(at, config.feed) != config.feed);
         self.counters.reloads.up();
         eprintln!("magpiechute: follows the control feed at {}", config.feed);
     }
 
+    /// A new configuration with the policy of the operators' file, where both can be used. Guard: the file is held
+    /// against the new settings, and both are taken or neither.
+    fn checked(&self, config: Config) -> Result<(Config, Arc<Policy>), ConfigError> {
+        let missing = config.lacks(&self.used.lock().unwrap_or_else(PoisonError::into_inner));
+        // Guard: what goes without saying at a start would change here without notice.
+        if let Some(key) = missing {
+            return Err(ConfigError(format!("configuration: {key} is missing")));
+        }
+        let Some(path) = &self.operators.0 else { return Ok((config, Arc::default())) };
+        match file::load(path, &Known::of(&config.parsed)) {
+            Ok(loaded) => Ok((config, loaded.map(|l| Arc::new(l.policy)).unwrap_or_default())),
+            Err(faults) => {
+                self.counters.file_refused.up();
+                Err(ConfigError(faults.to_string()))
+            }
+        }
+    }
+
+    /// Swaps settings and policy in one step: nothing comes between the fronts' settings and the core's place in its
+    /// mailbox, so that what came under the old ones is taken under them, and what comes next under the new.
+    async fn put_in_force(&self, old: &Parsed, new: &Parsed, policy: Arc<Policy>) {
+        let Some(place) = self.core.place().await else { return };
+        let settings = (*old != *new).then(|| Box::new(new.settings.clone()));
+        if settings.is_some() {
+            for class in &new.classes {
+                self.counters.class(&class.name);
+            }
+            self.parsed.send_replace(Arc::new(new.clone()));
+            eprintln!("magpiechute: goes by new settings");
+        }
+        *self.operators.1.lock().unwrap_or_else(PoisonError::into_inner) = policy.clone();
+        place.send(Input::Settings { settings, policy });
+        if self.operators.0.as_ref().is_some_and(|p| p.exists()) {
+            self.counters.file_loads.up();
+        }
+    }
+
     /// Asks for the end: from now on it says that it is not fit.
     pub fn stop(&self) {
         let handed = self.handed;
@@ -281,6 +248,65 @@
     }
 }
 
+/// The sockets of a start, each with the address that it has.
+struct Sockets {
+    platform: (TcpListener, SocketAddr),
+    flight: Option<(TcpListener, SocketAddr)>,
+    operations: Option<(TcpListener, SocketAddr)>,
+    /// With the agent's community.
+    agent: Option<(UdpSocket, SocketAddr, String)>,
+}
+
+impl Sockets {
+    /// Binds all that the configuration and the operators' file name. Errors: the address that cannot be bound.
+    async fn bind(config: &Config, fronts: Fronts) -> Result<Sockets, ConfigError> {
+        let platform = match config.listen_fd {
+            Some(fd) => inherited(fd).await?,
+            None => bind(config.listen).await?,
+        };
+        let flight = match &fronts.flight {
+            Some(front) => Some(bind(loopback(&front.listen, "flight")?).await?),
+            None => None,
+        };
+        let operations = match config.ops {
+            Some(at) => Some(bind(at).await?),
+            None => None,
+        };
+        let agent = match fronts.snmp {
+            Some(agent) => {
+                let (socket, at) = bind_udp(loopback(&agent.listen, "snmp")?).await?;
+                Some((socket, at, agent.community))
+            }
+            None => None,
+        };
+        Ok(Sockets { platform, flight, operations, agent })
+    }
+}
+
+/// The folder of an upgrade, if there is one. Guard: without it this is a workload manager all the same, and knows of
+/// no other process.
+async fn open_store(config: &Config, limits: &Arc<Limits>, counters: &Arc<Counters>) -> Option<Store> {
+    let folder = config.folder.as_ref()?;
+    let opened = Store::open(folder, &config.name, limits.clone(), counters.clone()).await;
+    opened.inspect_err(|e| eprintln!("magpiechute: no state in {}: {e}", folder.display())).ok()
+}
+
+/// What only a start can change: the name of each setting, and whether the new configuration changes it.
+fn changed_for_good(
+    (listen, machine): &(SocketAddr, (usize, usize)),
+    old: &Parsed,
+    new: &Config,
+) -> [(&'static str, bool); 3] {
+    let of_connections = |p: &Parsed| {
+        (p.connect_timeout_ms, p.conn_idle_ms, p.streams_per_conn, p.max_open, p.settings.progress_ms)
+    };
+    [
+        ("listen", new.listen != *listen),
+        ("limits", (new.sockets, new.memory_mb) != *machine),
+        ("settings of connections", of_connections(old) != of_connections(&new.parsed)),
+    ]
+}
+
 /// The listening socket that the platform holds and hands over under this descriptor.
 async fn inherited(fd: i32) -> Result<(TcpListener, SocketAddr), ConfigError> {
     let wrong = |e: String| ConfigError(format!("cannot listen on descriptor {fd}: {e}"));
@@ -299,3 +325,10 @@
     let at = listener.local_addr().map_err(wrong)?;
     Ok((listener, at))
 }
+
+async fn bind_udp(at: SocketAddr) -> Result<(UdpSocket, SocketAddr), ConfigError> {
+    let wrong = |e: std::io::Error| ConfigError(format!("cannot listen on {at}: {e}"));
+    let socket = UdpSocket::bind(at).await.map_err(wrong)?;
+    let at = socket.local_addr().map_err(wrong)?;
+    Ok((socket, at))
+}
--- a/src/operations.rs
+++ b/src/operations.rs
@@ -10,7 +10,7 @@
 use crate::limits::Limits;
 use crate::net::linger;
 use crate::settings::Parsed;
-use crate::successor::{Mark, Scribe};
+use crate::successor::{Mark, StateWriter};
 use std::collections::VecDeque;
 use std::sync::{Arc, Mutex, PoisonError};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -18,45 +18,45 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
-/// What a call is answered from.
+/// Answers calls at the operations address, from what it holds here.
 #[derive(Clone)]
-pub(crate) struct Desk {
+pub(crate) struct OperationsServer {
     pub(crate) core: Handle,
     pub(crate) counters: Arc<Counters>,
     pub(crate) limits: Arc<Limits>,
     pub(crate) lifecycle: Arc<Lifecycle>,
-    pub(crate) scribe: Scribe,
+    pub(crate) state_writer: StateWriter,
     /// The operators' policy of attempts in force, and the settings that it was held against.
     pub(crate) policy: Arc<Mutex<Arc<Policy>>>,
     pub(crate) parsed: tokio::sync::watch::Receiver<Arc<Parsed>>,
 }
 
 /// Takes callers until the program ends.
-pub(crate) async fn listen(listener: TcpListener, desk: Desk) {
+pub(crate) async fn listen(listener: TcpListener, server: OperationsServer) {
     let mut callers: VecDeque<JoinHandle<()>> = VecDeque::new();
     loop {
         let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(desk.limits.ops_pause).await;
+            tokio::time::sleep(server.limits.ops_pause).await;
             continue;
         };
         callers.retain(|caller| !caller.is_finished());
         // Guard: some connect and complete no call. They hold a place each, so the one that has been at it for
         // longest leaves: a call that is whole is answered within a moment, and no such one is still here.
-        while callers.len() >= desk.limits.ops_callers {
+        while callers.len() >= server.limits.ops_callers {
             callers.pop_front().into_iter().for_each(|caller| caller.abort());
-            desk.counters.ops_bad_calls.up();
+            server.counters.ops_bad_calls.up();
         }
-        let desk = desk.clone();
+        let server = server.clone();
         callers.push_back(tokio::spawn(async move {
             // Guard: whoever stops halfway, or takes no answer, is left to himself in time.
-            if !matches!(timeout(desk.limits.ops_call, desk.serve(stream)).await, Ok(Ok(()))) {
-                desk.counters.ops_bad_calls.up();
+            if !matches!(timeout(server.limits.ops_call, server.serve(stream)).await, Ok(Ok(()))) {
+                server.counters.ops_bad_calls.up();
             }
         }));
     }
 }
 
-impl Desk {
+impl OperationsServer {
     /// One connection: one line, one answer.
     async fn serve(&self, mut stream: TcpStream) -> std::io::Result<()> {
         let mut line = Vec::new();
@@ -99,7 +99,7 @@
             return Err("no such engine is known");
         }
         // A successor, or the process that this one succeeds, is to have it as well.
-        self.scribe.record(engine, mark).await;
+        self.state_writer.record(engine, mark).await;
         Ok(())
     }
 
--- a/src/successor.rs
+++ b/src/successor.rs
@@ -27,7 +27,7 @@
     engines: BTreeMap<String, Mark>,
 }
 
-/// The last word of staff on an engine.
+/// What staff last said of an engine.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
 pub(crate) struct Mark {
     pub(crate) out: bool,
@@ -36,7 +36,7 @@
 }
 
 /// A call by hand to be written down.
-pub(crate) struct Said {
+pub(crate) struct RecordRequest {
     pub(crate) engine: EngineId,
     pub(crate) mark: Mark,
     pub(crate) done: oneshot::Sender<()>,
@@ -112,7 +112,7 @@
     }
 
     /// Reads the state if it has changed. Guard: whatever it holds, the program goes on; what cannot be read
-    /// counts as none, and a time that has not come yet would outlast every later word.
+    /// counts as none, and a time that has not come yet would outlast every later one.
     fn look(&mut self, now: Millis) {
         let Ok(meta) = fs::metadata(&self.state) else { return };
         let looks = (meta.ino(), meta.mtime(), meta.mtime_nsec(), meta.len());
@@ -142,7 +142,7 @@
         }
     }
 
-    /// Writes one more word down, beside what the other process has written.
+    /// Records one more call by hand, beside what the other process has written.
     pub(crate) async fn record(&mut self, engine: EngineId, mark: Mark) {
         let mut locked = false;
         for _ in 0..self.limits.state_tries {
@@ -177,12 +177,17 @@
 }
 
 /// Keeps this process and the other one of one mind until the program ends.
-pub(crate) async fn run(mut store: Store, mut said: mpsc::Receiver<Said>, core: Handle, limits: Arc<Limits>) {
+pub(crate) async fn run(
+    mut store: Store,
+    mut said: mpsc::Receiver<RecordRequest>,
+    core: Handle,
+    limits: Arc<Limits>,
+) {
     let mut look = interval(limits.state_look);
     look.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         tokio::select! {
-            Some(Said { engine, mark, done }) = said.recv() => {
+            Some(RecordRequest { engine, mark, done }) = said.recv() => {
                 store.record(engine, mark).await;
                 let _ = done.send(());
             }
@@ -216,24 +221,24 @@
     }
 }
 
-/// The way to the actor, for whoever is told something by hand.
+/// Sends calls by hand to the actor that records them.
 #[derive(Clone)]
-pub(crate) struct Scribe {
-    said: mpsc::Sender<Said>,
+pub(crate) struct StateWriter {
+    said: mpsc::Sender<RecordRequest>,
     patience: Duration,
 }
 
-impl Scribe {
-    pub(crate) fn new(limits: &Limits) -> (Scribe, mpsc::Receiver<Said>) {
+impl StateWriter {
+    pub(crate) fn new(limits: &Limits) -> (StateWriter, mpsc::Receiver<RecordRequest>) {
         let (said, mailbox) = mpsc::channel(limits.ops_callers);
-        (Scribe { said, patience: limits.state_patience }, mailbox)
+        (StateWriter { said, patience: limits.state_patience }, mailbox)
     }
 
-    /// Writes a word down; without a folder, or where that takes too long, it holds for this process alone.
+    /// Records a call by hand; without a folder, or where that takes too long, it holds for this process alone.
     pub(crate) async fn record(&self, engine: EngineId, mark: Mark) {
         let (done, written) = oneshot::channel();
         let wait = async {
-            if self.said.send(Said { engine, mark, done }).await.is_ok() {
+            if self.said.send(RecordRequest { engine, mark, done }).await.is_ok() {
                 let _ = written.await;
             }
         };
--- a/src/successor/tests.rs
+++ b/src/successor/tests.rs
@@ -5,7 +5,7 @@
 use rstest::rstest;
 
 async fn store(dir: &Path) -> Store {
-    let limits = crate::engines::House::for_tests(Handle::new(4, Default::default()).0).limits;
+    let limits = crate::engines::EngineContext::for_tests(Handle::new(4, Default::default()).0).limits;
     Store::open(dir, "n1", limits, Arc::default()).await.expect("store")
 }
 
@@ -21,7 +21,7 @@
     runtime.expect("runtime").block_on(test)
 }
 
-/// Two processes see each other for as long as both live, and the later word wins wherever it was said.
+/// Two processes see each other for as long as both live, and the later call wins wherever it was said.
 #[test]
 fn two_processes_are_of_one_mind() {
     let dir = folder("two");
@@ -38,7 +38,7 @@
         assert_eq!(old.news(300.0), [(engine_id(2), mark(true, 200.0))]);
         assert_eq!(new.news(300.0), [(engine_id(1), mark(false, 300.0))]);
         new.record(engine_id(1), mark(true, 250.0)).await;
-        assert_eq!(old.news(300.0), [], "an earlier word changes nothing");
+        assert_eq!(old.news(300.0), [], "an earlier call changes nothing");
         drop(old);
         assert!(!new.another());
         drop(new);
--- a/tests/test-command.sh
+++ b/tests/test-command.sh
@@ -71,10 +71,10 @@
 fi
 
 run $'other, names one that passes, issue 7\n'
-((code != 0 && code != 2)) || fail "a failing test that is not named: passed over (code $code)"
+((code != 0 && code != 2)) || fail "a failing test that is not named: skipped (code $code)"
 
 run ''
-((code != 0 && code != 2)) || fail "an empty file: a failing test passed over (code $code)"
+((code != 0 && code != 2)) || fail "an empty file: a failing test skipped (code $code)"
 
 expect_refusal "four lines" $'red, f, issue 1\nred_too, f, issue 1\nother, f, issue 1\ninner::red, f, issue 1\n' "4 lines"
 expect_refusal "no issue" $'red, a fault\n' "is not 'TEST, CAUSE, issue NUMBER'"
