--- a/benches/scale/hollow.rs
+++ b/benches/scale/hollow.rs
@@ -115,6 +115,7 @@
         member: Bytes::new(),
         front: Front::Platform,
         idempotency_key: None,
+        order_key: None,
         statement: Bytes::from_static(b"SELECT 1"),
         kind: Kind::Query,
         client: client.clone(),
