Tell the peak of memory and the feed's worst 100 ms in the scale rows

The memory that a whole list takes for a moment was not in the rows; several managers hide it, so one alone is measured besides. Ticks run at all sizes of a series or at none, as a slope over both would say nothing. Rows of the start and the return share their load.

--- a/benches/scale/cost.rs
+++ b/benches/scale/cost.rs
@@ -39,9 +39,11 @@
     bytes_change: u64,
     /// Of one manager while nothing changes.
     bytes_second_at_rest: f64,
-    /// Resident memory of one hollow manager with its list, and managers that were measured together.
+    /// Resident memory of one hollow manager with its list, the managers that were measured together for that, and the
+    /// most that one alone took as its list came.
     memory_bytes: f64,
     memory_managers: usize,
+    memory_peak_bytes: f64,
     rounds: usize,
 }
 
@@ -70,11 +72,12 @@
 type Reading = fn(&CostRow) -> f64;
 
 /// The figures that are fitted over the size of the list.
-const FIGURES: [(&str, Reading); 4] = [
+const FIGURES: [(&str, Reading); 5] = [
     ("us_whole", |row| row.us_whole),
     ("us_change", |row| row.us_change),
     ("bytes_whole", |row| row.bytes_whole as f64),
     ("memory_bytes", |row| row.memory_bytes),
+    ("memory_peak_bytes", |row| row.memory_peak_bytes),
 ];
 
 /// Plays all sizes, predicts the largest from the others, and returns what memory a manager takes.
@@ -131,8 +134,9 @@
         bytes_whole: any.bytes_whole,
         bytes_change: any.bytes_change,
         bytes_second_at_rest: FRAME_HEAD_BYTES as f64 / IDLE.as_secs_f64(),
-        memory_bytes: held.bytes_manager.round(),
+        memory_bytes: held.bytes.round(),
         memory_managers: held.managers,
+        memory_peak_bytes: held.peak_bytes.round(),
         rounds: rounds.len(),
     })
 }
--- a/benches/scale/feed.rs
+++ b/benches/scale/feed.rs
@@ -1,7 +1,7 @@
 //! A list feed that speaks the published frames, on a thread of its own: what it costs can be told from what its
 //! followers cost.
 
-use super::load::{Stretch, Timeline};
+use super::load::{Load, Timeline};
 use super::row::Failure;
 use bytes::Bytes;
 use magpiechute::config::{ListEvent, Listed};
@@ -200,8 +200,8 @@
         self.shared.totals()
     }
 
-    /// Its mean load over a time, and its worst stretch there. It waits for the sample that ends the time.
-    pub fn load(&self, from: Instant, until: Instant) -> Result<(Stretch, Stretch), Failure> {
+    /// Its load over a time. It waits for the sample that ends the time.
+    pub fn load(&self, from: Instant, until: Instant) -> Result<Load, Failure> {
         self.sampled(until)?;
         let load = lock(&self.shared.timeline).load(from, until);
         load.ok_or_else(|| Failure::Broken("no two samples of the feed's load".to_owned()))
--- a/benches/scale/hollow.rs
+++ b/benches/scale/hollow.rs
@@ -200,11 +200,6 @@
     pub fn of(core: &Core<HollowEngines>, counters: &Counters) -> TakenUp {
         TakenUp { known: counters.engines.get() as usize, heard: core.held().1[3] }
     }
-
-    /// By the roster.
-    pub fn known(&self) -> usize {
-        self.known
-    }
 }
 
 /// One hollow manager.
--- a/benches/scale/load.rs
+++ b/benches/scale/load.rs
@@ -1,6 +1,7 @@
 //! The load of a server over time: samples of what it has done, and its worst stretch of a tenth of a second.
 
 use super::feed::Totals;
+use super::row::rounded;
 use super::usage;
 use serde::Serialize;
 use std::time::{Duration, Instant};
@@ -33,11 +34,21 @@
 impl Stretch {
     fn between(from: &Sample, to: &Sample) -> Stretch {
         let part = STRETCH.as_secs_f64() / (to.at - from.at).as_secs_f64().max(1e-9);
-        let done = |from: u64, to: u64| (to - from) as f64 * part;
+        let done = |from: u64, to: u64| rounded((to - from) as f64 * part);
         Stretch {
             connections: done(from.totals.connections, to.totals.connections),
             bytes: done(from.totals.bytes, to.totals.bytes),
-            processor_ms: (to.processor - from.processor).as_secs_f64() * 1000.0 * part,
+            processor_ms: rounded((to.processor - from.processor).as_secs_f64() * 1000.0 * part),
+        }
+    }
+
+    /// How many times each figure is the other's; 0 where that is 0.
+    fn against(&self, other: &Stretch) -> Stretch {
+        let times = |of: f64, other: f64| if other > 0.0 { rounded(of / other) } else { 0.0 };
+        Stretch {
+            connections: times(self.connections, other.connections),
+            bytes: times(self.bytes, other.bytes),
+            processor_ms: times(self.processor_ms, other.processor_ms),
         }
     }
 
@@ -51,6 +62,25 @@
     }
 }
 
+/// The load over some time: its mean as if it lasted [`STRETCH`], each figure's worst stretch, and that against the mean.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct Load {
+    mean: Stretch,
+    worst: Stretch,
+    worst_to_mean: Stretch,
+}
+
+impl Load {
+    fn new(mean: Stretch, worst: Stretch) -> Load {
+        Load { mean, worst, worst_to_mean: worst.against(&mean) }
+    }
+
+    /// Its worst stretch against the mean of another time.
+    pub fn worst_against(&self, other: &Load) -> Stretch {
+        self.worst.against(&other.mean)
+    }
+}
+
 /// Samples in the order of time.
 #[derive(Clone, Debug, Default)]
 pub struct Timeline(Vec<Sample>);
@@ -71,9 +101,8 @@
         self.0.last().map_or(Duration::ZERO, |sample| sample.processor)
     }
 
-    /// The mean load from the last sample before `from` to the first one after `until`, and each figure's worst
-    /// stretch there; none where there are no two samples.
-    pub fn load(&self, from: Instant, until: Instant) -> Option<(Stretch, Stretch)> {
+    /// The load from the last sample before `from` to the first one after `until`; none where there are no two samples.
+    pub fn load(&self, from: Instant, until: Instant) -> Option<Load> {
         let first = self.0.partition_point(|sample| sample.at <= from).saturating_sub(1);
         let end = (self.0.partition_point(|sample| sample.at < until) + 1).min(self.0.len());
         let samples = self.0.get(first..end)?;
@@ -89,6 +118,6 @@
         }
         let mean = Stretch::between(oldest, newest);
         // What lasts no longer than one stretch is its own worst one.
-        Some((mean, worst.or(mean)))
+        Some(Load::new(mean, worst.or(mean)))
     }
 }
--- a/benches/scale/main.rs
+++ b/benches/scale/main.rs
@@ -55,6 +55,9 @@
     /// Measures the memory of managers with so many listed engines in this process, and nothing else.
     #[arg(long, hide = true)]
     memory_of: Option<usize>,
+    /// So many of them.
+    #[arg(long, hide = true, default_value_t = 1)]
+    memory_managers: usize,
     /// This program, to measure memory in a process of its own.
     #[arg(skip)]
     program: Option<PathBuf>,
--- a/benches/scale/memory.rs
+++ b/benches/scale/memory.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 use std::process::{Command, Stdio};
 
-/// Engines that all managers of one measurement hold together, at least: pages of memory are coarse.
+/// Engines that the managers of one measurement hold together, at least: pages of memory are coarse.
 const ENTRIES: usize = 80_000;
 
 /// What some managers hold.
@@ -18,18 +18,25 @@
 pub struct Held {
     /// Managers.
     pub managers: usize,
-    /// Resident bytes of each, without those of the process before.
-    pub bytes_manager: f64,
-    /// Engines that the roster of each has taken up.
-    pub known: usize,
+    /// Resident bytes of each once it has its list, without those of the process before.
+    pub bytes: f64,
+    /// The most that were resident for each, as it took its list in.
+    pub peak_bytes: f64,
 }
 
-/// Measures a list of this size, in a process of its own where the options name the program.
+/// Resident bytes of a manager with a list of this size, from several together, and the most of one alone. Each is
+/// measured in a process of its own where the options name the program.
 pub fn of(options: &Options, listed: usize) -> Result<Held, Failure> {
-    let Some(program) = &options.program else { return here(options, listed) };
+    let together = measured(options, listed, ENTRIES.div_ceil(listed).min(options.most_managers()))?;
+    let alone = measured(options, listed, 1)?;
+    Ok(Held { peak_bytes: alone.peak_bytes, ..together })
+}
+
+fn measured(options: &Options, listed: usize, managers: usize) -> Result<Held, Failure> {
+    let Some(program) = &options.program else { return here(options, listed, managers) };
     let child = Command::new(program)
-        .args(options.small.then_some("--small"))
         .args(["--memory-of", &listed.to_string()])
+        .args(["--memory-managers", &managers.to_string()])
         .args(["--memory-mb", &options.memory_mb.to_string()])
         .args(["--managers", &options.managers.to_string()])
         .stderr(Stdio::inherit())
@@ -38,8 +45,7 @@
 }
 
 /// Measures in this process, which should hold nothing else.
-pub fn here(options: &Options, listed: usize) -> Result<Held, Failure> {
-    let managers = ENTRIES.div_ceil(listed).min(options.most_managers());
+fn here(options: &Options, listed: usize, managers: usize) -> Result<Held, Failure> {
     let list = fleet::whole_list(1, listed);
     let feed = Feed::start(&list, IDLE)?;
     drop(list);
@@ -47,13 +53,12 @@
         Plan { instances: options.managers, memory_mb: options.memory_mb, feed: feed.address, ticks: false };
     let before = usage::resident_bytes()?;
     let crowd = Crowd::start(&plan, managers)?;
-    let sightings = crowd.gather(1)?;
-    let bytes = usage::resident_bytes()?.saturating_sub(before);
-    let known = sightings.iter().map(|sighting| sighting.taken_up.known()).min().unwrap_or_default();
-    Ok(Held { managers, bytes_manager: bytes as f64 / managers as f64, known })
+    crowd.gather(1)?;
+    let each = |bytes: usize| bytes.saturating_sub(before) as f64 / managers as f64;
+    Ok(Held { managers, bytes: each(usage::resident_bytes()?), peak_bytes: each(usage::peak_bytes()?) })
 }
 
 /// What the process of its own does: one line, for its parent.
 pub fn report(options: &Options, listed: usize, output: &mut Output) -> Result<(), Failure> {
-    output.row(&here(options, listed)?)
+    output.row(&here(options, listed, options.memory_managers)?)
 }
--- a/benches/scale/returning.rs
+++ b/benches/scale/returning.rs
@@ -5,9 +5,9 @@
 use super::crowd::Crowd;
 use super::feed::{Feed, IDLE};
 use super::list::TEST;
-use super::load::Stretch;
+use super::load::{Load, Stretch};
 use super::row::{Failure, Output, Size, rounded};
-use super::spread::{Times, fits, plan};
+use super::spread::{Ticks, Times, fits};
 use super::{Options, fleet};
 use serde::Serialize;
 use std::time::{Duration, Instant};
@@ -24,25 +24,18 @@
 struct ReturnRow {
     #[serde(flatten)]
     size: Size,
-    ticks: bool,
-    away_ms: f64,
     /// From the feed's return until the event that was missed is in force, in ms.
     #[serde(flatten)]
     times: Times,
+    ticks: bool,
+    away_ms: f64,
     feed_connections: u64,
     feed_bytes: u64,
-    /// The feed's load from its return until the last manager is back, as if that lasted 100 ms; its worst 100 ms; and
-    /// 100 ms before it went, at rest.
-    feed_mean: Stretch,
-    feed_worst: Stretch,
-    feed_at_rest: Stretch,
-    /// Worst 100 ms against the mean of the return.
-    worst_connections: f64,
-    worst_bytes: f64,
-    worst_processor: f64,
-    /// Worst 100 ms against the mean at rest.
-    rest_bytes: f64,
-    rest_processor: f64,
+    /// The feed's load from its return until the last manager is back; before it went, at rest; and the worst 100 ms of
+    /// the return against the mean at rest.
+    feed_load: Load,
+    feed_at_rest: Load,
+    feed_worst_to_rest: Stretch,
 }
 
 /// All managers with the short list come back after the feed was away.
@@ -54,12 +47,12 @@
     }
     let (away, at_rest) = if options.small { (AWAY_SMALL, AT_REST_SMALL) } else { (AWAY, AT_REST) };
     let feed = Feed::start(&fleet::whole_list(1, listed), IDLE)?;
-    let (plan, _) = plan(options, &feed, (listed, managers));
+    let plan = Ticks::of(options, listed, managers).plan(options, &feed);
     let crowd = Crowd::start(&plan, managers)?;
     crowd.gather(1)?;
     let rested = Instant::now();
     std::thread::sleep(at_rest);
-    let (resting, _) = feed.load(rested, Instant::now())?;
+    let resting = feed.load(rested, Instant::now())?;
     feed.leave()?;
     feed.publish(&fleet::replacement(MISSED, 0, listed as u32, 0.0));
     let before = feed.totals();
@@ -69,7 +62,7 @@
     let over = sightings.iter().map(|sighting| sighting.at).max().unwrap_or_else(Instant::now);
     let times = sightings.iter().map(|sighting| sighting.at.saturating_duration_since(back));
     let times = Times::of(times.collect());
-    let (mean, worst) = feed.load(back, over)?;
+    let load = feed.load(back, over)?;
     let totals = feed.totals();
     output.row(&ReturnRow {
         size: Size::measured(TEST, "return", listed, managers),
@@ -78,13 +71,8 @@
         times,
         feed_connections: totals.connections - before.connections,
         feed_bytes: totals.bytes - before.bytes,
-        worst_connections: rounded(worst.connections / mean.connections),
-        worst_bytes: rounded(worst.bytes / mean.bytes),
-        worst_processor: rounded(worst.processor_ms / mean.processor_ms),
-        rest_bytes: rounded(worst.bytes / resting.bytes),
-        rest_processor: rounded(worst.processor_ms / resting.processor_ms),
-        feed_mean: mean,
-        feed_worst: worst,
+        feed_worst_to_rest: load.worst_against(&resting),
+        feed_load: load,
         feed_at_rest: resting,
     })
 }
--- a/benches/scale/spread.rs
+++ b/benches/scale/spread.rs
@@ -7,7 +7,7 @@
 use super::fit::{Figure, Point, Prediction};
 use super::hollow::{Plan, Sighting, TakenUp};
 use super::list::TEST;
-use super::load::Stretch;
+use super::load::Load;
 use super::row::{Failure, LeftOut, Output, Size, rounded};
 use super::{Options, decision, fleet};
 use serde::Serialize;
@@ -57,24 +57,21 @@
 struct StartRow {
     #[serde(flatten)]
     size: Size,
-    ticks: bool,
     /// From the start of the first until the whole list is in force, in ms.
     #[serde(flatten)]
     times: Times,
+    ticks: bool,
     feed_connections: u64,
     feed_bytes: u64,
-    /// The feed's load over that time as if it lasted 100 ms, and the worst 100 ms.
-    feed_mean: Stretch,
-    feed_worst: Stretch,
-    /// Worst against mean.
-    worst_bytes: f64,
-    worst_processor: f64,
+    /// The feed's load over that time.
+    feed_load: Load,
 }
 
 /// Plays the fleets that fit the memory; the others are said.
 pub fn run(options: &Options, output: &mut Output, memory: Memory) -> Result<(), Failure> {
     let (sizes, managers) = (options.listed(), managers(options));
     let (Some(short), Some(long)) = (sizes.first().copied(), sizes.last().copied()) else { return Ok(()) };
+    let ticks = Ticks::of(options, short, fitting(memory, short, &managers));
     let mut points: [Vec<Point>; 2] = Default::default();
     let mut predictions = Vec::new();
     for (at, count) in managers.iter().copied().enumerate() {
@@ -84,7 +81,7 @@
                 predictions.push(Prediction::write(output, of, points, count as f64)?);
             }
         }
-        let Some(row) = changes(options, output, memory, (short, count))? else { continue };
+        let Some(row) = changes(options, output, (memory, ticks), (short, count))? else { continue };
         for (points, figure) in points.iter_mut().zip([row.times.ms_p99, row.times.ms_most]) {
             points.push((count as f64, figure));
         }
@@ -92,8 +89,9 @@
             prediction.check(output, figure)?;
         }
     }
+    let ticks = Ticks::of(options, long, fitting(memory, long, &managers));
     for count in managers {
-        changes(options, output, memory, (long, count))?;
+        changes(options, output, (memory, ticks), (long, count))?;
     }
     starts(options, output, memory, long)
 }
@@ -119,29 +117,50 @@
     Ok(false)
 }
 
-/// A plan, and the cores that the ticks of so many managers take by a measured one; they run where those are few.
-pub fn plan(options: &Options, feed: &Feed, (listed, managers): (usize, usize)) -> (Plan, f64) {
-    let cores = decision::tick_us(options, listed) * managers as f64 / TICK_US;
-    let plan = Plan {
-        instances: options.managers,
-        memory_mb: options.memory_mb,
-        feed: feed.address,
-        ticks: cores <= TICK_CORES,
-    };
-    (plan, rounded(cores))
+/// Whether so many managers fit without a word on those that do not.
+fn fitting(memory: Memory, listed: usize, managers: &[usize]) -> usize {
+    let fits = |managers: &&usize| memory.bytes(**managers, listed) <= MEMORY_BYTES;
+    managers.iter().filter(fits).max().copied().unwrap_or_default()
+}
+
+/// Ticks of managers with one list, alike for all numbers of them: whether they run beside each other here.
+#[derive(Clone, Copy, Debug)]
+pub struct Ticks {
+    us_tick: f64,
+    run: bool,
+}
+
+impl Ticks {
+    /// With so many listed engines and so many managers at most: measures one tick, and runs them where they take few
+    /// cores together.
+    pub fn of(options: &Options, listed: usize, managers: usize) -> Ticks {
+        let us_tick = decision::tick_us(options, listed);
+        Ticks { us_tick, run: us_tick * managers as f64 / TICK_US <= TICK_CORES }
+    }
+
+    /// The cores that so many managers take.
+    fn cores(&self, managers: usize) -> f64 {
+        rounded(self.us_tick * managers as f64 / TICK_US)
+    }
+
+    /// A plan that follows this feed.
+    pub fn plan(&self, options: &Options, feed: &Feed) -> Plan {
+        let (instances, memory_mb) = (options.managers, options.memory_mb);
+        Plan { instances, memory_mb, feed: feed.address, ticks: self.run }
+    }
 }
 
 fn changes(
     options: &Options,
     output: &mut Output,
-    memory: Memory,
+    (memory, ticks): (Memory, Ticks),
     (listed, managers): (usize, usize),
 ) -> Result<Option<ChangeRow>, Failure> {
     if !fits(output, memory, (listed, managers))? {
         return Ok(None);
     }
     let feed = Feed::start(&fleet::whole_list(1, listed), IDLE)?;
-    let (plan, tick_cores) = plan(options, &feed, (listed, managers));
+    let plan = ticks.plan(options, &feed);
     let crowd = Crowd::start(&plan, managers)?;
     let listing = crowd.gather(1)?[0];
     let changes = if options.small { CHANGES_SMALL } else { CHANGES };
@@ -160,7 +179,7 @@
         old_ended: seen.old_ended.unwrap_or_default(),
         successor_ready: seen.successor_ready.unwrap_or_default(),
         ticks: plan.ticks,
-        tick_cores,
+        tick_cores: ticks.cores(managers),
         feed_ms_change: rounded(in_feed.as_secs_f64() * 1000.0 / f64::from(changes)),
         asked,
         asked_of_ended,
@@ -202,13 +221,12 @@
         return Ok(());
     }
     let feed = Feed::start(&fleet::whole_list(1, listed), IDLE)?;
-    let (plan, _) = plan(options, &feed, (listed, managers));
+    let plan = Ticks::of(options, listed, managers).plan(options, &feed);
     let crowd = Crowd::start(&plan, managers)?;
     let sightings = crowd.gather(1)?;
     let over = sightings.iter().map(|sighting| sighting.at).max().unwrap_or_else(Instant::now);
     let times = sightings.iter().map(|sighting| sighting.at.saturating_duration_since(crowd.began));
     let times = Times::of(times.collect());
-    let (mean, worst) = feed.load(crowd.began, over)?;
     let totals = feed.totals();
     output.row(&StartRow {
         size: Size::measured(TEST, "start", listed, managers),
@@ -216,10 +234,7 @@
         times,
         feed_connections: totals.connections,
         feed_bytes: totals.bytes,
-        worst_bytes: rounded(worst.bytes / mean.bytes),
-        worst_processor: rounded(worst.processor_ms / mean.processor_ms),
-        feed_mean: mean,
-        feed_worst: worst,
+        feed_load: feed.load(crowd.began, over)?,
     })
 }
 
--- a/benches/scale/usage.rs
+++ b/benches/scale/usage.rs
@@ -16,9 +16,18 @@
 
 /// Bytes of memory that the process has resident.
 pub fn resident_bytes() -> Result<usize, Failure> {
+    status_bytes("VmRSS:")
+}
+
+/// The most that it ever had resident.
+pub fn peak_bytes() -> Result<usize, Failure> {
+    status_bytes("VmHWM:")
+}
+
+fn status_bytes(name: &str) -> Result<usize, Failure> {
     let status = std::fs::read_to_string("/proc/self/status")?;
-    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let line = status.lines().find_map(|line| line.strip_prefix(name));
     let kilobytes =
         line.and_then(|line| line.split_ascii_whitespace().next()).and_then(|n| n.parse::<usize>().ok());
-    kilobytes.map(|n| n * 1024).ok_or_else(|| Failure::Broken("no resident memory is told".to_owned()))
+    kilobytes.map(|n| n * 1024).ok_or_else(|| Failure::Broken("no memory is told".to_owned()))
 }
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -123,5 +123,8 @@
     assert!(returns[0]["feed_connections"].as_u64() >= Some(12), "{}", returns[0]);
     let missed = returns[0]["feed_bytes"].as_u64().expect("bytes");
     assert!((12 * 67..12 * (13 + 27 * 16)).contains(&missed), "{}", returns[0]);
-    predicted(&rows, &["us_whole", "us_change", "bytes_whole", "memory_bytes", "ms_p99", "ms_most"]);
+    predicted(
+        &rows,
+        &["us_whole", "us_change", "bytes_whole", "memory_bytes", "memory_peak_bytes", "ms_p99", "ms_most"],
+    );
 }
