Add the scale tests reload and manager, on one real process

Nothing told what a changed configuration, a statement, control or a client connection costs the program itself by the size of the list.

--- /dev/null
+++ b/benches/scale/configuration.rs
@@ -0,0 +1,87 @@
+//! The configuration file of one real workload manager, as the platform writes it.
+
+use super::fleet;
+use magpiechute::config::{ListEvent, Listed, engine_text};
+use magpiechute::{ListKind, ListState};
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+
+/// The number of the event that holds the whole list.
+pub const FIRST_EVENT: u64 = 1;
+
+/// What a configuration file is made of.
+pub struct Configuration<'a> {
+    /// Where the list feed listens.
+    pub feed: SocketAddr,
+    /// Descriptors that the manager may hold.
+    pub sockets: usize,
+    /// Memory that it may use, in MB.
+    pub memory_mb: usize,
+    /// Managers of the fleet.
+    pub managers: u32,
+    /// The engines that the file lists; none leaves `known` without an event.
+    pub listed: &'a [Listed],
+}
+
+impl Configuration<'_> {
+    /// The file with the usual settings.
+    pub fn value(&self) -> Value {
+        let settings: Value = serde_json::from_str(&fleet::settings_text(self.managers, 0))
+            .expect("the settings of the scale tests are JSON");
+        json!({
+            "name": "n0",
+            "listen": "127.0.0.1:0",
+            "seed": "8c1f30d27a5be964",
+            "limits": { "cores": 1.0, "memory_mb": self.memory_mb, "sockets": self.sockets },
+            "feed": self.feed.to_string(),
+            "known": { "n": FIRST_EVENT, "events": self.events() },
+            "settings": settings,
+        })
+    }
+
+    fn events(&self) -> Vec<Value> {
+        if self.listed.is_empty() {
+            return Vec::new();
+        }
+        let instances: Vec<Value> = self.listed.iter().map(instance).collect();
+        vec![json!({
+            "n": FIRST_EVENT,
+            "members": { "generation": 1, "reset": true, "instances": instances },
+        })]
+    }
+}
+
+fn instance(line: &Listed) -> Value {
+    let lifecycle = match line.entry.state {
+        ListState::Ready => "active",
+        ListState::Draining => "leaving",
+        ListState::Gone => "left",
+    };
+    json!({
+        "instanceId": engine_text(line.entry.engine),
+        "hostPort": line.address.to_string(),
+        "zone": format!("zone-{}", line.entry.zone),
+        "machineType": "std",
+        "cell": line.entry.cell,
+        "lifecycle": lifecycle,
+        "weight": line.entry.nominal,
+        "startedAtMs": line.entry.started_ms,
+    })
+}
+
+/// The list of so many ready engines that all listen at this port, each at an address of its own.
+pub fn listed(engines: usize, port: u16) -> Vec<Listed> {
+    (0..engines as u32).map(|place| engine(place, ListState::Ready, 0.0, port)).collect()
+}
+
+/// The event that holds this list.
+pub fn first_event(listed: &[Listed]) -> ListEvent {
+    ListEvent { number: FIRST_EVENT, kind: ListKind::Full, entries: listed.to_vec(), unusable: Vec::new() }
+}
+
+/// The engine in this place. Ids start at 1, as the first address of a network may not be connected to.
+pub fn engine(place: u32, state: ListState, started_ms: f64, port: u16) -> Listed {
+    let mut line = fleet::engine(place + 1, state, started_ms);
+    line.address.set_port(port);
+    line
+}
--- a/benches/scale/main.rs
+++ b/benches/scale/main.rs
@@ -1,16 +1,25 @@
 //! Scale tests: what a workload manager and its list feed cost by the size of the fleet. `make scale` plays all of
 //! them; each figure is one line of JSON on standard output, and in a file where `--out` names one.
 
+mod churn;
+mod clients;
+mod configuration;
 mod cost;
 mod crowd;
 mod decision;
+mod engines;
 mod feed;
 pub mod fit;
 mod fleet;
 mod hollow;
 mod list;
 mod load;
+mod manager;
+mod manager_rows;
 mod memory;
+mod messages;
+mod process;
+mod reload;
 mod returning;
 pub mod row;
 mod spread;
@@ -28,6 +37,10 @@
     Decision,
     /// What the list costs, and how soon a change of it is in force everywhere.
     List,
+    /// What a changed configuration costs a real process, by listed engines.
+    Reload,
+    /// What statements, control and connections cost a real process, by listed engines.
+    Manager,
 }
 
 /// Which tests run, and how large.
@@ -76,10 +89,15 @@
 
     /// The numbers of listed engines, ascending.
     pub fn listed(&self) -> Vec<usize> {
+        self.listed_or(&fleet::LISTED, &fleet::LISTED_SMALL)
+    }
+
+    /// The same for a test with sizes of its own, and those of its small case.
+    pub fn listed_or(&self, full: &[usize], small: &[usize]) -> Vec<usize> {
         let mut sizes = match (self.listed.is_empty(), self.small) {
             (false, _) => self.listed.clone(),
-            (true, true) => fleet::LISTED_SMALL.to_vec(),
-            (true, false) => fleet::LISTED.to_vec(),
+            (true, true) => small.to_vec(),
+            (true, false) => full.to_vec(),
         };
         sizes.sort_unstable();
         sizes
@@ -106,6 +124,12 @@
     if options.runs(Test::List) {
         list::run(options, output)?;
     }
+    if options.runs(Test::Reload) {
+        reload::run(options, output)?;
+    }
+    if options.runs(Test::Manager) {
+        manager::run(options, output)?;
+    }
     Ok(())
 }
 
--- /dev/null
+++ b/benches/scale/process.rs
@@ -0,0 +1,296 @@
+//! One real workload manager: the release binary as a child process, measured through `/proc` and steered by signals.
+//! The process ends with the value that holds it, also where the test panics.
+
+use super::row::Failure;
+use std::collections::HashMap;
+use std::fmt;
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{self, Receiver};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// The program under test, built with this one.
+const PROGRAM: &str = env!("CARGO_BIN_EXE_magpiechute");
+/// What the program says once it serves, before its address.
+const SERVES: &str = " serves on ";
+/// What a line of counters begins with.
+const COUNTERS: &str = "magpiechute: counters ";
+/// No step of a process takes this long unless it fails.
+const PATIENCE: Duration = Duration::from_secs(60);
+/// Between two looks at the counters.
+const LOOK_AGAIN: Duration = Duration::from_millis(20);
+/// Clock ticks in a second in `/proc/PID/stat`, the same on every Linux platform that the project is built for.
+const TICKS_PER_SECOND: f64 = 100.0;
+
+/// Why a process could not be started, steered or measured.
+#[derive(Debug)]
+pub enum ProcessError {
+    /// A file or the process itself: what was done, and the system's word.
+    Io(&'static str, std::io::Error),
+    /// The process said nothing that was waited for.
+    Silent(&'static str),
+    /// A file of `/proc` without the figure.
+    NoFigure(&'static str),
+    /// A signal was not delivered.
+    Signal(&'static str),
+}
+
+impl fmt::Display for ProcessError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            ProcessError::Io(what, problem) => write!(f, "{what}: {problem}"),
+            ProcessError::Silent(what) => write!(f, "the process never said: {what}"),
+            ProcessError::NoFigure(what) => write!(f, "/proc holds no {what}"),
+            ProcessError::Signal(name) => write!(f, "SIG{name} could not be sent"),
+        }
+    }
+}
+
+impl std::error::Error for ProcessError {}
+
+impl From<ProcessError> for Failure {
+    fn from(e: ProcessError) -> Failure {
+        Failure::Broken(e.to_string())
+    }
+}
+
+/// Memory of a process, in bytes.
+#[derive(Clone, Copy, Debug)]
+pub struct Memory {
+    /// Resident now.
+    pub resident: u64,
+    /// The most that was resident, since the start or since `Manager::reset_peak`.
+    pub peak: u64,
+}
+
+/// A running workload manager.
+pub struct Manager {
+    child: Child,
+    watchdog: Child,
+    folder: PathBuf,
+    lines: Receiver<String>,
+    /// Where it serves clients.
+    pub listen: SocketAddr,
+}
+
+impl Manager {
+    /// Starts the program with this configuration, and returns once it serves.
+    pub fn start(name: &str, configuration: &str) -> Result<Manager, ProcessError> {
+        let folder = std::env::temp_dir().join(format!("magpiechute-scale-{}-{name}", std::process::id()));
+        std::fs::create_dir_all(&folder).map_err(|e| ProcessError::Io("create a folder", e))?;
+        write_configuration(&folder, configuration)?;
+        let mut child = Command::new(PROGRAM)
+            .env("NODE_CONFIG", configuration_path(&folder))
+            .env("MAGPIECHUTE_FILE", folder.join("none.toml"))
+            .env("MAGPIECHUTE_FRONTS", folder.join("none.toml"))
+            .env_remove("TMPDIR")
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(Stdio::piped())
+            .spawn()
+            .map_err(|e| ProcessError::Io("start the program", e))?;
+        let watchdog = match watch(&child) {
+            Ok(watchdog) => watchdog,
+            Err(problem) => {
+                let _ = child.kill();
+                let _ = child.wait();
+                return Err(ProcessError::Io("start a watchdog", problem));
+            }
+        };
+        let lines = match child.stderr.take() {
+            Some(from) => read_lines(from),
+            None => mpsc::channel().1,
+        };
+        let unknown = SocketAddr::from(([127, 0, 0, 1], 0));
+        let mut manager = Manager { child, watchdog, folder, lines, listen: unknown };
+        manager.listen = manager.await_serving()?;
+        Ok(manager)
+    }
+
+    fn await_serving(&self) -> Result<SocketAddr, ProcessError> {
+        let line = self.await_line("serves", |line| line.contains(SERVES))?;
+        let address = line.split(SERVES).nth(1).and_then(|rest| rest.split([',', ' ']).next());
+        let address = address.and_then(|text| text.parse().ok());
+        address.ok_or(ProcessError::Silent("the address that it serves on"))
+    }
+
+    /// Lays another configuration in place of the one in use, whole in one step.
+    pub fn configure(&self, configuration: &str) -> Result<(), ProcessError> {
+        write_configuration(&self.folder, configuration)
+    }
+
+    /// Sends SIGHUP and waits until the configuration is in force; returns the time that took.
+    pub fn reload(&self) -> Result<Duration, ProcessError> {
+        let begun = Instant::now();
+        self.signal("HUP")?;
+        let over =
+            |line: &str| line.contains("follows the control feed") || line.contains("goes on with the old");
+        self.await_line("a reload's end", over)?;
+        Ok(begun.elapsed())
+    }
+
+    /// Its counters, as SIGUSR1 prints them.
+    pub fn counters(&self) -> Result<HashMap<String, u64>, ProcessError> {
+        let line = self.print_counters()?;
+        let pairs = line[COUNTERS.len()..].split_whitespace().filter_map(|word| word.split_once('='));
+        Ok(pairs.filter_map(|(name, value)| Some((name.to_owned(), value.parse().ok()?))).collect())
+    }
+
+    /// Whether its counters name this class of requests.
+    pub fn knows_class(&self, name: &str) -> Result<bool, ProcessError> {
+        let line = self.print_counters()?;
+        Ok(line.split_whitespace().any(|word| word.starts_with(&format!("{name}=passed:"))))
+    }
+
+    fn print_counters(&self) -> Result<String, ProcessError> {
+        self.signal("USR1")?;
+        self.await_line("counters", |line| line.starts_with(COUNTERS))
+    }
+
+    /// Waits until a counter has this value.
+    pub fn await_counter(&self, name: &'static str, value: u64) -> Result<(), ProcessError> {
+        let until = Instant::now() + PATIENCE;
+        while self.counters()?.get(name) != Some(&value) {
+            if Instant::now() > until {
+                return Err(ProcessError::Silent(name));
+            }
+            thread::sleep(LOOK_AGAIN);
+        }
+        Ok(())
+    }
+
+    /// Processor time used so far by all its threads.
+    pub fn processor_time(&self) -> Result<Duration, ProcessError> {
+        match self.scheduled() {
+            Some((time, _)) => Ok(time),
+            None => self.accounted(),
+        }
+    }
+
+    /// Time so far in which its threads could run and had no processor; zero where the kernel keeps no such figure.
+    pub fn waited(&self) -> Duration {
+        self.scheduled().map_or(Duration::ZERO, |(_, waited)| waited)
+    }
+
+    /// The scheduler's figures, to the nanosecond: time on a processor, and time in wait of one.
+    fn scheduled(&self) -> Option<(Duration, Duration)> {
+        let tasks = std::fs::read_dir(self.proc("task")).ok()?;
+        let (mut ran, mut waited) = (0, 0);
+        for task in tasks {
+            let text = std::fs::read_to_string(task.ok()?.path().join("schedstat")).ok()?;
+            let mut fields = text.split_whitespace();
+            ran += fields.next()?.parse::<u64>().ok()?;
+            waited += fields.next()?.parse::<u64>().ok()?;
+        }
+        (ran > 0).then_some((Duration::from_nanos(ran), Duration::from_nanos(waited)))
+    }
+
+    /// User and system time of `stat`, to a clock tick.
+    fn accounted(&self) -> Result<Duration, ProcessError> {
+        let text = self.read("stat")?;
+        // The name of the program stands in parentheses and may hold spaces.
+        let fields = text.rsplit(')').next().unwrap_or_default();
+        let ticks: Vec<f64> =
+            fields.split_whitespace().skip(11).take(2).filter_map(|f| f.parse().ok()).collect();
+        match ticks[..] {
+            [user, system] => Ok(Duration::from_secs_f64((user + system) / TICKS_PER_SECOND)),
+            _ => Err(ProcessError::NoFigure("processor time")),
+        }
+    }
+
+    /// Its resident memory, now and at most.
+    pub fn memory(&self) -> Result<Memory, ProcessError> {
+        let text = self.read("status")?;
+        let figure = |name: &str| {
+            let line = text.lines().find(|line| line.starts_with(name))?;
+            line.split_whitespace().nth(1)?.parse::<u64>().ok().map(|kilobytes| kilobytes * 1024)
+        };
+        match (figure("VmRSS:"), figure("VmHWM:")) {
+            (Some(resident), Some(peak)) => Ok(Memory { resident, peak }),
+            _ => Err(ProcessError::NoFigure("memory")),
+        }
+    }
+
+    /// From now on the peak of its memory is counted anew.
+    pub fn reset_peak(&self) -> Result<(), ProcessError> {
+        /// What `/proc/PID/clear_refs` takes for that.
+        const RESET_PEAK: &str = "5";
+        std::fs::write(self.proc("clear_refs"), RESET_PEAK).map_err(|e| ProcessError::Io("reset the peak", e))
+    }
+
+    fn read(&self, file: &str) -> Result<String, ProcessError> {
+        std::fs::read_to_string(self.proc(file)).map_err(|e| ProcessError::Io("read /proc", e))
+    }
+
+    fn proc(&self, file: &str) -> PathBuf {
+        Path::new("/proc").join(self.child.id().to_string()).join(file)
+    }
+
+    fn signal(&self, name: &'static str) -> Result<(), ProcessError> {
+        let sent = Command::new("kill").arg(format!("-{name}")).arg(self.child.id().to_string()).status();
+        match sent {
+            Ok(status) if status.success() => Ok(()),
+            _ => Err(ProcessError::Signal(name)),
+        }
+    }
+
+    fn await_line(&self, what: &'static str, wanted: impl Fn(&str) -> bool) -> Result<String, ProcessError> {
+        let until = Instant::now() + PATIENCE;
+        loop {
+            let left = until.saturating_duration_since(Instant::now());
+            match self.lines.recv_timeout(left) {
+                Ok(line) if wanted(&line) => return Ok(line),
+                Ok(_) => {}
+                Err(_) => return Err(ProcessError::Silent(what)),
+            }
+        }
+    }
+}
+
+impl Drop for Manager {
+    fn drop(&mut self) {
+        // What has ended already cannot be ended again, and a folder in the way of nothing may stay. The watchdog goes
+        // first, as the process's id may be another's once it is reaped.
+        let _ = self.watchdog.kill();
+        let _ = self.watchdog.wait();
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Ends the process where the test is killed, which closes the pipe that the watchdog reads.
+fn watch(child: &Child) -> std::io::Result<Child> {
+    let process = child.id().to_string();
+    let mut watchdog = Command::new("sh");
+    watchdog.args(["-c", "read end; kill -KILL \"$1\"", "watchdog", &process]);
+    watchdog.stdin(Stdio::piped()).stdout(Stdio::null()).stderr(Stdio::null()).spawn()
+}
+
+fn configuration_path(folder: &Path) -> PathBuf {
+    folder.join("config.json")
+}
+
+fn write_configuration(folder: &Path, text: &str) -> Result<(), ProcessError> {
+    let next = folder.join("next.json");
+    std::fs::write(&next, text).map_err(|e| ProcessError::Io("write the configuration", e))?;
+    std::fs::rename(next, configuration_path(folder))
+        .map_err(|e| ProcessError::Io("replace the configuration", e))
+}
+
+/// Reads the lines of a process for as long as it writes any, so that it never waits for the test.
+fn read_lines(from: impl std::io::Read + Send + 'static) -> Receiver<String> {
+    let (tell, lines) = mpsc::channel();
+    thread::spawn(move || {
+        for line in BufReader::new(from).lines() {
+            let Ok(line) = line else { return };
+            if tell.send(line).is_err() {
+                return;
+            }
+        }
+    });
+    lines
+}
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -128,3 +128,63 @@
         &["us_whole", "us_change", "bytes_whole", "memory_bytes", "memory_peak_bytes", "ms_p99", "ms_most"],
     );
 }
+
+/// Both forms of a configuration are used each time, and the last one is in force; without the list it is shorter.
+#[test]
+fn reload() {
+    let rows = rows(Test::Reload);
+    let (whole, settings_only) = (of(&rows, "part", "whole"), of(&rows, "part", "settings_only"));
+    for form in [&whole, &settings_only] {
+        assert_eq!(numbers(form, "listed"), [10, 20, 40, 80]);
+        assert_eq!(numbers(form, "known"), [10, 20, 40, 80]);
+        assert_eq!(numbers(form, "reloads"), [4; 4]);
+        form.iter().for_each(|row| positive(row, &["ms_in_force", "mb_before", "per_minute_by_bytes"]));
+    }
+    let bytes = numbers(&settings_only, "bytes");
+    assert!(bytes.iter().all(|all| *all == bytes[0]), "{bytes:?}");
+    // Each engine takes the bytes of its entry.
+    for row in &whole {
+        let listed = row["listed"].as_u64().expect("a size");
+        let entries = row["bytes"].as_u64().expect("bytes") - bytes[0];
+        assert!((130 * listed..200 * listed).contains(&entries), "{row}");
+    }
+    let largest = |form: &[&Value], key: &str| form.last().expect("rows")[key].clone();
+    let figures = [
+        ("ms_reload_whole", largest(&whole, "ms_reload")),
+        ("mb_peak_above_whole", largest(&whole, "mb_peak_above")),
+        ("bytes_whole", largest(&whole, "bytes")),
+        ("ms_reload_settings_only", largest(&settings_only, "ms_reload")),
+    ];
+    for (figure, measured) in figures {
+        let error = of(&rows, "kind", "error").into_iter().find(|row| row["figure"] == figure);
+        let error = error.unwrap_or_else(|| panic!("no error of {figure}"));
+        assert_eq!((error["measured"].as_f64(), error["size"].as_f64()), (measured.as_f64(), Some(80.0)));
+    }
+}
+
+/// Every statement that is offered is taken and answered once, at each rate and number of connections, while engines
+/// of the list are replaced.
+#[test]
+fn manager() {
+    let rows = rows(Test::Manager);
+    for part in ["rest", "churn", "summary"] {
+        assert_eq!(numbers(&of(&rows, "part", part), "known"), [16, 32, 64, 128], "{part}");
+    }
+    for row in of(&rows, "part", "churn") {
+        positive(row, &["list_events", "replaced_a_day", "mb_resident"]);
+    }
+    let connections = numbers(&of(&rows, "part", "connections"), "connections");
+    assert_eq!(connections, [8, 8, 8, 2, 4, 6, 8]);
+    let statements = of(&rows, "part", "statements");
+    assert_eq!(numbers(&statements, "offered"), [5, 10, 20].repeat(5));
+    assert_eq!(numbers(&statements, "connections"), [[8; 9].as_slice(), &[2; 3], &[8; 3]].concat());
+    for row in &statements {
+        let count = |key: &str| row[key].as_u64().unwrap_or_else(|| panic!("no {key} in {row}"));
+        assert_eq!(count("taken"), count("offered"), "{row}");
+        assert_eq!(count("served") + count("refused") + count("failed"), count("offered"), "{row}");
+        assert_eq!((count("unanswered"), count("stray"), count("held_back")), (0, 0, 0), "{row}");
+        assert!(count("served") > 0 && count("attempts") >= count("served"), "{row}");
+        positive(row, &["p50_ms", "engine_bytes_in", "engine_bytes_out", "mb_peak"]);
+    }
+    predicted(&rows, &["us_statement_usual", "percent_core_control", "mb_before_clients"]);
+}
