--- a/benches/scale/fleet.rs
+++ b/benches/scale/fleet.rs
@@ -63,6 +63,7 @@
         state,
         nominal: CORES,
         started_ms,
+        holders: None,
     };
     Listed { entry, address: address([127, middle, low, last], ENGINE_PORT + u16::from(high)) }
 }
--- a/src/bin/magpiechute-simhost/host.rs
+++ b/src/bin/magpiechute-simhost/host.rs
@@ -73,6 +73,7 @@
                 state,
                 nominal: line.f32(12),
                 started_ms: line.f64(16),
+                holders: None,
             });
         }
         self.lists.insert(slot, entries);
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -26,7 +26,7 @@
 const WARM_PRICE: f64 = 0.75; // against 1: a warm engine is worth some crowding
 const IDLE_PRICE: f64 = 0.3; // threads a core: keeps nearly empty engines alike
 const TIE_PRICE: f64 = 0.02; // at most, so that gateways and requests break ties differently
-const HOME_RANKS: f64 = 4.0; // engines whose preference for a data set all gateways agree on by its hash
+const HOME_RANKS: f64 = 4.0; // engines whose preference for a data set their holders agree on by its hash
 const LOAD_PART: u64 = 4; // one engine in so many takes the loads of a data set, the others its readers
 const APART_PRICE: f64 = 4.0; // of the price, where a load and its readers could meet: standing still costs
 const HELD_PRICE: f64 = 3.0; // of the price, where a load would stand still behind another one
@@ -122,7 +122,7 @@
     reported: Millis,
     asking: bool, // a probe is out
     cores: f64,   // when warm
-    share: f64,   // this gateway's share of the start value, in threads
+    share: f64,   // this gateway's share of the start value, in threads, among its holders
     fit: Fit,
     slow: f64, // log of latency over work, less the crowding
     samples: u32,
@@ -289,7 +289,7 @@
             let listed = if line.nominal.is_finite() { line.nominal.max(1.0) } else { 1.0 };
             let named = self.set.kind_cores.get(usize::from(line.kind)).copied();
             let cores = named.filter(|c| *c > 0.0).unwrap_or(listed);
-            let share = cores * START_PER_CORE / f64::from(self.set.instances);
+            let share = cores * START_PER_CORE / self.set.holders(&line).mean;
             let start = share.max(self.widest);
             let (now, fresh) = (self.now, !self.engines.contains_key(&line.engine));
             let e = self.engines.entry(line.engine).or_default();
@@ -596,7 +596,7 @@
         if quota > 0.0 { (1.0 + self.came.0) / (1.0 + usual) } else { 1.0 }
     }
 
-    /// The engines that all gateways prefer for a request's data set, as they keep it warm: by hash.
+    /// The engines that their holders prefer for a request's data set, as they keep it warm: by hash.
     fn homes(&self, r: &Req) -> Vec<EngineId> {
         let rank = |e: &Engine| (mix(e.hash ^ u64::from(r.dataset)), e.line.engine);
         let mut best: Vec<_> = self.engines.values().filter(|e| e.usable()).map(rank).collect();
@@ -705,11 +705,11 @@
     }
 
     /// A load stands still while another one of its data set runs there. Own ones are known; those of other
-    /// gateways are kept apart by a hash that all share: each has its part of the engines for a data set.
+    /// holders are kept apart by a hash that all share: each has its part of the engines for a data set.
     fn load_price(&self, r: &Req, e: &Engine) -> f64 {
         let same = |other: &Req| other.dataset == r.dataset && self.set.classes[other.class].loads;
-        let part = mix(e.hash.rotate_left(11) ^ u64::from(r.dataset)) % u64::from(self.set.instances);
-        let own = part == u64::from(self.set.ordinal);
+        let Holders { most, place, .. } = self.set.holders(&e.line);
+        let own = mix(e.hash.rotate_left(11) ^ u64::from(r.dataset)) % u64::from(most) == u64::from(place);
         let held = if e.running.iter().any(|id| same(&self.reqs[id])) { HELD_PRICE } else { 1.0 };
         held * if own { 1.0 } else { OTHERS_PRICE }
     }
@@ -846,7 +846,7 @@
         }
     }
 
-    /// The cold budget: a multiple of present capacity in any window, divided among the gateways. A query
+    /// The cold budget: a multiple of present capacity in any window, divided among its holders. A query
     /// counts for its own estimate, yet a quarter of its class's mean at least, as anyone may send one.
     fn cold_room(&self, r: &Req, e: &Engine) -> bool {
         if e.warm(self.now) {
@@ -854,14 +854,14 @@
         }
         let window = self.set.overload_for_ms;
         let w = (self.stats[r.class].mean / 4.0).max(self.work_of(r));
-        let all = f64::from(self.set.instances);
+        let holders = self.set.holders(&e.line);
+        let all = f64::from(holders.most);
         let whole = self.set.tip_multiple * self.cores(e) * window;
         let sent: f64 = e.cold_sends.iter().filter(|(t, _)| self.now - t <= window).map(|(_, w)| w).sum();
-        // A share of less than one query comes in turn: a clock and a hash that all have lead it round the
-        // gateways, so that no chance heaps up what many send.
+        // A share of less than one query comes in turn, by a clock and a hash that all share.
         let room = whole * COLD_MARGIN / all / self.beside.max(1.0); // two processes share one part
-        let at = self.now / window * COLD_TURNS + f64::from(self.set.ordinal);
-        let place = (at + (e.hash % 4096) as f64).rem_euclid(all);
+        let at = self.now / window * COLD_TURNS + f64::from(holders.place) + (e.hash % 4096) as f64;
+        let place = at.rem_euclid(all);
         sent + w <= room || sent == 0.0 && w * COLD_PARTS <= whole && place * w < room * all
     }
 
@@ -929,7 +929,9 @@
 
     /// Work served a millisecond, as measured, but no less than a part of what the usable cores give.
     fn service_rate(&self) -> f64 {
-        let cores: f64 = self.engines.values().filter(|e| e.usable()).map(|e| self.cores(e)).sum();
+        let part =
+            |e: &Engine| self.cores(e) * (f64::from(self.set.instances) / self.set.holders(&e.line).mean);
+        let cores: f64 = self.engines.values().filter(|e| e.usable()).map(part).sum();
         self.rate.max(cores * 0.3 * self.weight() / f64::from(self.set.instances)).max(0.01)
     }
 
@@ -1075,7 +1077,7 @@
 }
 
 /// A well spread hash (splitmix64's finish).
-fn mix(x: u64) -> u64 {
+pub(crate) fn mix(x: u64) -> u64 {
     let x = (x ^ (x >> 30)).wrapping_add(0x9e37_79b9_7f4a_7c15).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     let x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
     x ^ (x >> 31)
--- a/src/config.rs
+++ b/src/config.rs
@@ -202,7 +202,7 @@
         };
         let (zone, kind) = (zone as u8, kind as u16);
         let (cell, nominal, started_ms) = (self.cell, self.weight, self.started_at_ms);
-        let entry = EngineEntry { engine, zone, kind, cell, state, nominal, started_ms };
+        let entry = EngineEntry { engine, zone, kind, cell, state, nominal, started_ms, holders: None };
         Some(Listed { entry, address: SocketAddr::V4(self.host_port) })
     }
 }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -21,8 +21,9 @@
 use crate::counters::Counters;
 use crate::interface::*;
 use crate::limits::Limits;
+use crate::subset::{Membership, Subset};
 use bytes::Bytes;
-use roster::Roster;
+use roster::{News, Roster};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, HashSet};
 use std::sync::Arc;
@@ -114,10 +115,11 @@
         limits: Arc<Limits>,
         counters: Arc<Counters>,
     ) -> Result<Self, SettingsError> {
-        Ok(Core {
+        let membership = Membership::from(&settings);
+        let core = Core {
             gateway: Gateway::new(settings, seed)?,
             engines,
-            roster: Roster::new(limits.engines),
+            roster: Roster::new(limits.engines, Subset::new(limits.subset, membership)),
             limits,
             counters,
             requests: HashMap::new(),
@@ -128,7 +130,9 @@
             armed: 0,
             actions: Vec::new(),
             policy: Arc::default(),
-        })
+        };
+        core.check_membership(membership);
+        Ok(core)
     }
 
     /// The same with the operators' policy of attempts.
@@ -186,7 +190,7 @@
             Input::List(event) => self.list(now, event),
             Input::Settings { settings, policy } => {
                 if let Some(settings) = settings {
-                    self.tell(now, Event::Settings(settings));
+                    self.settings(now, settings);
                 }
                 self.policy_in_force(policy);
             }
@@ -242,6 +246,9 @@
                 let fits = !out || held || self.gateway.bans().len() < self.limits.engines;
                 if known && fits || told && !out {
                     self.tell(now, Event::Ban { engine, out, at });
+                    if !out {
+                        self.roster.given_back(engine, at);
+                    }
                     self.engines.banned(engine, out);
                     self.counters.engines_skipped.set(self.gateway.avoided());
                 }
@@ -362,8 +369,42 @@
                 "magpiechute: engine={first} state=unusable more={more} why=unknown state, zone or kind"
             );
         }
-        let entries = step.lines.into_iter().map(|l| l.entry).collect();
-        self.tell(now, Event::List { kind: event.kind, entries });
+        self.subset_news(now, step.news);
+    }
+
+    /// Takes new settings. What they change of the subset is told after them.
+    fn settings(&mut self, now: Millis, settings: Box<Settings>) {
+        let membership = Membership::from(&*settings);
+        self.tell(now, Event::Settings(settings));
+        if let Some(news) = self.roster.set_membership(membership) {
+            self.counters.subset_recast.up();
+            self.check_membership(membership);
+            self.subset_news(now, news);
+        }
+    }
+
+    /// Shows this manager's place in its fleet, and whether it can be one.
+    fn check_membership(&self, membership: Membership) {
+        let Membership { instances, ordinal } = membership;
+        self.counters.ordinal.set(ordinal as usize);
+        if membership.out_of_range() {
+            self.counters.subset_ordinal_over.up();
+            eprintln!("magpiechute: ordinal={ordinal} state=out_of_range why=nInstances is {instances}");
+        }
+    }
+
+    /// Tells the module what it hears of the list, and shows the size of that.
+    fn subset_news(&mut self, now: Millis, news: News) {
+        let counters = &self.counters;
+        let (size, zones) = self.roster.subset_sizes();
+        let all = f64::from(self.gateway.settings().instances);
+        counters.subset_size.set(size);
+        counters.subset_zones.set(zones);
+        counters.subset_holders.set(self.roster.holders().unwrap_or(all).round() as usize);
+        counters.subset_joined.add(news.joined);
+        counters.subset_left.add(news.left);
+        counters.subset_lost.add(usize::from(news.lost));
+        self.tell(now, Event::List { kind: news.kind, entries: news.entries });
     }
 
     fn arm(&mut self, at: Millis, alarm: Alarm) {
@@ -553,4 +594,6 @@
 #[cfg(test)]
 mod interleavings;
 #[cfg(test)]
+mod subsets;
+#[cfg(test)]
 pub(crate) mod tests;
--- a/src/core/roster.rs
+++ b/src/core/roster.rs
@@ -1,14 +1,18 @@
 //! Which engines of the list are taken up: what the module may choose and what attempts can reach is this one set.
 //! Sans-I/O. Places are bounded; what finds none is passed over, counted and named, and taken up once a place is free,
 //! engines that take work first.
+//!
+//! All that are taken up can be reached, and their drains and ends are known. The decision module hears of them all
+//! where the list is short, else of a subset.
 
 use crate::config::{ListEvent, Listed};
-use crate::interface::{EngineId, ListKind, ListState};
+use crate::interface::{EngineEntry, EngineId, Holders, ListKind, ListState, Millis};
+use crate::subset::{Members, Membership, Subset};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 
 /// The engines that are taken up, and those that wait for a place.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Roster {
     places: usize,
     held: BTreeMap<EngineId, Listed>,
@@ -16,6 +20,21 @@
     waiting: BTreeMap<EngineId, Listed>,
     /// Who was last listed as ready at an address.
     at: HashMap<SocketAddr, EngineId>,
+    subset: Subset,
+    /// What the decision module was told of the subset; none where it hears of the whole list.
+    told: Option<BTreeMap<EngineId, EngineEntry>>,
+}
+
+/// What the decision module is told after an event.
+#[derive(Debug)]
+pub(super) struct News {
+    pub(super) kind: ListKind,
+    pub(super) entries: Vec<EngineEntry>,
+    /// Engines that the subset gained and lost.
+    pub(super) joined: usize,
+    pub(super) left: usize,
+    /// None of the engines held before takes work any more.
+    pub(super) lost: bool,
 }
 
 /// What an event of the list comes to.
@@ -25,8 +44,10 @@
     pub(super) dropped: Vec<EngineId>,
     /// A whole list leaves more than half of them out.
     pub(super) cut: bool,
-    /// Lines for the module and the engines' actors, in order.
+    /// Lines for the engines' actors, in order.
     pub(super) lines: Vec<Listed>,
+    /// What the module is told.
+    pub(super) news: News,
     /// Engines that found no place.
     pub(super) passed: Vec<EngineId>,
     /// Records that tell the end of an engine that is not known.
@@ -38,8 +59,9 @@
 }
 
 impl Roster {
-    pub(super) fn new(places: usize) -> Roster {
-        Roster { places, ..Roster::default() }
+    pub(super) fn new(places: usize, subset: Subset) -> Roster {
+        let (held, waiting, at) = Default::default();
+        Roster { places, held, waiting, at, subset, told: None }
     }
 
     /// How many are taken up, and how many wait.
@@ -47,6 +69,17 @@
         (self.held.len(), self.waiting.len())
     }
 
+    /// Engines that the decision module hears of, and the zones of those that take work.
+    pub(super) fn subset_sizes(&self) -> (usize, usize) {
+        (self.told.as_ref().map_or(self.held.len(), BTreeMap::len), self.subset.zones())
+    }
+
+    /// The mean number of managers that hold an engine, where the module hears of a subset.
+    pub(super) fn holders(&self) -> Option<f64> {
+        let entry = self.told.as_ref()?.values().next()?;
+        entry.holders.map(|holders| holders.mean)
+    }
+
     /// How many entries it holds in all.
     pub(super) fn entries(&self) -> usize {
         self.held.len() + self.waiting.len() + self.at.len()
@@ -69,6 +102,63 @@
 
     /// Takes an event of the list in.
     pub(super) fn take(&mut self, event: &ListEvent) -> Step {
+        let mut step = self.take_up(event);
+        let touched: Vec<EngineId> = step.lines.iter().map(|line| line.entry.engine).collect();
+        for id in step.dropped.iter().chain(&touched) {
+            let ready = self.held.get(id).filter(|line| line.entry.state == ListState::Ready);
+            self.subset.set(*id, ready.map(|line| line.entry.zone));
+        }
+        let entries = step.lines.iter().map(|line| line.entry.clone()).collect();
+        step.news = self.news(event.kind, entries);
+        step
+    }
+
+    /// Takes new settings; what the module is to be told, if they change the subset.
+    pub(super) fn set_membership(&mut self, membership: Membership) -> Option<News> {
+        let changed = self.subset.set_membership(membership);
+        changed.then(|| self.news(ListKind::Delta, Vec::new()))
+    }
+
+    /// An engine was given back by hand, so it counts as started then, whatever the list says. Where the module hears
+    /// of it, it knows; else it is told with the engine.
+    pub(super) fn given_back(&mut self, engine: EngineId, at: Millis) {
+        let unheard = self.told.as_ref().is_some_and(|told| !told.contains_key(&engine));
+        if let Some(line) = self.held.get_mut(&engine).filter(|_| unheard) {
+            line.entry.started_ms = line.entry.started_ms.max(at);
+        }
+    }
+
+    /// What the module is told: of the whole list its `changes`, of a subset how it differs from what was told.
+    fn news(&mut self, kind: ListKind, changes: Vec<EngineEntry>) -> News {
+        let members = self.subset.members();
+        let before = self.told.take();
+        let lost = before
+            .as_ref()
+            .is_some_and(|told| !told.is_empty() && !told.keys().any(|engine| self.subset.is_ready(*engine)));
+        let whole = |kind, entries| News { kind, entries, joined: 0, left: 0, lost };
+        match (members, before) {
+            (None, None) => whole(kind, changes),
+            (None, Some(_)) => {
+                whole(ListKind::Full, self.held.values().map(|line| line.entry.clone()).collect())
+            }
+            (Some(members), before) => {
+                let told = self.member_entries(&members);
+                let news = difference(before.as_ref(), &told);
+                self.told = Some(told);
+                News { lost, ..news }
+            }
+        }
+    }
+
+    fn member_entries(&self, members: &Members) -> BTreeMap<EngineId, EngineEntry> {
+        let entry = |(engine, holders): (&EngineId, &Holders)| {
+            let line = self.held.get(engine)?;
+            Some((*engine, EngineEntry { holders: Some(*holders), ..line.entry.clone() }))
+        };
+        members.iter().filter_map(entry).collect()
+    }
+
+    fn take_up(&mut self, event: &ListEvent) -> Step {
         let mut step = Step::default();
         let mut last = HashMap::new();
         for (i, line) in event.entries.iter().enumerate() {
@@ -159,5 +249,32 @@
     }
 }
 
+impl Default for News {
+    fn default() -> News {
+        News { kind: ListKind::Delta, entries: Vec::new(), joined: 0, left: 0, lost: false }
+    }
+}
+
+/// What the module is told where it hears of a subset. Engines that leave it are told gone: the module sends them
+/// nothing more, and keeps them until what runs there is over. A module that heard of the whole list hears of the
+/// subset as of a new whole list.
+fn difference(
+    before: Option<&BTreeMap<EngineId, EngineEntry>>,
+    told: &BTreeMap<EngineId, EngineEntry>,
+) -> News {
+    let Some(before) = before else {
+        let entries: Vec<EngineEntry> = told.values().cloned().collect();
+        return News { kind: ListKind::Full, joined: entries.len(), entries, ..News::default() };
+    };
+    let left = before.iter().filter(|(engine, _)| !told.contains_key(engine));
+    let mut entries: Vec<EngineEntry> =
+        left.map(|(_, entry)| EngineEntry { state: ListState::Gone, ..entry.clone() }).collect();
+    let left = entries.len();
+    let joined = told.keys().filter(|engine| !before.contains_key(engine)).count();
+    let changed = told.iter().filter(|(engine, entry)| before.get(engine) != Some(entry));
+    entries.extend(changed.map(|(_, entry)| entry.clone()));
+    News { kind: ListKind::Delta, entries, joined, left, lost: false }
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/core/roster/tests.rs
+++ b/src/core/roster/tests.rs
@@ -6,6 +6,11 @@
 
 const PLACES: usize = 2048;
 
+/// No list is so long that the module hears of a subset.
+fn whole() -> Subset {
+    Subset::new(PLACES, Membership { instances: 1, ordinal: 0 })
+}
+
 fn event(kind: ListKind, entries: Vec<Listed>) -> ListEvent {
     ListEvent { number: 1, kind, entries, unusable: Vec::new() }
 }
@@ -30,7 +35,7 @@
 /// every newcomer is taken up, and nothing of those that left is kept.
 #[test]
 fn a_large_list_and_its_releases() {
-    let mut roster = Roster::new(PLACES);
+    let mut roster = Roster::new(PLACES, whole());
     let step = roster.take(&event(ListKind::Full, lines(0..1024, ListState::Ready)));
     assert_eq!((step.lines.len(), step.passed.len(), roster.sizes()), (1024, 0, (1024, 0)));
     for round in 0..20 {
@@ -49,7 +54,7 @@
 /// meanwhile is forgotten. Past as many again it is known with the next whole list.
 #[test]
 fn past_the_bound() {
-    let mut roster = Roster::new(4);
+    let mut roster = Roster::new(4, whole());
     let step = roster.take(&event(ListKind::Full, lines(1..7, ListState::Ready)));
     assert_eq!((step.lines.len(), step.passed), (4, vec![engine_id(5), engine_id(6)]));
     assert!(!roster.ready(engine_id(5)) && roster.named(engine_id(5)));
@@ -71,7 +76,7 @@
 /// Records that make little sense each have one meaning, and are counted.
 #[test]
 fn odd_records() {
-    let mut roster = Roster::new(8);
+    let mut roster = Roster::new(8, whole());
     roster.take(&event(ListKind::Full, lines(1..4, ListState::Ready)));
     // The end of an engine that nobody knows is passed on to nobody.
     let step = roster.take(&event(ListKind::Delta, lines(9..10, ListState::Gone)));
@@ -93,7 +98,7 @@
 /// Guard: a newcomer at the address of an engine that is not gone is the one that is reached there.
 #[test]
 fn one_address_is_one_engine() {
-    let mut roster = Roster::new(8);
+    let mut roster = Roster::new(8, whole());
     roster
         .take(&event(ListKind::Full, vec![at(1, ListState::Ready, 1, 0.0), at(2, ListState::Ready, 2, 0.0)]));
     roster.take(&event(ListKind::Delta, vec![at(1, ListState::Draining, 1, 0.0)]));
@@ -120,7 +125,7 @@
 /// done as it says, and counted.
 #[test]
 fn records_that_cannot_be_used_and_lists_that_leave_out_most() {
-    let mut roster = Roster::new(8);
+    let mut roster = Roster::new(8, whole());
     roster.take(&event(ListKind::Full, lines(1..6, ListState::Ready)));
     let unusable = vec![engine_id(2), engine_id(7)];
     let whole = ListEvent { unusable, ..event(ListKind::Full, lines(1..2, ListState::Ready)) };
@@ -133,3 +138,139 @@
     assert_eq!((step.cut, roster.sizes()), (true, (0, 0)));
     assert!(!roster.take(&event(ListKind::Full, Vec::new())).cut);
 }
+
+/// A roster whose module hears of 16 engines at most, as one of a hundred managers.
+fn bounded() -> Roster {
+    Roster::new(PLACES, Subset::new(16, Membership { instances: 100, ordinal: 3 }))
+}
+
+/// What the module knows of the list, by what it was told.
+#[derive(Default)]
+struct Heard(BTreeMap<EngineId, EngineEntry>);
+
+impl Heard {
+    fn take(&mut self, news: &News) {
+        if news.kind == ListKind::Full {
+            self.0.clear();
+        }
+        for entry in &news.entries {
+            self.0.insert(entry.engine, entry.clone());
+        }
+        self.0.retain(|_, entry| entry.state != ListState::Gone);
+    }
+
+    fn ready(&self) -> Vec<EngineId> {
+        let ready = self.0.values().filter(|entry| entry.state == ListState::Ready);
+        ready.map(|entry| entry.engine).collect()
+    }
+}
+
+/// Of a long list the module hears a part, and all of it is known: whoever drains or ends takes nothing more, heard of or not.
+#[test]
+fn every_listed_engine_is_known() {
+    let (mut roster, mut heard) = (bounded(), Heard::default());
+    let step = roster.take(&event(ListKind::Full, lines(0..300, ListState::Ready)));
+    heard.take(&step.news);
+    let (size, zones) = roster.subset_sizes();
+    assert!((12..=18).contains(&size) && zones == 1, "{size}");
+    assert_eq!((step.lines.len(), heard.0.len(), ready(&roster, 0..300)), (300, size, 300));
+    let held = heard.ready();
+    let other = (0..300).find(|id| !held.contains(&engine_id(*id))).expect("one that is not held");
+    let step = roster.take(&event(ListKind::Delta, lines(other..other + 1, ListState::Draining)));
+    heard.take(&step.news);
+    assert_eq!((step.lines.len(), roster.ready(engine_id(other))), (1, false));
+    // One that is held drains: the next in order is told with the same event, and it itself as gone.
+    let drained = u32::from_be_bytes(held[0].addr);
+    let step = roster.take(&event(ListKind::Delta, lines(drained..drained + 1, ListState::Draining)));
+    heard.take(&step.news);
+    assert_eq!((step.lines.len(), step.lines[0].entry.state), (1, ListState::Draining));
+    assert!(!heard.0.contains_key(&held[0]) && !roster.ready(held[0]) && roster.named(held[0]));
+    assert!(heard.0.len() >= size - 1 && heard.0.values().all(|entry| entry.holders.is_some()));
+}
+
+/// A list that grows past the bound and shrinks below it: the module hears of the subset, and of all again. What it knows is
+/// at every moment what the list has.
+#[test]
+fn lists_that_pass_the_bound() {
+    let (mut roster, mut heard) = (bounded(), Heard::default());
+    let step = roster.take(&event(ListKind::Full, lines(0..16, ListState::Ready)));
+    heard.take(&step.news);
+    assert!(heard.0.len() == 16 && heard.0.values().all(|entry| entry.holders.is_none()));
+    assert_eq!((roster.subset_sizes().0, roster.holders()), (16, None));
+    for end in [40, 200] {
+        let step = roster.take(&event(ListKind::Delta, lines(16..end, ListState::Ready)));
+        heard.take(&step.news);
+        assert!((10..=18).contains(&heard.0.len()) && roster.subset_sizes().0 == heard.0.len());
+        assert!(heard.0.values().all(|entry| entry.holders.is_some()) && roster.holders().is_some());
+    }
+    heard.take(&roster.take(&event(ListKind::Delta, lines(12..200, ListState::Draining))).news);
+    assert_eq!((heard.ready().len(), heard.0.len()), (12, 200), "a short list of those that take work");
+    heard.take(&roster.take(&event(ListKind::Delta, lines(12..200, ListState::Gone))).news);
+    assert!(heard.0.len() == 12 && heard.0.values().all(|entry| entry.holders.is_none()));
+}
+
+/// A whole list that is cut or empty, and all engines of the subset gone in one event: the module hears of what is left, and of
+/// the next in order.
+#[test]
+fn subsets_of_lists_that_are_cut() {
+    let (mut roster, mut heard) = (bounded(), Heard::default());
+    heard.take(&roster.take(&event(ListKind::Full, lines(0..300, ListState::Ready))).news);
+    let held = heard.ready();
+    let left = || (0..300).filter(|id| !held.contains(&engine_id(*id)));
+    let gone: Vec<Listed> = held
+        .iter()
+        .flat_map(|id| {
+            let id = u32::from_be_bytes(id.addr);
+            lines(id..id + 1, ListState::Gone)
+        })
+        .collect();
+    let step = roster.take(&event(ListKind::Delta, gone));
+    heard.take(&step.news);
+    assert!(step.news.lost && step.news.left == held.len());
+    assert!(heard.0.len() >= 10 && held.iter().all(|id| !heard.0.contains_key(id)), "{}", heard.0.len());
+    let step = roster.take(&event(ListKind::Full, lines(left(), ListState::Ready)));
+    assert!(!step.news.lost && step.news.entries.is_empty(), "the same list again");
+    let cut: Vec<u32> = left().step_by(3).collect();
+    let step = roster.take(&event(ListKind::Full, lines(cut.iter().copied(), ListState::Ready)));
+    heard.take(&step.news);
+    assert!(step.cut && heard.ready().iter().all(|id| cut.contains(&u32::from_be_bytes(id.addr))));
+    let step = roster.take(&event(ListKind::Full, Vec::new()));
+    heard.take(&step.news);
+    assert!(step.cut && step.news.lost && heard.0.is_empty() && roster.subset_sizes() == (0, 0));
+    heard.take(&roster.take(&event(ListKind::Full, lines(0..300, ListState::Ready))).news);
+    assert_eq!(heard.ready(), held, "the same list, the same subset");
+}
+
+/// New settings change the subset once: what moved is told, and nothing where they name the same place.
+#[test]
+fn settings_that_change_the_fleet() {
+    let (mut roster, mut heard) = (bounded(), Heard::default());
+    heard.take(&roster.take(&event(ListKind::Full, lines(0..300, ListState::Ready))).news);
+    let before = heard.ready();
+    assert!(roster.set_membership(Membership { instances: 100, ordinal: 3 }).is_none());
+    let news = roster.set_membership(Membership { instances: 100, ordinal: 50 }).expect("another ordinal");
+    heard.take(&news);
+    assert!(news.joined > 0 && news.left > 0 && heard.ready() != before);
+    let news = roster.set_membership(Membership { instances: 60, ordinal: 3 }).expect("fewer managers");
+    heard.take(&news);
+    assert!(heard.0.len() >= 18, "a larger share each: {}", heard.0.len());
+    let news = roster.set_membership(Membership { instances: 3, ordinal: 3 }).expect("few managers");
+    heard.take(&news);
+    assert!(heard.0.len() == 300 && heard.0.values().all(|entry| entry.holders.is_none()));
+}
+
+/// Guard: an engine that was given back by hand while the module did not hear of it is cold from that call on.
+#[test]
+fn given_back_while_not_held() {
+    let mut roster = bounded();
+    let step = roster.take(&event(ListKind::Full, lines(0..300, ListState::Ready)));
+    let (mut heard, held) = (Heard::default(), step.news.entries.clone());
+    heard.take(&step.news);
+    for id in 0..300 {
+        roster.given_back(engine_id(id), 5000.0);
+    }
+    let gone = held.iter().map(|entry| at(u32::from_be_bytes(entry.engine.addr), ListState::Gone, 1, 0.0));
+    heard.take(&roster.take(&event(ListKind::Delta, gone.collect())).news);
+    assert!(!heard.0.is_empty() && heard.0.values().all(|entry| entry.started_ms == 5000.0));
+    assert!(held.iter().all(|entry| entry.started_ms == 0.0));
+}
--- /dev/null
+++ b/src/core/subsets.rs
@@ -0,0 +1,209 @@
+//! Tests of engine subsets in the core: what changes of them leave alone, what the counters show, and the budget of cold
+//! engines over a whole fleet of decision modules whose lists differ.
+
+use super::tests::{Nobody, listed, taken};
+use super::*;
+use crate::config::{Listed, engine_id};
+use crate::counters::Count;
+use crate::settings::{self, Named, Parsed};
+use std::collections::BTreeMap;
+use std::sync::{Mutex, PoisonError};
+
+const MOST_WHOLE: usize = 32;
+
+/// Engines that take every attempt, and keep what they were asked.
+#[derive(Clone, Default)]
+struct Asked(Arc<Mutex<Vec<(EngineId, RequestId, u16)>>>);
+
+impl Asked {
+    fn take(&self) -> Vec<(EngineId, RequestId, u16)> {
+        std::mem::take(&mut *self.0.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+}
+
+impl EnginePort for Asked {
+    fn ask(&mut self, engine: EngineId, ask: Ask) -> bool {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).push((engine, ask.id, ask.attempt));
+        true
+    }
+    fn quit(&mut self, engine: EngineId, id: RequestId, attempt: u16, _: bool) {
+        panic!("attempt {attempt} of {id} at {engine} is given up");
+    }
+    fn priority(&mut self, _: EngineId, _: RequestId, _: u16, _: u8) {}
+    fn listed(&mut self, _: &Listed) {}
+    fn dropped(&mut self, _: EngineId) {}
+    fn banned(&mut self, _: EngineId, _: bool) {}
+}
+
+/// The settings of one manager of a fleet, whose engines have one core and are cold for ten seconds.
+fn fleet_settings(instances: u32, ordinal: u32) -> Parsed {
+    let text = format!(
+        r#"{{"nInstances":{instances},"ordinal":{ordinal},
+        "classes":[{{"name":"a","effect":"repeatable","promiseMs":2000,"giveUpMs":20000}}],
+        "guarantees":{{"coldMs":10000,"coldShare":0.3,"overloadForMs":1000,"tipMultiple":2}},
+        "limits":{{"attemptsCap":4}},"shapes":["std"],"specifics":{{"sizeCores":[1]}}}}"#
+    );
+    settings::parse(text.as_bytes()).expect("settings")
+}
+
+/// One manager, with the names of its classes.
+struct Manager {
+    core: Core<Asked>,
+    asked: Asked,
+    counters: Arc<Counters>,
+    class: Arc<Named>,
+    next_id: RequestId,
+}
+
+impl Manager {
+    fn new(instances: u32, ordinal: u32) -> Manager {
+        let parsed = fleet_settings(instances, ordinal);
+        let mut limits = Limits::new(256, 64, false, &parsed);
+        limits.subset = MOST_WHOLE;
+        let (asked, counters): (Asked, Arc<Counters>) = Default::default();
+        let made = Core::new(
+            parsed.settings.clone(),
+            u64::from(ordinal),
+            asked.clone(),
+            Arc::new(limits),
+            counters.clone(),
+        );
+        let mut core = made.expect("settings that were parsed");
+        core.begin(0.0);
+        Manager { core, asked, counters, class: parsed.classes[0].clone(), next_id: 1 }
+    }
+
+    fn list(&mut self, now: Millis, kind: ListKind, entries: Vec<Listed>) {
+        let event = ListEvent { number: 1, kind, entries, unusable: Vec::new() };
+        self.core.handle(now, Input::List(event));
+    }
+
+    /// Takes a request of this work, in ms of one core, and tells where it went.
+    fn request(&mut self, now: Millis, work_ms: f64) -> Vec<(EngineId, RequestId, u16)> {
+        let id = self.next_id;
+        self.next_id += 1;
+        let one = taken(id, &self.class, now + 20_000.0, work_ms, Arc::new(Nobody));
+        self.core.handle(now, Input::Take(one));
+        self.asked.take()
+    }
+
+    fn served(&mut self, now: Millis, (engine, id, attempt): (EngineId, RequestId, u16)) {
+        let body = Some(Body::whole(Form::Text, Vec::new()));
+        let news = EngineNews::Ended { outcome: Outcome::Ok, billed_ms: None, billed_mb: None, body };
+        let report = LoadReport::default();
+        self.core.handle(now, Input::Engine { engine, id, attempt, report, news });
+    }
+}
+
+fn lines(ids: impl Iterator<Item = u32>, state: ListState) -> Vec<Listed> {
+    ids.map(|id| listed(id, state)).collect()
+}
+
+fn shown(counters: &Counters) -> [u64; 4] {
+    [&counters.subset_size, &counters.subset_zones, &counters.subset_holders, &counters.ordinal]
+        .map(Count::get)
+}
+
+/// Guard: what leaves the subset while it runs an attempt ends it as any other. It gets nothing more, and is forgotten
+/// once nothing runs there.
+#[test]
+fn a_change_of_the_subset_ends_no_attempt() {
+    let mut manager = Manager::new(100, 7);
+    manager.list(0.0, ListKind::Full, lines(0..400, ListState::Ready));
+    let mut out = Vec::new();
+    for _ in 0..60 {
+        out.extend(manager.request(10.0, 50.0));
+    }
+    let held = manager.core.held().1[3];
+    assert!(out.len() > 30 && (24..=36).contains(&held), "{} sent to {held}", out.len());
+    // Another ordinal: another subset altogether.
+    let settings = Box::new(fleet_settings(100, 57).settings);
+    manager.core.handle(20.0, Input::Settings { settings: Some(settings), policy: Arc::default() });
+    manager.core.alarms(100.0);
+    assert!(manager.counters.subset_left.get() > 20 && manager.counters.subset_recast.get() == 1);
+    assert!(manager.core.held().1[3] > held, "those that still run something, and the new ones");
+    let before: Vec<EngineId> = out.iter().map(|(engine, ..)| *engine).collect();
+    for _ in 0..60 {
+        let again = manager.request(110.0, 50.0);
+        assert!(again.iter().all(|(engine, ..)| !before.contains(engine)));
+        out.extend(again);
+    }
+    let all = out.len() as u64;
+    out.into_iter().for_each(|one| manager.served(200.0, one));
+    manager.core.alarms(300.0);
+    assert_eq!(manager.counters.served.get(), all);
+    assert!((24..=36).contains(&manager.core.held().1[3]), "{}", manager.core.held().1[3]);
+}
+
+/// What STATS and the MIB show of a subset, of a list that is taken whole, and of settings that cannot be.
+#[test]
+fn what_the_counters_show() {
+    let mut manager = Manager::new(100, 7);
+    manager.list(0.0, ListKind::Full, lines(0..20, ListState::Ready));
+    assert_eq!(shown(&manager.counters), [20, 1, 100, 7]);
+    manager.list(0.0, ListKind::Full, lines(0..400, ListState::Ready));
+    let [size, zones, holders, ordinal] = shown(&manager.counters);
+    assert!((24..=36).contains(&size) && (6..=9).contains(&holders), "{size} and {holders}");
+    assert_eq!((zones, ordinal, manager.counters.engines.get()), (1, 7, 400));
+    manager.list(0.0, ListKind::Full, Vec::new());
+    assert_eq!((manager.counters.subset_lost.get(), manager.counters.list_cut.get()), (1, 1));
+    assert_eq!(manager.counters.subset_size.get(), 0);
+    let over = Manager::new(100, 100);
+    assert_eq!((over.counters.subset_ordinal_over.get(), over.counters.ordinal.get()), (1, 100));
+}
+
+/// Work that a fleet sends to each engine in any window of a second, while managers learn of changes up to five seconds
+/// apart: no cold one gets more than the multiple of its capacity that it stands.
+#[test]
+fn a_fleet_whose_lists_differ_tips_no_cold_engine() {
+    const MANAGERS: u32 = 40;
+    const WORK_MS: f64 = 40.0;
+    const BEGUN: Millis = 20_000.0;
+    let mut managers: Vec<Manager> = (0..MANAGERS).map(|ordinal| Manager::new(MANAGERS, ordinal)).collect();
+    managers.iter_mut().for_each(|m| m.list(0.0, ListKind::Full, lines(0..150, ListState::Ready)));
+    // A third of all engines drain, and as many start cold in their place.
+    let mut changes = lines(0..50, ListState::Draining);
+    changes.extend(lines(150..200, ListState::Ready).into_iter().map(|mut line| {
+        line.entry.started_ms = BEGUN;
+        line
+    }));
+    let mut sent: BTreeMap<EngineId, Vec<(Millis, f64)>> = BTreeMap::new();
+    let mut in_hand: Vec<(Millis, usize, (EngineId, RequestId, u16))> = Vec::new();
+    let mut now = BEGUN;
+    while now < BEGUN + 11_000.0 {
+        for (place, manager) in managers.iter_mut().enumerate() {
+            // Each hears of it at a time of its own, in no order of theirs.
+            let heard_at = BEGUN + f64::from((place as u32 * 17) % MANAGERS) * 5000.0 / f64::from(MANAGERS);
+            if (heard_at..heard_at + 50.0).contains(&now) {
+                manager.list(now, ListKind::Delta, changes.clone());
+            }
+            manager.core.alarms(now);
+            let mut out = Vec::new();
+            for _ in 0..5 {
+                out.extend(manager.request(now, WORK_MS));
+            }
+            out.extend(manager.asked.take());
+            for one in out {
+                sent.entry(one.0).or_default().push((now, WORK_MS));
+                in_hand.push((now + 400.0, place, one));
+            }
+        }
+        let (over, rest): (Vec<_>, Vec<_>) = in_hand.into_iter().partition(|(at, ..)| *at <= now);
+        in_hand = rest;
+        over.into_iter().for_each(|(_, place, one)| managers[place].served(now, one));
+        now += 50.0;
+    }
+    let mut cold = 0.0;
+    for id in 150..200 {
+        let sends = sent.get(&engine_id(id)).map_or(&[][..], Vec::as_slice);
+        for (at, _) in sends.iter().filter(|(at, _)| *at < BEGUN + 9_000.0) {
+            let age = ((at - BEGUN) / 10_000.0).clamp(0.0, 1.0);
+            let stands = 2.0 * (0.3 + 0.7 * age * age) * 1000.0;
+            let window = sends.iter().filter(|(t, _)| (0.0..1000.0).contains(&(t - at)));
+            let work: f64 = window.map(|(_, work)| work).sum();
+            assert!(work <= stands, "engine {id} got {work} ms at {at}, and stands {stands}");
+            cold += WORK_MS;
+        }
+    }
+    assert!(cold > 0.2 * 9_000.0 * 50.0 * 0.3, "cold engines take part: {cold}");
+}
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -25,7 +25,7 @@
     fn banned(&mut self, _: EngineId, _: bool) {}
 }
 
-struct Nobody;
+pub(super) struct Nobody;
 
 impl ClientPort for Nobody {
     fn answer(&self, _: RequestId, _: Answer) {}
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -27,7 +27,7 @@
 }
 
 /// Those that also go down.
-const GAUGES: [&str; 8] = [
+const GAUGES: [&str; 12] = [
     "engines",
     "engines_waiting",
     "client_conns_open",
@@ -36,6 +36,10 @@
     "open",
     "engines_skipped",
     "beside",
+    "subset_size",
+    "subset_zones",
+    "subset_holders",
+    "ordinal",
 ];
 
 /// Whether a name is a gauge's and not a counter's.
@@ -209,6 +213,24 @@
     list_cut,
     /// Requests that their clients mark as a retry.
     client_retries,
+    /// Engines of the list that the decision module hears of.
+    subset_size,
+    /// Zones in which they take work.
+    subset_zones,
+    /// Workload managers that hold an engine, in the mean.
+    subset_holders,
+    /// Engines that the subset gained.
+    subset_joined,
+    /// Engines that the subset lost.
+    subset_left,
+    /// Events of the list after which no engine of the subset took work any more.
+    subset_lost,
+    /// Settings with another number of workload managers or another ordinal.
+    subset_recast,
+    /// Settings whose ordinal is not below the number of workload managers.
+    subset_ordinal_over,
+    /// This workload manager's ordinal: no two have the same.
+    ordinal,
 }
 
 /// Times from the shortest to the longest, in a histogram of fixed size.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -203,6 +203,12 @@
         self.classes.iter().map(|c| f64::from(c.threads)).fold(1.0, f64::max)
     }
 
+    /// The gateways that hold an engine.
+    pub fn holders(&self, line: &EngineEntry) -> Holders {
+        let all = Holders { mean: f64::from(self.instances), most: self.instances, place: self.ordinal };
+        line.holders.unwrap_or(all)
+    }
+
     /// The position of a class that has this name and reads just so.
     pub fn position(&self, name: &str, class: &Class) -> Option<usize> {
         self.names.iter().zip(&self.classes).position(|(n, c)| n == name && c == class)
@@ -238,8 +244,19 @@
     Gone,
 }
 
+/// The gateways that hold an engine, where they hold subsets of the list.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Holders {
+    /// Their mean number over the engines of the list.
+    pub mean: f64,
+    /// A bound on their number, also while their lists differ.
+    pub most: u32,
+    /// This gateway's place among them, from 0.
+    pub place: u32,
+}
+
 /// One line of an engine list.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct EngineEntry {
     /// Which engine.
     pub engine: EngineId,
@@ -255,6 +272,8 @@
     pub nominal: f64,
     /// Time of its latest start; 0 for long ago.
     pub started_ms: Millis,
+    /// The gateways that hold it; none where all do.
+    pub holders: Option<Holders>,
 }
 
 /// How a list event relates to the list held.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod signals;
 mod snmp;
 mod sql;
+pub mod subset;
 mod successor;
 
 pub use choice::Gateway;
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -62,6 +62,9 @@
     /// Engines held from the list, those that drain among them. It follows memory, as being listed holds no
     /// descriptor.
     pub engines: usize,
+    /// Engines of the longest list that the decision module hears of whole; of a longer one it hears of a subset. It
+    /// follows the cost of a decision, which is in proportion to the engines heard of: `docs/subsets.md` has the figures.
+    pub subset: usize,
     /// Messages in an actor's mailbox.
     pub mailbox: usize,
     /// Connections to the Flight SQL front; more wait in the backlog.
@@ -220,6 +223,7 @@
             engine_conns_kept: (sockets / 8).min(conns / 3),
             conns_per_engine: (sockets / 12).clamp(1, 24),
             engines,
+            subset: 512,
             mailbox: 1024,
             flight_conns: sockets / 16,
             tickets: 1024,
--- a/src/list.rs
+++ b/src/list.rs
@@ -174,6 +174,7 @@
         state,
         nominal: f64::from(u32::from_be_bytes(four(15)?)) / 1000.0,
         started_ms: started as f64,
+        holders: None,
     };
     Some(Listed { entry, address: address(four(4)?, two(8)?) })
 }
--- /dev/null
+++ b/src/subset/tests.rs
@@ -0,0 +1,245 @@
+//! Tests of the subsets alone: balance, zones, churn, shares, and settings and lists that make little sense.
+
+use super::*;
+use crate::config::engine_id;
+use proptest::prelude::*;
+use std::collections::HashSet;
+
+type Listed = Vec<(EngineId, u8)>;
+
+/// So many engines with ids that a seed spreads, in zones of equal size.
+fn list(engines: u32, zones: u8, seed: u32) -> Listed {
+    let id = |n: u32| engine_id(n.wrapping_mul(0x9E37_79B1) ^ seed);
+    (0..engines).map(|n| (id(n), (n % u32::from(zones)) as u8)).collect()
+}
+
+fn subset(most_whole: usize, instances: u32, list: &[(EngineId, u8)]) -> Subset {
+    let mut subset = Subset::new(most_whole, Membership { instances, ordinal: 0 });
+    list.iter().for_each(|(engine, zone)| subset.set(*engine, Some(*zone)));
+    subset
+}
+
+/// What the managers with these ordinals hold of a list.
+fn held_by(subset: &Subset, ordinals: impl IntoIterator<Item = u32>) -> Vec<Members> {
+    let mut own = subset.clone();
+    let held = |ordinal| {
+        own.set_membership(Membership { ordinal, ..own.membership });
+        own.members().expect("a long list")
+    };
+    ordinals.into_iter().map(held).collect()
+}
+
+fn all_held(subset: &Subset) -> Vec<Members> {
+    held_by(subset, 0..subset.membership.instances)
+}
+
+fn holders_of(held: &[Members], list: &[(EngineId, u8)]) -> HashMap<EngineId, Vec<Holders>> {
+    let mut holders: HashMap<EngineId, Vec<Holders>> = list.iter().map(|(e, _)| (*e, Vec::new())).collect();
+    for (engine, entry) in held.iter().flatten() {
+        holders.get_mut(engine).expect("listed").push(*entry);
+    }
+    holders
+}
+
+/// Places that differ between two states of one manager: of what it gained and lost, the larger number.
+fn moved(before: &Members, after: &Members) -> usize {
+    let lacks = |a: &Members, b: &Members| a.keys().filter(|engine| !b.contains_key(engine)).count();
+    lacks(before, after).max(lacks(after, before))
+}
+
+/// Short lists are taken whole, and so are long ones where managers are few: they have to hold all between them.
+#[test]
+fn which_lists_are_taken_whole() {
+    let size = |engines, instances| {
+        let mut one = subset(512, instances, &list(engines, 3, 7));
+        (one.size(), one.members().map_or(engines as usize, |members| members.len()))
+    };
+    assert_eq!(size(80, 100), (80, 80));
+    assert_eq!(size(512, 3700), (512, 512));
+    assert_eq!(size(22_000, 4), (22_000, 22_000));
+    assert_eq!(size(0, 100), (0, 0));
+    let (wanted, held) = size(513, 3700);
+    assert!(wanted == 512 && (509..=513).contains(&held), "{held}");
+    let (wanted, held) = size(4096, 3700);
+    assert!(wanted == 512 && (430..=520).contains(&held), "{held}");
+    let (wanted, held) = size(4096, 16);
+    assert!(wanted == 1024 && (960..=1030).contains(&held), "four shares of the list: {held}");
+}
+
+/// At a quarter of the fleet's size, with as many holders an engine: their number, and the zones of the subsets.
+#[test]
+fn balance_of_a_large_fleet() {
+    let list = list(5500, 14, 1);
+    let fleet = subset(512, 925, &list);
+    let held = all_held(&fleet);
+    let numbers: Vec<usize> = holders_of(&held, &list).values().map(Vec::len).collect();
+    let (most, least) = (numbers.iter().max(), numbers.iter().min());
+    let mean = numbers.iter().sum::<usize>() as f64 / 5500.0;
+    let ratio = *most.expect("engines") as f64 / mean;
+    assert!(ratio <= 1.15, "most against mean {ratio:.3}");
+    assert!(*least.expect("engines") as f64 >= 0.45 * mean, "{least:?} of {mean:.1}");
+    let zones: HashMap<EngineId, u8> = list.iter().copied().collect();
+    for members in &held {
+        assert!((430..=520).contains(&members.len()), "{}", members.len());
+        for zone in 0..14 {
+            let places = members.keys().filter(|engine| zones[*engine] == zone).count();
+            assert!(places <= 44, "zone {zone} has {places} of {}, its part is 36.6", members.len());
+        }
+    }
+}
+
+/// One engine less moves one place in those that held it; one replaced moves no other manager's; and a manager more or less
+/// moves nobody's.
+#[test]
+fn churn_of_a_large_fleet() {
+    let list = list(5500, 14, 2);
+    let fleet = subset(512, 925, &list);
+    let before = all_held(&fleet);
+    let (mut held, mut newly) = (0, 0);
+    for (n, (engine, zone)) in list.iter().enumerate().step_by(2200) {
+        let (mut replaced, successor) = (fleet.clone(), engine_id(0xFFFF_0000 + n as u32));
+        replaced.set(*engine, None);
+        let gone = all_held(&replaced);
+        replaced.set(successor, Some(*zone));
+        let after = all_held(&replaced);
+        for (ordinal, ((before, gone), after)) in before.iter().zip(&gone).zip(&after).enumerate() {
+            let held_it = before.contains_key(engine);
+            assert!(moved(before, gone) <= 2, "{ordinal}");
+            let places = usize::from(held_it).max(usize::from(after.contains_key(&successor)));
+            assert_eq!(moved(before, after), places, "{ordinal}");
+            held += usize::from(held_it);
+            newly += usize::from(after.contains_key(&successor));
+        }
+    }
+    assert!((120..=380).contains(&held) && (120..=380).contains(&newly), "{held} and {newly} in three plays");
+    for instances in [924, 926] {
+        let mut other = fleet.clone();
+        other.set_membership(Membership { instances, ordinal: 0 });
+        let stay = all_held(&other).iter().zip(&before).all(|(now, before)| moved(before, now) == 0);
+        assert!(stay, "{instances}");
+    }
+}
+
+/// The parts of one engine's budget that managers take whose lists differ: never more than all of it, though one list lacks
+/// six engines in ten. In turn at once are never more than may be while lists differ by a tenth, and twice as many beyond.
+#[test]
+fn shares_while_lists_differ() {
+    const IN_TURN: u32 = 3;
+    let list = list(2200, 5, 3);
+    for (keep, in_turn_most) in [(2200, 3), (2050, 3), (1980, 3), (1540, 6), (880, 6)] {
+        let views = [subset(128, 370, &list), subset(128, 370, &list[..keep])].map(|view| all_held(&view));
+        for (engine, _) in list[..keep].iter().step_by(61) {
+            let parts = |ordinal: usize| views.iter().filter_map(move |view| view[ordinal].get(engine));
+            let largest = |ordinal| parts(ordinal).map(|h| 1.0 / f64::from(h.most)).fold(0.0, f64::max);
+            let sum: f64 = (0..370).map(largest).sum();
+            assert!(sum <= 1.0, "{keep} of 2200: {sum}");
+            for turn in 0..64 {
+                let its = |h: &Holders| (turn + h.place) % h.most < IN_TURN;
+                let in_turn = (0..370).filter(|ordinal| parts(*ordinal).any(its)).count();
+                assert!(in_turn <= in_turn_most, "{keep} of 2200: {in_turn}");
+            }
+        }
+    }
+}
+
+/// An ordinal at or over the number of managers, and one that two managers have: each is a holder more, and all stay
+/// within their parts.
+#[test]
+fn ordinals_that_cannot_be() {
+    let list = list(2200, 5, 4);
+    let fleet = subset(128, 370, &list);
+    let over = Membership { instances: 370, ordinal: 370 };
+    assert!(over.out_of_range() && !Membership { ordinal: 369, ..over }.out_of_range());
+    let mut held = all_held(&fleet);
+    held.extend(held_by(&fleet, [370, 1 << 20, u32::MAX, 5]));
+    assert_eq!(held[5], held[373], "two managers with one ordinal hold the same");
+    for members in &held[370..] {
+        assert!((80..=160).contains(&members.len()), "{}", members.len());
+    }
+    for (engine, holders) in holders_of(&held, &list) {
+        let parts: f64 = holders.iter().map(|h| 1.0 / f64::from(h.most)).sum();
+        assert!(parts <= 1.0, "{engine}: {parts}");
+        assert!(holders.iter().all(|h| h.place < h.most));
+    }
+}
+
+/// All engines of a subset gone in one event: the next in order are held. No engine at all: nothing is.
+#[test]
+fn the_next_in_order_follow() {
+    let list = list(2200, 1, 5);
+    let mut own = subset(128, 370, &list);
+    let before = own.members().expect("a long list");
+    assert!((120..=130).contains(&before.len()), "one zone: {}", before.len());
+    before.keys().for_each(|engine| own.set(*engine, None));
+    let after = own.members().expect("a long list");
+    assert!(before.keys().all(|engine| !after.contains_key(engine)));
+    assert!((100..=140).contains(&after.len()), "{}", after.len());
+    // The first of those that follow are the next on the ring.
+    let last = before.keys().map(|e| position(*e)).max();
+    let next = list.iter().map(|(e, _)| position(*e)).filter(|at| Some(*at) > last).min();
+    assert!(after.keys().any(|engine| Some(position(*engine)) == next));
+    list.iter().for_each(|(engine, _)| own.set(*engine, None));
+    assert_eq!((own.members(), own.ready(), own.zones()), (None, 0, 0));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(48))]
+
+    /// Whatever the sizes: no engine is without a manager, the bound on holders holds, and their places differ.
+    #[test]
+    fn every_engine_has_its_holders(
+        engines in 130u32..1500, instances in 5u32..120, zones in 1u8..15, seed: u32, most_whole in 32usize..128,
+    ) {
+        let list = list(engines, zones, seed);
+        let fleet = subset(most_whole, instances, &list);
+        prop_assume!(fleet.size() < fleet.ready());
+        let held = all_held(&fleet);
+        let arc = f64::from(instances) * fleet.arcs().share;
+        for (engine, holders) in holders_of(&held, &list) {
+            let number = holders.len() as f64;
+            prop_assert!(number >= 1.0, "{engine} is held by nobody");
+            prop_assert!(number <= LONGEST_ARC * arc + ARC_EXCESS, "{engine} is held by {number}");
+            let places: HashSet<u32> = holders.iter().map(|h| h.place).collect();
+            prop_assert_eq!(places.len(), holders.len());
+            prop_assert!(holders.iter().all(|h| h.place < h.most && number <= f64::from(h.most)));
+        }
+        // What a manager takes for the mean makes its parts of all that it holds one part of the fleet.
+        for members in &held {
+            let told = members.values().next().expect("some").mean;
+            let mean = f64::from(instances) * members.len() as f64 / f64::from(engines);
+            prop_assert!((told / mean - 1.0).abs() < 0.03, "{told} told, {mean} counted");
+        }
+    }
+
+    /// The same list gives the same subset, in whatever order and by whatever way it came.
+    #[test]
+    fn the_way_to_a_list_does_not_matter(
+        seed: u32, ordinal in 0u32..50, order in Just((0..600usize).collect::<Vec<_>>()).prop_shuffle(),
+    ) {
+        let list = list(600, 4, seed);
+        let mut direct = subset(64, 50, &list[..500]);
+        direct.set_membership(Membership { instances: 50, ordinal });
+        let mut other = Subset::new(64, Membership { instances: 9, ordinal: 3 });
+        for (step, n) in order.iter().enumerate() {
+            let (engine, zone) = list[*n];
+            other.set(engine, Some(zone ^ 1));
+            other.set(engine, Some(zone));
+            if step % 50 == 0 {
+                other.members();
+            }
+        }
+        list[500..].iter().for_each(|(engine, _)| other.set(*engine, None));
+        other.set_membership(Membership { instances: 50, ordinal });
+        prop_assert_eq!(direct.members(), other.members());
+    }
+
+    /// Managers on an arc, counted one by one.
+    #[test]
+    fn managers_between(managers in 1u32..3000, end: u32, length: u32) {
+        let before = |ordinal: u32| end.wrapping_sub(ordinal.wrapping_mul(GOLDEN));
+        let counted = (0..managers).filter(|ordinal| before(*ordinal) < length).count();
+        prop_assert_eq!(managers_on_arc(managers, end, length) as usize, counted);
+        let even = f64::from(managers) * f64::from(length) / RING as f64;
+        prop_assert!((counted as f64 - even).abs() <= ARC_EXCESS);
+    }
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -46,7 +46,7 @@
 
 pub fn entry(n: u8, state: ListState, started_ms: f64) -> EngineEntry {
     let (zone, kind, cell) = (n % 2, u16::from(n / 2 % 2), u16::from(n % 3));
-    EngineEntry { engine: engine(n), zone, kind, cell, state, nominal: 8.0, started_ms }
+    EngineEntry { engine: engine(n), zone, kind, cell, state, nominal: 8.0, started_ms, holders: None }
 }
 
 /// A gateway under test, with its clock.
