Move the start of a process of an upgrade into the tests' scene

A second test file starts processes as the platform does for an upgrade; the command was in scenarios.rs alone. No test changes what it asks.

--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -4,6 +4,7 @@
 
 use magpiechute::config::{Fronts, Speech};
 use rstest::rstest;
+use scene::process::handed;
 use scene::{configuration, play};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -1326,19 +1327,7 @@
     folder: &Path,
 ) -> (Child, BufReader<ChildStderr>, SocketAddr) {
     let socket: OwnedFd = listener.try_clone().expect("socket").into();
-    let mut child = Command::new("sh")
-        .args(["-c", "exec \"$0\" 4<&0 0</dev/null", env!("CARGO_BIN_EXE_magpiechute")])
-        .env("NODE_CONFIG", config)
-        .env("MAGPIECHUTE_FRONTS", folder.join("no-fronts.toml"))
-        .env("MAGPIECHUTE_FILE", folder.join("no-file.toml"))
-        .env("NODE_LISTEN_FD", "4")
-        .env("TMPDIR", folder)
-        .env_remove("NODE_LISTEN")
-        .env_remove("NODE_OPS")
-        .stdin(socket)
-        .stderr(Stdio::piped())
-        .spawn()
-        .expect("program");
+    let mut child = handed(socket, config, folder);
     let mut said = BufReader::new(child.stderr.take().expect("stderr"));
     let line = line_with(&mut said, "is operated at");
     let ops = line.trim().rsplit(' ').next().and_then(|at| at.parse().ok());
--- a/tests/scene/mod.rs
+++ b/tests/scene/mod.rs
@@ -26,6 +26,7 @@
 mod flight;
 mod operations;
 mod platform;
+pub mod process;
 mod snmp;
 
 use engines::Fleet;
