Lease order keys, so that the two processes of an upgrade keep one order

Cause: in an upgrade two processes of one workload manager live side by side for up to some 5 s, and the order of a key was kept within each process alone. With a request of a key out at the old process the successor sent the next one of that key at once.

Change: before the module hears of a request with a key, its process has an exclusive lease on the key, kept while a request of the key is open there and while the key rests. Locks are ranges of one file in TMPDIR, of an open file description (one descriptor; they end with the process); core/leases.rs decides without I/O, core/order.rs joins it to requests and timers, successor/order_locks.rs holds the locks through the crate nix. Keys rest after a process that ended with one, also where it was gone before this one started. In steady use a key goes back and forth. OrderKey is FNV-1a, as two builds have to name a key alike. One descriptor more: client_conns is one lower (97 of 256), and the test of limits counts one more for the program. order_held counts what was held back.

--- a/src/core/ends.rs
+++ b/src/core/ends.rs
@@ -34,7 +34,7 @@
             self.counters.served.up();
             open.taken.client.answer(id, Answer::Served(body));
         }
-        self.remove(id);
+        self.remove(now, id);
         self.tell_ended(now, id, &out, Outcome::Ok, true, report, billed);
     }
 
@@ -48,6 +48,7 @@
         report: LoadReport,
         billed: (Option<f64>, Option<f64>),
     ) {
+        self.rest_key(now, id, outcome);
         let Some(open) = self.requests.get_mut(&id) else { return };
         let Some(out) = open.history.ended(attempt, ran) else { return };
         match outcome {
@@ -57,7 +58,7 @@
         // The client of a stream was told by the break in it.
         let finished = open.streaming || open.over;
         if finished {
-            self.remove(id);
+            self.remove(now, id);
         }
         self.tell_ended(now, id, &out, outcome, finished, report, billed);
     }
@@ -170,7 +171,7 @@
         self.counters.open.down();
         match out {
             true => self.give_up(now, id, as_what),
-            false => self.remove(id),
+            false => self.remove(now, id),
         }
         // Guard: the module holds a request until it hears how its attempt ended, and this one never went out.
         if let Some((number, engine, _)) = waiting {
@@ -179,10 +180,13 @@
         Some(client)
     }
 
-    fn remove(&mut self, id: RequestId) {
+    fn remove(&mut self, now: Millis, id: RequestId) {
         let Some(open) = self.requests.remove(&id) else { return };
         self.names.remove(&open.taken.name);
         self.held_bytes -= open.taken.statement.len();
+        if let Some(key) = open.taken.order_key {
+            self.leave_lease(now, key, id);
+        }
         if !open.over {
             self.counters.open.down();
         }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -7,12 +7,16 @@
 //! the client is answered without waiting for that.
 
 mod actor;
+mod alarms;
 mod ends;
+mod leases;
 mod narrow;
+mod order;
 mod ports;
 mod roster;
 
 pub use actor::{Clock, Handle, Inputs, start};
+pub use leases::{OrderLocks, Places};
 pub use ports::*;
 
 use crate::attempt::{AttemptHistory, Sent, never_ran};
@@ -22,7 +26,9 @@
 use crate::interface::*;
 use crate::limits::Limits;
 use crate::subset::{Membership, Subset};
+use alarms::{Alarm, At};
 use bytes::Bytes;
+use leases::Leases;
 use roster::{News, Roster};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, HashSet};
@@ -44,44 +50,9 @@
     waiting: Option<(u16, EngineId, Option<Millis>)>,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Alarm {
-    Module(u64),
-    Deadline(RequestId),
-    /// Looks whether what is being given up is proven over.
-    Quit(RequestId, u16),
-    Silence(RequestId, u16),
-    /// The back-off of an attempt is over.
-    BackOff(RequestId, u16),
-    /// An attempt has had the time that its policy gives it.
-    AttemptDue(RequestId, u16),
-}
-
 /// A repeat by key is written so much before engines may have forgotten the first, in ms.
 const REPEAT_MARGIN_MS: Millis = 1.0;
 
-/// Alarms kept at most, for each request that is open and besides.
-const ALARMS_EACH: usize = 8;
-const ALARMS_SPARE: usize = 1024;
-
-/// A point in time with a total order.
-#[derive(Clone, Copy, PartialEq)]
-struct At(Millis);
-
-impl Eq for At {}
-
-impl PartialOrd for At {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for At {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        self.0.total_cmp(&other.0)
-    }
-}
-
 /// The core of one workload manager.
 pub struct Core<E> {
     gateway: Gateway,
@@ -102,6 +73,10 @@
     actions: Vec<Action>,
     /// The operators' policy of attempts; without their file it sets nothing.
     policy: Arc<Policy>,
+    /// Leases on order keys, beside another process.
+    leases: Leases,
+    /// Their alarm is armed.
+    review_armed: bool,
 }
 
 use crate::choice::Gateway;
@@ -130,6 +105,8 @@
             armed: 0,
             actions: Vec::new(),
             policy: Arc::default(),
+            leases: Leases::default(),
+            review_armed: false,
         };
         core.check_membership(membership);
         Ok(core)
@@ -144,6 +121,7 @@
 
     /// The first event: the module sets its timers.
     pub fn begin(&mut self, now: Millis) {
+        self.begin_leases(now);
         self.tell(now, Event::Started);
     }
 
@@ -176,6 +154,7 @@
                 Alarm::Silence(id, attempt) => self.silence(now, id, attempt, at.0),
                 Alarm::BackOff(id, attempt) => self.backed_off(now, id, attempt),
                 Alarm::AttemptDue(id, attempt) => self.attempt_due(now, id, attempt),
+                Alarm::Leases => self.review_leases(now),
             }
             // The module's timer comes often enough to publish what it believes.
             self.counters.engines_skipped.set(self.gateway.avoided());
@@ -238,7 +217,10 @@
                     self.arm(at, Alarm::Deadline(id));
                 }
             }
-            Urgent::Beside(parts) => self.tell(now, Event::Beside { parts }),
+            Urgent::Beside(parts) => {
+                self.look_beside(now);
+                self.tell(now, Event::Beside { parts });
+            }
             Urgent::Ban { engine, out, at, told, done } => {
                 let held = self.gateway.bans().contains(&engine);
                 let known = held || self.roster.named(engine) || told && out;
@@ -296,17 +278,6 @@
         if let Some(whole) = keys.timeout_ms {
             taken.due_ms = taken.due_ms.min(now + whole);
         }
-        let cap = self.gateway.settings().attempts_cap;
-        let request = Request {
-            id,
-            class,
-            key: taken.order_key.map_or(0, OrderKey::get),
-            due_ms: taken.due_ms,
-            cost_ms: taken.cost_ms,
-            dataset: taken.dataset,
-            memory_mb: taken.memory_mb,
-            attempts_cap: keys.max_attempts.map(|most| most.min(cap)),
-        };
         self.arm(taken.due_ms - self.limits.answer_margin_ms, Alarm::Deadline(id));
         let open = Open {
             taken,
@@ -326,7 +297,7 @@
         self.held_bytes = bytes;
         self.names.insert(open.taken.name.clone());
         self.requests.insert(id, open);
-        self.tell(now, Event::Request(request));
+        self.admit(now, id);
     }
 
     /// The client left: nothing is owed, and what is out is given up at once, as it would only take room.
@@ -407,24 +378,6 @@
         self.tell(now, Event::List { kind: news.kind, entries: news.entries });
     }
 
-    fn arm(&mut self, at: Millis, alarm: Alarm) {
-        self.armed += 1;
-        self.alarms.push(Reverse((At(at), self.armed, alarm)));
-        // Guard: alarms of requests that are over wait for a time that may be far; many short requests would pile
-        // them up. Each request has its deadline, and for the attempt that is out two more.
-        if self.alarms.len() > ALARMS_SPARE + ALARMS_EACH * self.requests.len() {
-            let requests = &self.requests;
-            self.alarms.retain(|Reverse((.., alarm))| match alarm {
-                Alarm::Module(_) => true,
-                Alarm::Deadline(id) => requests.contains_key(id),
-                Alarm::Quit(id, n) | Alarm::Silence(id, n) | Alarm::AttemptDue(id, n) => {
-                    requests.get(id).and_then(|r| r.history.out()).is_some_and(|out| out.number == *n)
-                }
-                Alarm::BackOff(id, n) => requests.get(id).and_then(|r| r.waiting).is_some_and(|w| w.0 == *n),
-            });
-        }
-    }
-
     /// Hands the module one event, carries out what it wants, and what follows from that at once.
     fn tell(&mut self, now: Millis, event: Event) {
         let mut actions = std::mem::take(&mut self.actions);
--- a/src/core/ports.rs
+++ b/src/core/ports.rs
@@ -5,7 +5,6 @@
 use crate::interface::*;
 use crate::settings::Named;
 use bytes::Bytes;
-use std::hash::{DefaultHasher, Hasher};
 use std::num::NonZeroU64;
 use std::sync::Arc;
 use tokio::sync::{mpsc, oneshot};
@@ -85,16 +84,18 @@
 }
 
 /// Names the requests of one key among all that keep order: a hash of the client's text, which any front may take.
-/// Two texts with one hash run in turn as well, which keeps every rule.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+/// Two texts with one hash run in turn as well, which keeps every rule. The hash is FNV-1a, so that the processes of an
+/// upgrade, which may be of two builds, name a key alike.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct OrderKey(NonZeroU64);
 
 impl OrderKey {
-    /// The key of this text. The same build always gives the same one.
+    /// The key of this text.
     pub fn new(text: &[u8]) -> OrderKey {
-        let mut hasher = DefaultHasher::new();
-        hasher.write(text);
-        OrderKey(NonZeroU64::new(hasher.finish()).unwrap_or(NonZeroU64::MIN))
+        const OFFSET_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
+        const PRIME: u64 = 0x0000_0100_0000_01b3;
+        let hash = text.iter().fold(OFFSET_BASIS, |hash, byte| (hash ^ u64::from(*byte)).wrapping_mul(PRIME));
+        OrderKey(NonZeroU64::new(hash).unwrap_or(NonZeroU64::MIN))
     }
 
     /// The module's form of it, in which 0 stands for a request without a key.
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -231,6 +231,8 @@
     subset_ordinal_over,
     /// This workload manager's ordinal: no two have the same.
     ordinal,
+    /// Requests held back for their key, beside or after another process of this workload manager.
+    order_held,
 }
 
 /// Times from the shortest to the longest, in a histogram of fixed size.
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -204,7 +204,7 @@
             grant_mb: parsed.grant_mb,
             key_bytes: 256,
             open_per_client: 32,
-            client_conns: sockets / 2 - 14 - ops_callers,
+            client_conns: sockets / 2 - 15 - ops_callers,
             open: parsed.max_open.min(4096),
             input_bytes: part(10),
             output_bytes: part(10),
--- a/src/limits/tests.rs
+++ b/src/limits/tests.rs
@@ -38,9 +38,9 @@
     let all = 2 * each + program;
     assert!(all <= memory << 20, "{all} bytes of {memory} MB for both");
     let all = [l.client_conns, l.flight_conns, l.ops_callers, l.engine_conns, l.engine_conns_kept];
-    let all = all.iter().map(|n| l.share(*n)).sum::<usize>() + 16;
+    let all = all.iter().map(|n| l.share(*n)).sum::<usize>() + 17;
     assert!(sockets < 256 || 2 * all <= sockets, "twice {all} descriptors of {sockets}");
-    let program = 18; // standard ones, the runtime's, five for signals, listeners, the agent, the feed twice, files
+    let program = 19; // standard ones, the runtime's, five for signals, listeners, the agent, the feed twice, files
     let all = l.client_conns + l.flight_conns + l.ops_callers + engine_conns + program;
     assert!(all <= sockets, "{all} descriptors of {sockets}");
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -3,7 +3,7 @@
 use crate::attempts::Policy;
 use crate::clients::{Front, flight, platform};
 use crate::config::{Config, ConfigError, Fronts, Speech, loopback};
-use crate::core::{Clock, Core, Handle, Input, start};
+use crate::core::{Clock, Core, Handle, Input, OrderLocks, start};
 use crate::counters::Counters;
 use crate::engines::{EngineContext, Fleet};
 use crate::file::{self, Known, Operators};
@@ -60,6 +60,7 @@
         let limits = Limits::new(config.sockets, config.memory_mb, speaks_lines, &config.parsed);
         let (limits, counters) = (Arc::new(limits), Arc::<Counters>::default());
         let store = open_store(&config, &limits, &counters).await;
+        let order_locks = open_order_locks(&config, &counters);
         let succeeds = store.as_ref().is_some_and(Store::another);
         let sockets = Sockets::bind(&config, fronts).await?;
         let fixed = (config.listen, (config.sockets, config.memory_mb));
@@ -77,6 +78,7 @@
             counters.clone(),
         );
         let made = made.map_err(|e| ConfigError(e.to_string()))?.with_policy(policy.clone());
+        let made = made.with_order_locks(order_locks);
         if path.as_ref().is_some_and(|p| p.exists()) {
             counters.file_loads.up();
         }
@@ -291,6 +293,13 @@
     opened.inspect_err(|e| eprintln!("magpiechute: no state in {}: {e}", folder.display())).ok()
 }
 
+/// The locks on order keys in that folder. Guard: without them the order of a key holds within this process alone.
+fn open_order_locks(config: &Config, counters: &Arc<Counters>) -> Option<Box<dyn OrderLocks>> {
+    let folder = config.folder.as_ref()?;
+    let opened = successor::order_locks(folder, &config.name, counters.clone());
+    opened.inspect_err(|e| eprintln!("magpiechute: no order locks in {}: {e}", folder.display())).ok()
+}
+
 /// What only a start can change: the name of each setting, and whether the new configuration changes it.
 fn changed_for_good(
     (listen, machine): &(SocketAddr, (usize, usize)),
--- a/src/successor.rs
+++ b/src/successor.rs
@@ -2,11 +2,14 @@
 //! holds for both, and what both share is halved. They meet in the folder that the platform gives both: each holds a
 //! place there for as long as it lives, and one file tells what was said by hand.
 
+mod order_locks;
+
 use crate::config::{engine_named, engine_text};
-use crate::core::Handle;
+use crate::core::{Handle, OrderLocks};
 use crate::counters::Counters;
 use crate::interface::{EngineId, Millis};
 use crate::limits::Limits;
+use order_locks::OrderLockFile;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::fs::{self, File, TryLockError};
@@ -69,8 +72,7 @@
         limits: Arc<Limits>,
         counters: Arc<Counters>,
     ) -> io::Result<Store> {
-        let name: String = name.chars().filter(char::is_ascii_alphanumeric).collect();
-        let path = |what: &str| dir.join(format!("magpiechute-{name}.{what}"));
+        let path = |what: &str| file_in(dir, name, what);
         let open = |what| File::options().create(true).truncate(false).write(true).open(path(what));
         let (lock, mut places) = (open("lock")?, vec![open("place-0")?, open("place-1")?]);
         let mut place = None;
@@ -176,6 +178,21 @@
     }
 }
 
+/// A file of this workload manager in the folder.
+fn file_in(dir: &Path, name: &str, what: &str) -> PathBuf {
+    let name: String = name.chars().filter(char::is_ascii_alphanumeric).collect();
+    dir.join(format!("magpiechute-{name}.{what}"))
+}
+
+/// The locks on order keys that this process shares with others of its workload manager in this folder.
+pub(crate) fn order_locks(
+    dir: &Path,
+    name: &str,
+    counters: Arc<Counters>,
+) -> io::Result<Box<dyn OrderLocks>> {
+    Ok(Box::new(OrderLockFile::open(&file_in(dir, name, "order"), counters)?))
+}
+
 /// Keeps this process and the other one of one mind until the program ends.
 pub(crate) async fn run(
     mut store: Store,
--- /dev/null
+++ b/tests/order_upgrade.rs
@@ -0,0 +1,274 @@
+//! Requests that keep order in an upgrade: two real processes of one workload manager side by side, which meet only in
+//! the folder of `TMPDIR`. Requests of one key run one at a time over both.
+//!
+//! Each process gets a listening socket of its own, so that the test chooses which one takes a request; the platform
+//! hands both the same one. The rest of a key is checked by the time that has passed at least: a slow machine only
+//! makes it longer.
+
+#[allow(dead_code)] // the clients and engines of the scenes, without the scenes
+mod scene;
+
+use magpiechute::config::Speech;
+use rstest::rstest;
+use scene::engines::Fleet;
+use scene::platform::Client;
+use scene::process::handed;
+use scene::{changed, configuration, soon};
+use std::io::{BufRead, BufReader};
+use std::net::{SocketAddr, TcpListener};
+use std::os::fd::OwnedFd;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command};
+use std::time::{Duration, Instant};
+use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
+
+/// `orderPauseMs` of the configuration.
+const REST: Duration = Duration::from_millis(300);
+
+/// How long a client waits unless a test says otherwise.
+const ALLOW: &str = "allow=9000";
+
+/// It may run once only, so that no attempt is called off for another one while the test holds it.
+const CLASS: &str = "log-load";
+
+const KEY: &str = "lookup=7f3a9c21e0b4d655";
+const OTHER_KEY: &str = "lookup=00000000000000aa";
+
+/// One process of the workload manager; killed when the test is over.
+struct Process {
+    child: Child,
+    at: SocketAddr,
+    lines: UnboundedReceiver<String>,
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Process {
+    /// Starts one, and waits until it serves.
+    async fn start(config: &Path, folder: &Path) -> Process {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
+        let at = listener.local_addr().expect("address");
+        let socket: OwnedFd = listener.into();
+        let mut child = handed(socket, config, folder);
+        let stderr = BufReader::new(child.stderr.take().expect("stderr"));
+        let (tell, lines) = unbounded_channel();
+        std::thread::spawn(move || {
+            stderr.lines().map_while(Result::ok).all(|line| tell.send(line).is_ok());
+        });
+        let mut process = Process { child, at, lines };
+        process.says(" serves on ").await;
+        process
+    }
+
+    /// The next line that says this.
+    async fn says(&mut self, what: &str) -> String {
+        let next = async {
+            loop {
+                let line = self.lines.recv().await.unwrap_or_else(|| panic!("the end before {what:?}"));
+                if line.contains(what) {
+                    return line;
+                }
+            }
+        };
+        soon(what, next).await
+    }
+
+    fn signal(&self, name: &str) {
+        let done = Command::new("kill").args([format!("-{name}"), self.child.id().to_string()]).status();
+        assert!(done.expect("kill").success(), "{name}");
+    }
+
+    /// Asks for the counters until they hold this one, and returns all as they were at that moment.
+    async fn counts(&mut self, wanted: &str) -> String {
+        let reached = async {
+            loop {
+                self.signal("USR1");
+                let counters = self.says("counters ").await;
+                if has(&counters, wanted) {
+                    return counters;
+                }
+            }
+        };
+        soon(wanted, reached).await
+    }
+}
+
+fn has(counters: &str, wanted: &str) -> bool {
+    counters.split(' ').any(|counter| counter == wanted)
+}
+
+/// Both processes, with engines that hold their answers.
+struct Upgrade {
+    fleet: Fleet,
+    old: Process,
+    new: Process,
+    folder: PathBuf,
+}
+
+impl Upgrade {
+    /// The old process has a request of the key out, `c1.1`; then the successor comes up.
+    async fn begin(name: &str, allow: &str) -> (Upgrade, Client) {
+        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("order-{name}"));
+        let _ = std::fs::remove_dir_all(&folder);
+        std::fs::create_dir_all(&folder).expect("folder");
+        let mut fleet = Fleet::new(3, Speech::Lines).await;
+        let config = folder.join("config.json");
+        let text = configuration(fleet.feed.address, &fleet.known());
+        std::fs::write(&config, changed(&text, &["fifoByKey=true"])).expect("file");
+        let mut old = Process::start(&config, &folder).await;
+        let mut first = Client::new("c1", old.at).await;
+        first.step("send", &["1", CLASS, KEY, allow]).await;
+        soon("ASK c1.1", fleet.step("e", "expect", &["ASK", "c1.1"])).await;
+        let new = Process::start(&config, &folder).await;
+        old.says("another process of this workload manager lives").await;
+        (Upgrade { fleet, old, new, folder }, first)
+    }
+
+    async fn engines(&mut self, verb: &str, rest: &[&str]) {
+        soon(&rest.join(" "), self.fleet.step("e", verb, rest)).await;
+    }
+
+    /// The successor takes a request of the key, `c2.1`, and sends nothing; what has another key goes at once.
+    async fn second_is_held(&mut self) -> Client {
+        let mut second = Client::new("c2", self.new.at).await;
+        second.step("send", &["1", CLASS, KEY]).await;
+        // The core sends in the turn in which it takes.
+        let counters = self.new.counts("taken=1").await;
+        assert!(
+            has(&counters, "sent=0") && has(&counters, "order_held=1"),
+            "two requests of one key are out at once: {counters}"
+        );
+        let mut third = Client::new("c3", self.new.at).await;
+        third.step("send", &["1", CLASS, OTHER_KEY]).await;
+        self.engines("expect", &["ASK", "c3.1"]).await;
+        self.engines("send", &["c3.1", "served", "batches=1", "other\\n"]).await;
+        soon("c3.1", third.step("expect", &["1", "served", "other\\n"])).await;
+        let counters = self.new.counts("taken=2").await;
+        assert!(has(&counters, "sent=1"), "two requests of one key are out at once: {counters}");
+        second
+    }
+
+    async fn second_is_sent(&mut self) {
+        self.engines("expect", &["ASK", "c2.1"]).await;
+    }
+
+    async fn second_is_served(&mut self, second: &mut Client) {
+        self.engines("send", &["c2.1", "served", "batches=1", "second\\n"]).await;
+        soon("c2.1", second.step("expect", &["1", "served", "second\\n"])).await;
+    }
+
+    fn end(mut self) {
+        self.fleet.finish();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    runtime.expect("runtime").block_on(test);
+}
+
+/// The first one is served: the second goes then.
+#[test]
+fn a_successor_waits_for_its_predecessors_request_of_the_key() {
+    run(async {
+        let (mut both, mut first) = Upgrade::begin("served", ALLOW).await;
+        let mut second = both.second_is_held().await;
+        both.engines("send", &["c1.1", "served", "batches=1", "first\\n"]).await;
+        soon("c1.1", first.step("expect", &["1", "served", "first\\n"])).await;
+        both.second_is_sent().await;
+        both.second_is_served(&mut second).await;
+        both.end();
+    });
+}
+
+/// How the first one ends although it may still run.
+#[derive(Clone, Copy)]
+enum End {
+    /// After 6 s, of which the answer may take up to 0.1 s.
+    TimedOut,
+    Cancelled,
+    Reset,
+    /// Its process is killed.
+    Killed,
+}
+
+/// What may still run makes the key rest, over both processes.
+#[rstest]
+#[case::time_out("timed-out", End::TimedOut)]
+#[case::cancel("cancelled", End::Cancelled)]
+#[case::reset("reset", End::Reset)]
+#[case::kill("killed", End::Killed)]
+fn a_key_rests_for_the_successor_too(#[case] name: &str, #[case] end: End) {
+    run(async {
+        let begun = Instant::now();
+        let allow = if matches!(end, End::TimedOut) { "allow=6000" } else { ALLOW };
+        let (mut both, mut first) = Upgrade::begin(name, allow).await;
+        let mut second = both.second_is_held().await;
+        let mut since = Instant::now();
+        match end {
+            End::TimedOut => {
+                soon("c1.1", first.step("expect", &["1", "DeadlineExceeded"])).await;
+                both.engines("expect", &["QUIT", "c1.1"]).await;
+                since = begun + Duration::from_millis(5900);
+            }
+            End::Cancelled => {
+                first.step("send", &["cancel", "1"]).await;
+                both.engines("expect", &["QUIT", "c1.1"]).await;
+            }
+            End::Reset => {
+                both.engines("close", &["c1.1"]).await;
+                soon("c1.1", first.step("expect", &["1", "Internal"])).await;
+            }
+            End::Killed => {
+                both.old.child.kill().expect("kill");
+                both.old.child.wait().expect("end");
+            }
+        }
+        both.second_is_sent().await;
+        assert!(since.elapsed() >= REST, "the key did not rest: {:?}", since.elapsed());
+        both.second_is_served(&mut second).await;
+        both.end();
+    });
+}
+
+/// The other way round: the old process holds its request of the key back while the successor has one out, and answers
+/// it at its deadline without an attempt.
+#[test]
+fn a_predecessor_waits_for_its_successor_too() {
+    run(async {
+        let (mut both, mut first) = Upgrade::begin("turned", ALLOW).await;
+        let mut second = both.second_is_held().await;
+        both.engines("send", &["c1.1", "served", "batches=1", "first\\n"]).await;
+        soon("c1.1", first.step("expect", &["1", "served", "first\\n"])).await;
+        both.second_is_sent().await;
+        let mut late = Client::new("c4", both.old.at).await;
+        late.step("send", &["1", CLASS, KEY, "allow=400"]).await;
+        soon("c4.1", late.step("expect", &["1", "DeadlineExceeded"])).await;
+        let counters = both.old.counts("failed=1").await;
+        assert!(has(&counters, "sent=1"), "two requests of one key are out at once: {counters}");
+        both.second_is_served(&mut second).await;
+        both.end();
+    });
+}
+
+/// The old process, told to end, serves what it accepted; what it holds of the key goes first.
+#[test]
+fn a_planned_end_hands_the_key_over() {
+    run(async {
+        let (mut both, mut first) = Upgrade::begin("planned", ALLOW).await;
+        both.old.signal("TERM");
+        let mut second = both.second_is_held().await;
+        both.engines("send", &["c1.1", "served", "batches=1", "first\\n"]).await;
+        soon("c1.1", first.step("expect", &["1", "served", "first\\n"])).await;
+        both.second_is_sent().await;
+        both.second_is_served(&mut second).await;
+        assert!(both.old.child.wait().expect("end").success());
+        both.end();
+    });
+}
--- a/tests/scene/mod.rs
+++ b/tests/scene/mod.rs
@@ -22,10 +22,10 @@
 //! script, the scene itself keeps watch on the rules: one answer a request, one attempt out at a time, nothing
 //! that may run once sent again after it may have run, nothing new to what drains.
 
-mod engines;
+pub mod engines;
 mod flight;
 mod operations;
-mod platform;
+pub mod platform;
 pub mod process;
 mod snmp;
 
@@ -81,7 +81,7 @@
 
 /// A configuration with changes: `-NAME` without a class, `+NAME` with one more that may run once only, `NAME=VALUE`
 /// with this value wherever the name stands, `!NAME` without that key, `cut` short or `empty`.
-fn changed(text: &str, changes: &[&str]) -> String {
+pub fn changed(text: &str, changes: &[&str]) -> String {
     fn each(value: &mut Value, key: &str, change: &dyn Fn(&mut serde_json::Map<String, Value>)) {
         match value {
             Value::Object(map) => {
