Add the scale test of subsets: balance, zones, churn and shares over a whole fleet

benches/scale/subset.rs computes the subsets of all managers in one process, and tests/scale.rs plays its small case.

--- a/benches/scale/main.rs
+++ b/benches/scale/main.rs
@@ -23,6 +23,7 @@
 mod returning;
 pub mod row;
 mod spread;
+mod subset;
 mod usage;
 
 use clap::{Parser, ValueEnum};
@@ -41,6 +42,8 @@
     Reload,
     /// What statements, control and connections cost a real process, by listed engines.
     Manager,
+    /// Balance, zones, churn and shares of engine subsets over a whole fleet, by listed engines.
+    Subset,
 }
 
 /// Which tests run, and how large.
@@ -130,6 +133,9 @@
     if options.runs(Test::Manager) {
         manager::run(options, output)?;
     }
+    if options.runs(Test::Subset) {
+        subset::run(options, output)?;
+    }
     Ok(())
 }
 
--- /dev/null
+++ b/benches/scale/subset.rs
@@ -0,0 +1,317 @@
+//! `subset`: what engine subsets come to over a whole fleet: managers of an engine, zones of a subset, what a change
+//! moves, and the parts of a cold engine's budget that managers take while their lists differ. No module or socket
+//! takes part: the subsets of all managers are computed in this process.
+
+use super::fit::{Figure, Point, Prediction};
+use super::row::{Failure, Output, Size, rounded};
+use super::{Options, fleet, usage};
+use magpiechute::config::engine_id;
+use magpiechute::limits::Limits;
+use magpiechute::subset::{Members, Membership, Subset};
+use magpiechute::{EngineId, Holders};
+use serde::Serialize;
+use std::collections::HashMap;
+
+const TEST: &str = "subset";
+/// Longest list that is taken whole in the small case.
+const MOST_WHOLE_SMALL: usize = 12;
+const MANAGERS_SMALL: u32 = 60;
+/// Engines that are replaced one after another.
+const REPLACED: usize = 10;
+const REPLACED_SMALL: usize = 3;
+/// What a later list lacks, as parts of the whole one: nothing, a zone, a tenth, three and six tenths.
+const LACKS: [f64; 5] = [0.0, 1.0 / fleet::ZONES as f64, 0.1, 0.3, 0.6];
+/// Engines whose budget is followed.
+const FOLLOWED: usize = 300;
+/// Managers that may be in turn at once there.
+const IN_TURN: u32 = 3;
+/// Positions of the turn that are looked at.
+const TURNS: u32 = 128;
+/// Ids of engines that start later.
+const SUCCESSORS: u32 = 1 << 30;
+
+#[derive(Serialize)]
+struct BalanceRow {
+    #[serde(flatten)]
+    size: Size,
+    /// Engines of one manager's subset.
+    engines_least: usize,
+    engines_mean: f64,
+    engines_most: usize,
+    /// Managers that hold one engine.
+    holders_least: usize,
+    holders_mean: f64,
+    holders_most: usize,
+    most_to_mean: f64,
+    /// Engines that nobody holds.
+    without: usize,
+    /// A zone's part of a subset against its part of the list, over all managers and zones.
+    zone_part_p99: f64,
+    zone_part_most: f64,
+    /// Processor time of a change of the list at one manager: an engine goes, and another one comes.
+    us_change: f64,
+}
+
+#[derive(Serialize)]
+struct ChurnRow {
+    #[serde(flatten)]
+    size: Size,
+    /// Engines gone, and each replaced later, with managers that held them.
+    engines: usize,
+    held: usize,
+    /// Places moved as they were gone, in managers that held them and in others; at most in one manager.
+    gone_moved_holders: usize,
+    gone_moved_others: usize,
+    gone_moved_most: usize,
+    /// The same between the lists before and after the replacement: in managers that held the engine, in those that hold its
+    /// successor, and in others.
+    replaced_moved_holders: usize,
+    replaced_moved_successors: usize,
+    replaced_moved_others: usize,
+    replaced_moved_most: usize,
+    /// One manager more, and one less: places moved in all others, and those of that manager, the least possible.
+    manager_more_moved: usize,
+    manager_more_least: usize,
+    manager_less_moved: usize,
+}
+
+#[derive(Serialize)]
+struct ViewsRow {
+    #[serde(flatten)]
+    size: Size,
+    /// The share of the list that the later one lacks.
+    lacks: f64,
+    /// The bounds on holders under both lists.
+    bound: u32,
+    bound_later: u32,
+    /// The largest sum of parts of one engine's budget: each manager by the list that gives it more, and by either.
+    parts_worst: f64,
+    parts_by_chance: f64,
+    /// Managers in turn at once where so many may be, under any mix of the lists.
+    in_turn: u32,
+    in_turn_worst: usize,
+}
+
+/// A fleet with a list, and what each manager holds of it.
+struct Fleet {
+    subset: Subset,
+    managers: u32,
+    held: Vec<Members>,
+}
+
+/// Plays balance and changes at all sizes, churn and lists that differ at the largest.
+pub fn run(options: &Options, output: &mut Output) -> Result<(), Failure> {
+    let sizes = options.listed();
+    let mut points: Vec<Point> = Vec::new();
+    let mut prediction = None;
+    for (at, listed) in sizes.iter().copied().enumerate() {
+        if at + 1 == sizes.len() && points.len() >= 2 {
+            let figure = Figure { test: TEST, figure: "us_change", over: "listed" };
+            prediction = Some(Prediction::write(output, figure, &points, listed as f64)?);
+        }
+        let row = balance(options, listed);
+        output.row(&row)?;
+        points.push((listed as f64, row.us_change));
+        if let Some(prediction) = &prediction {
+            prediction.check(output, row.us_change)?;
+        }
+    }
+    let Some(listed) = sizes.last().copied() else { return Ok(()) };
+    output.row(&churn(options, listed))?;
+    for lacks in LACKS {
+        output.row(&views(options, listed, lacks))?;
+    }
+    Ok(())
+}
+
+impl Fleet {
+    fn new(options: &Options, listed: impl Iterator<Item = usize>) -> Fleet {
+        let managers = if options.small { MANAGERS_SMALL } else { options.managers };
+        let parsed = fleet::settings(managers, 0);
+        let limits = Limits::new(fleet::SOCKETS, options.memory_mb, true, &parsed);
+        let most_whole = if options.small { MOST_WHOLE_SMALL } else { limits.subset };
+        let mut subset = Subset::new(most_whole, Membership { instances: managers, ordinal: 0 });
+        listed.for_each(|id| subset.set(engine_id(id as u32), Some(zone(id))));
+        let mut fleet = Fleet { subset, managers, held: Vec::new() };
+        fleet.held = fleet.all();
+        fleet
+    }
+
+    /// What each manager holds of the list as it is now.
+    fn all(&self) -> Vec<Members> {
+        let mut own = self.subset.clone();
+        let held = |ordinal| {
+            own.set_membership(Membership { instances: self.managers, ordinal });
+            own.members().unwrap_or_default()
+        };
+        (0..self.managers).map(held).collect()
+    }
+
+    fn size(&self, part: &'static str, listed: usize) -> Size {
+        Size::measured(TEST, part, listed, self.managers as usize)
+    }
+}
+
+fn zone(id: usize) -> u8 {
+    (id % fleet::ZONES) as u8
+}
+
+fn balance(options: &Options, listed: usize) -> BalanceRow {
+    let fleet = Fleet::new(options, 0..listed);
+    let sizes: Vec<usize> = fleet.held.iter().map(Members::len).collect();
+    let mut holders: HashMap<EngineId, usize> = (0..listed as u32).map(|id| (engine_id(id), 0)).collect();
+    fleet.held.iter().flat_map(Members::keys).for_each(|id| *holders.entry(*id).or_default() += 1);
+    let places: usize = sizes.iter().sum();
+    let holders_mean = places as f64 / listed as f64;
+    let holders_most = holders.values().copied().max().unwrap_or_default();
+    let parts = zone_parts(&fleet.held, listed);
+    BalanceRow {
+        size: fleet.size("balance", listed),
+        engines_least: sizes.iter().copied().min().unwrap_or_default(),
+        engines_mean: rounded(places as f64 / f64::from(fleet.managers)),
+        engines_most: sizes.iter().copied().max().unwrap_or_default(),
+        holders_least: holders.values().copied().min().unwrap_or_default(),
+        holders_mean: rounded(holders_mean),
+        holders_most,
+        most_to_mean: rounded(holders_most as f64 / holders_mean),
+        without: holders.values().filter(|n| **n == 0).count(),
+        zone_part_p99: rounded(parts.get(parts.len() * 99 / 100).copied().unwrap_or_default()),
+        zone_part_most: rounded(parts.last().copied().unwrap_or_default()),
+        us_change: rounded(change_us(&fleet, listed)),
+    }
+}
+
+/// Every zone's part of every subset against its part of the list, ascending.
+fn zone_parts(held: &[Members], listed: usize) -> Vec<f64> {
+    let mut of_list = [0.0; fleet::ZONES];
+    (0..listed).for_each(|id| of_list[usize::from(zone(id))] += 1.0 / listed as f64);
+    let mut parts = Vec::new();
+    for members in held {
+        let mut of_subset = [0.0; fleet::ZONES];
+        for engine in members.keys() {
+            of_subset[usize::from(zone(u32::from_be_bytes(engine.addr) as usize))] += 1.0;
+        }
+        let zones = of_subset.iter().zip(&of_list).filter(|(_, of_list)| **of_list > 0.0);
+        parts.extend(zones.map(|(places, of_list)| places / members.len() as f64 / of_list));
+    }
+    parts.sort_by(f64::total_cmp);
+    parts
+}
+
+/// Processor time of a change at one manager, in us.
+fn change_us(fleet: &Fleet, listed: usize) -> f64 {
+    const CHANGES: u32 = 500;
+    let mut own = fleet.subset.clone();
+    own.members();
+    let from = usage::thread_time();
+    for change in 0..CHANGES {
+        let gone = (change as usize * 7919) % listed;
+        own.set(engine_id(gone as u32), None);
+        own.set(engine_id(SUCCESSORS + change), Some(zone(gone)));
+        own.members();
+    }
+    (usage::thread_time() - from).as_secs_f64() * 1e6 / f64::from(CHANGES)
+}
+
+/// Places that differ: of what a manager gained and lost, the larger number.
+fn moved(before: &Members, after: &Members) -> usize {
+    let lacks = |a: &Members, b: &Members| a.keys().filter(|engine| !b.contains_key(engine)).count();
+    lacks(before, after).max(lacks(after, before))
+}
+
+fn churn(options: &Options, listed: usize) -> ChurnRow {
+    let mut fleet = Fleet::new(options, 0..listed);
+    let engines = if options.small { REPLACED_SMALL } else { REPLACED };
+    let mut row = ChurnRow {
+        size: fleet.size("churn", listed),
+        engines,
+        held: 0,
+        gone_moved_holders: 0,
+        gone_moved_others: 0,
+        gone_moved_most: 0,
+        replaced_moved_holders: 0,
+        replaced_moved_successors: 0,
+        replaced_moved_others: 0,
+        replaced_moved_most: 0,
+        manager_more_moved: 0,
+        manager_more_least: 0,
+        manager_less_moved: 0,
+    };
+    for replaced in 0..engines {
+        let id = replaced * listed / engines;
+        let (old, new) = (engine_id(id as u32), engine_id(SUCCESSORS + id as u32));
+        fleet.subset.set(old, None);
+        let gone = fleet.all();
+        fleet.subset.set(new, Some(zone(id)));
+        let after = fleet.all();
+        for ((before, gone), after) in fleet.held.iter().zip(&gone).zip(&after) {
+            let (held, in_gone, in_all) =
+                (before.contains_key(&old), moved(before, gone), moved(before, after));
+            row.held += usize::from(held);
+            row.gone_moved_most = row.gone_moved_most.max(in_gone);
+            row.replaced_moved_most = row.replaced_moved_most.max(in_all);
+            *(if held { &mut row.gone_moved_holders } else { &mut row.gone_moved_others }) += in_gone;
+            let whose = match (held, after.contains_key(&new)) {
+                (true, _) => &mut row.replaced_moved_holders,
+                (false, true) => &mut row.replaced_moved_successors,
+                (false, false) => &mut row.replaced_moved_others,
+            };
+            *whose += in_all;
+        }
+        fleet.held = after;
+    }
+    let others = |managers: u32| {
+        let other = Fleet { managers, subset: fleet.subset.clone(), held: Vec::new() };
+        let held = other.all();
+        let moved = fleet.held.iter().zip(&held).map(|(before, after)| moved(before, after)).sum();
+        (moved, held)
+    };
+    let (more, held) = others(fleet.managers + 1);
+    row.manager_more_moved = more;
+    row.manager_more_least = held.last().map_or(0, Members::len);
+    row.manager_less_moved = others(fleet.managers - 1).0;
+    row
+}
+
+fn views(options: &Options, listed: usize, lacks: f64) -> ViewsRow {
+    let kept = listed - (listed as f64 * lacks) as usize;
+    // What the later list lacks is spread over zones and positions alike.
+    let later = Fleet::new(options, (0..listed).filter(|id| id * 7919 % listed < kept));
+    let whole = Fleet::new(options, 0..listed);
+    let bound = |fleet: &Fleet| fleet.held[0].values().next().map_or(0, |holders| holders.most);
+    let mut row = ViewsRow {
+        size: whole.size("views", listed),
+        lacks: rounded(lacks),
+        bound: bound(&whole),
+        bound_later: bound(&later),
+        parts_worst: 0.0,
+        parts_by_chance: 0.0,
+        in_turn: IN_TURN,
+        in_turn_worst: 0,
+    };
+    let engines = (0..listed).filter(|id| id * 7919 % listed < kept);
+    for (n, id) in engines.step_by((kept / FOLLOWED).max(1)).enumerate() {
+        let engine = engine_id(id as u32);
+        let managers = whole.held.iter().zip(&later.held);
+        let managers: Vec<[Option<&Holders>; 2]> =
+            managers.map(|(whole, later)| [whole.get(&engine), later.get(&engine)]).collect();
+        let (worst, by_chance, in_turn) = followed(&managers, n);
+        row.parts_worst = row.parts_worst.max(rounded(worst));
+        row.parts_by_chance = row.parts_by_chance.max(rounded(by_chance));
+        row.in_turn_worst = row.in_turn_worst.max(in_turn);
+    }
+    row
+}
+
+/// The sums of parts of one engine's budget, and managers in turn at once, by what each manager has under either list.
+fn followed(managers: &[[Option<&Holders>; 2]], salt: usize) -> (f64, f64, usize) {
+    let part = |holders: &Option<&Holders>| holders.map_or(0.0, |h| 1.0 / f64::from(h.most));
+    let worst = managers.iter().map(|views| part(&views[0]).max(part(&views[1]))).sum();
+    let chosen = |at: usize| (at.wrapping_mul(2_654_435_761) >> 7) + salt;
+    let by_chance = managers.iter().enumerate().map(|(at, views)| part(&views[chosen(at) % 2])).sum();
+    let in_turn = |turn: u32| {
+        let its = |holders: &Holders| (turn + holders.place) % holders.most < IN_TURN;
+        managers.iter().filter(|views| views.iter().flatten().any(|holders| its(holders))).count()
+    };
+    (worst, by_chance, (0..TURNS).map(in_turn).max().unwrap_or_default())
+}
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -188,3 +188,31 @@
     }
     predicted(&rows, &["us_statement_usual", "percent_core_control", "mb_before_clients"]);
 }
+
+/// Every engine has a manager and none many more than others; a change moves places of those that it concerns, and a manager
+/// more or less nobody else's.
+#[test]
+fn subset() {
+    let rows = rows(Test::Subset);
+    let balance = of(&rows, "part", "balance");
+    assert_eq!(numbers(&balance, "listed"), [16, 32, 64, 128]);
+    for row in &balance {
+        assert_eq!((&row["without"], &row["managers"]), (&Value::from(0), &Value::from(60)), "{row}");
+        assert!(row["engines_most"].as_u64() <= Some(12 + 14), "{row}");
+        positive(row, &["holders_least", "holders_mean", "most_to_mean", "zone_part_most", "us_change"]);
+    }
+    let churn = of(&rows, "part", "churn")[0];
+    assert_eq!(
+        (&churn["engines"], &churn["replaced_moved_others"]),
+        (&Value::from(3), &Value::from(0)),
+        "{churn}"
+    );
+    assert_eq!([&churn["manager_more_moved"], &churn["manager_less_moved"]], [0, 0], "{churn}");
+    assert!(churn["replaced_moved_holders"].as_u64() >= churn["held"].as_u64(), "{churn}");
+    let views = of(&rows, "part", "views");
+    assert_eq!(views.len(), 5);
+    for row in views {
+        assert!(row["parts_worst"].as_f64().is_some_and(|parts| parts > 0.0 && parts <= 1.0), "{row}");
+    }
+    predicted(&rows, &["us_change"]);
+}
