--- a/src/counters.rs
+++ b/src/counters.rs
@@ -329,6 +329,9 @@
             ("in_progress", &self.open),
             ("known_engines", &self.engines),
             ("skipped_engines", &self.engines_skipped),
+            ("subset_engines", &self.subset_size),
+            ("engine_holders", &self.subset_holders),
+            ("ordinal", &self.ordinal),
             ("loads", &self.reloads),
             ("load_errors", &self.reloads_bad),
         ];
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -1039,7 +1039,7 @@
     e expect ASK c1.1
     wait written=1
     o1 send STATS
-    o1 expect lines node.in_progress=1 node.upstream_tries=1 node.known_engines=2 node.passed.seat-check=0
+    o1 expect lines node.in_progress=1 node.upstream_tries=1 node.known_engines=2 node.passed.seat-check=0 node.subset_engines=2 node.engine_holders=1 node.ordinal=0
     e send c1.1 served batches=1 a\\n
     c1 expect 1 served a\\n
     c1 send 2 log-load
