Force each place where an attempt may wait while its client leaves

Need: the operators' term that no attempt begins later than 0.1 s after its client left had tests for the core's line alone.

--- a/tests/scene/engines.rs
+++ b/tests/scene/engines.rs
@@ -10,8 +10,8 @@
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::tcp::OwnedWriteHalf;
-use tokio::net::{TcpListener, TcpSocket};
-use tokio::sync::mpsc;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::{mpsc, watch};
 use tokio::task::AbortHandle;
 
 /// What reached an engine: `ASK c1.7`, `QUIT c1.7`, ...
@@ -26,6 +26,8 @@
     pub id: String,
     /// It may run once only.
     pub once: bool,
+    /// When its last byte was read.
+    pub at: Instant,
 }
 
 #[derive(Clone)]
@@ -37,11 +39,21 @@
 struct Engine {
     address: SocketAddr,
     task: AbortHandle,
+    /// Whether it accepts connections.
+    accepts: watch::Sender<bool>,
+    /// Connections that fill its backlog while it accepts none, so that a further one does not come up.
+    fillers: Vec<TcpStream>,
     drained: Arc<Mutex<Option<Instant>>>,
     /// Keeps the port once nobody listens there, or another test's engine could be the next to get it.
     _port: TcpSocket,
 }
 
+/// Connections that an engine's listener holds while it accepts none; the system lets one more come up.
+const BACKLOG: u32 = 64;
+
+/// The operators' term: no attempt begins later than this after its client has left.
+const BEGINS_AFTER_LEAVING: Duration = Duration::from_millis(100);
+
 /// A listener, and a second socket on its port that never listens.
 fn listen() -> (TcpListener, TcpSocket) {
     let bound = |at: SocketAddr| {
@@ -52,7 +64,7 @@
     };
     let socket = bound(([127, 0, 0, 1], 0).into());
     let port = bound(socket.local_addr().expect("address"));
-    (socket.listen(64).expect("listen"), port)
+    (socket.listen(BACKLOG).expect("listen"), port)
 }
 
 pub struct Fleet {
@@ -66,6 +78,8 @@
     suspects: HashSet<String>,
     /// Requests of the class that may run once only which may have run.
     ran: HashSet<String>,
+    /// When a client left, or cancelled a request: by its name, or by the request's label.
+    left: HashMap<String, Instant>,
     pub feed: Feed,
 }
 
@@ -83,17 +97,20 @@
         for engine in 0..count {
             let (listener, port) = listen();
             let address = listener.local_addr().expect("address");
+            let (accepts, accepting) = watch::channel(true);
+            let door = Door { listener, accepting };
             let task = match speech {
-                Speech::Lines => tokio::spawn(lines(engine, listener, tell.clone())),
-                Speech::Flight => tokio::spawn(flight(engine, listener, tell.clone())),
+                Speech::Lines => tokio::spawn(lines(engine, door, tell.clone())),
+                Speech::Flight => tokio::spawn(flight(engine, door, tell.clone())),
             };
-            engines.push(Engine { address, task: task.abort_handle(), drained: Arc::default(), _port: port });
+            let (task, drained, fillers) = (task.abort_handle(), Arc::default(), Vec::new());
+            engines.push(Engine { address, task, accepts, fillers, drained, _port: port });
         }
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
         let address = listener.local_addr().expect("address");
         let feed = Feed { address, listener, stream: None, events: 1 };
-        let (asked, out, ran, suspects) = Default::default();
-        Fleet { engines, heard, held: Vec::new(), asked, out, suspects, ran, feed }
+        let (asked, out, ran, suspects, left) = Default::default();
+        Fleet { engines, heard, held: Vec::new(), asked, out, suspects, ran, left, feed }
     }
 
     /// The first event of the list, as the configuration has it.
@@ -122,6 +139,16 @@
         *self.engines[n].drained.lock().expect("lock") = out.then(Instant::now);
     }
 
+    /// A client has left, or cancelled the request with this label.
+    pub fn leaves(&mut self, who: String) {
+        self.left.insert(who, Instant::now());
+    }
+
+    /// A client of this name is there again.
+    pub fn returns(&mut self, who: &str) {
+        self.left.remove(who);
+    }
+
     pub async fn step(&mut self, who: &str, verb: &str, rest: &[&str]) {
         match (who, verb, rest) {
             ("feed", ..) => self.feed_step(verb, rest).await,
@@ -175,6 +202,18 @@
                 self.ran.insert((*label).to_owned());
                 (self.asked[*label].cut)();
             }
+            (engine, "hold", []) => {
+                let engine = &mut self.engines[number(engine)];
+                engine.accepts.send_replace(false);
+                for _ in 0..=BACKLOG {
+                    engine.fillers.push(TcpStream::connect(engine.address).await.expect("connect"));
+                }
+            }
+            (engine, "release", []) => {
+                let engine = &mut self.engines[number(engine)];
+                engine.fillers.clear();
+                engine.accepts.send_replace(true);
+            }
             (engine, "close", []) => {
                 // Until its listener is gone a connection could still be accepted, and then be reset.
                 let task = &self.engines[number(engine)].task;
@@ -198,6 +237,10 @@
             let drained = *self.engines[heard.engine].drained.lock().expect("lock");
             let late = drained.is_some_and(|at| at.elapsed() > Duration::from_millis(250));
             assert!(!late, "{label} went to an engine that drains");
+            let client = label.split('.').next().unwrap_or_default();
+            let left = [client, label].iter().filter_map(|who| self.left.get(*who)).min();
+            let late = left.is_some_and(|at| heard.at.duration_since(*at) > BEGINS_AFTER_LEAVING);
+            assert!(!late, "{label} began after its client had left");
         } else if let Some(label) = heard.line.strip_prefix("CLOSED ") {
             if !self.suspects.remove(label) && self.out.remove(label) {
                 self.ran.insert(label.to_owned());
@@ -298,8 +341,28 @@
     (label, statement.starts_with("INSERT"))
 }
 
-async fn lines(engine: usize, listener: TcpListener, tell: mpsc::UnboundedSender<Heard>) {
-    while let Ok((stream, _)) = listener.accept().await {
+/// An engine's listener, and whether it accepts connections.
+struct Door {
+    listener: TcpListener,
+    accepting: watch::Receiver<bool>,
+}
+
+impl Door {
+    /// The next connection; none once the scene is over.
+    async fn accept(&mut self) -> Option<TcpStream> {
+        loop {
+            self.accepting.wait_for(|accepting| *accepting).await.ok()?;
+            tokio::select! {
+                biased;
+                _ = self.accepting.changed() => {}
+                accepted = self.listener.accept() => return accepted.ok().map(|(stream, _)| stream),
+            }
+        }
+    }
+}
+
+async fn lines(engine: usize, mut door: Door, tell: mpsc::UnboundedSender<Heard>) {
+    while let Some(stream) = door.accept().await {
         let tell = tell.clone();
         let (read, write) = stream.into_split();
         let write = Arc::new(tokio::sync::Mutex::new(Some(write)));
@@ -313,7 +376,7 @@
                     got = read.read_line(&mut line) => if !matches!(got, Ok(n) if n > 0) {
                         for (id, (label, once)) in labels {
                             let (line, reply, cut) = (format!("CLOSED {label}"), Reply::Line(write.clone()), cut.clone());
-                            let _ = tell.send(Heard { line, engine, reply, cut, id, once });
+                            let _ = tell.send(Heard { line, engine, reply, cut, id, once, at: Instant::now() });
                         }
                         return;
                     },
@@ -351,14 +414,14 @@
                     words.get(2).filter(|_| words[0] == "NEXT").map_or(String::new(), |n| format!(" {n}"));
                 let line = format!("{} {label}{number}{key}", words[0]);
                 let (reply, cut) = (Reply::Line(write.clone()), cut.clone());
-                let _ = tell.send(Heard { line, engine, reply, cut, id, once });
+                let _ = tell.send(Heard { line, engine, reply, cut, id, once, at: Instant::now() });
             }
         });
     }
 }
 
 /// A Flight SQL engine behind a relay, whose end cuts connections as a dying process does.
-async fn flight(engine: usize, listener: TcpListener, tell: mpsc::UnboundedSender<Heard>) {
+async fn flight(engine: usize, mut door: Door, tell: mpsc::UnboundedSender<Heard>) {
     let inner = TcpListener::bind("127.0.0.1:0").await.expect("bind");
     let at = inner.local_addr().expect("address");
     let relays: Arc<Mutex<Vec<AbortHandle>>> = Arc::default();
@@ -369,7 +432,7 @@
     let service = FlightServiceServer::new(Service { engine, tell, cut });
     let incoming = tokio_stream::wrappers::TcpListenerStream::new(inner);
     tokio::spawn(tonic::transport::Server::builder().add_service(service).serve_with_incoming(incoming));
-    while let Ok((mut outer, _)) = listener.accept().await {
+    while let Some(mut outer) = door.accept().await {
         let relay = tokio::spawn(async move {
             let mut inner = tokio::net::TcpStream::connect(at).await.expect("engine");
             let _ = tokio::io::copy_bidirectional(&mut outer, &mut inner).await;
--- a/tests/scene/flight.rs
+++ b/tests/scene/flight.rs
@@ -18,7 +18,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 use tonic::transport::{Channel, Endpoint};
@@ -199,6 +199,7 @@
                 cut,
                 id: String::new(),
                 once: false,
+                at: Instant::now(),
             });
         }
     }
@@ -211,7 +212,15 @@
         let service = (self.engine, self.tell.clone(), self.cut.clone());
         let (line, id) = (format!("ASK {label}"), String::new());
         let reply = Reply::Flight(reply);
-        let _ = self.tell.send(Heard { line, engine: self.engine, reply, cut: self.cut.clone(), id, once });
+        let _ = self.tell.send(Heard {
+            line,
+            engine: self.engine,
+            reply,
+            cut: self.cut.clone(),
+            id,
+            once,
+            at: Instant::now(),
+        });
         (Ends { service, label, over: false }, orders)
     }
 }
--- a/tests/scene/mod.rs
+++ b/tests/scene/mod.rs
@@ -3,11 +3,12 @@
 //!
 //! - `c1`, `c2` are clients of the platform, `f1`, `f2` Flight SQL clients: `c1 send 7 log-load allow=900`,
 //!   `c1 send cancel 7`, `c1 send health 8`, `c1 send raw HEX`, `c1 expect 7 served TEXT`, `c1 expect 7 ERROR`,
-//!   `c1 expect closed`, `c1 close`.
+//!   `c1 expect closed`, `c1 close`, `c1 send end` (it ends its side and reads on).
 //! - `x1` is one that finds the Flight SQL front in the platform's place: `x1 expect closed`.
 //! - `e` are the engines together; a request is named by its client and number, `c1.7`, and the step goes to the
 //!   engine that has it: `e expect ASK c1.7`, `e send c1.7 served batches=2 TEXT`, `e expect QUIT c1.7`,
-//!   `e expect none ASK c1.7`, `e close c1.7` (its connection breaks), `e1 close` (it refuses connections).
+//!   `e expect none ASK c1.7`, `e close c1.7` (its connection breaks), `e1 close` (it refuses connections), `e1 hold`
+//!   (further connections to it do not come up), `e1 release` (they do).
 //! - `feed expect 1` (a connection that has event 1), `feed send draining e1`, `feed send raw HEX`, `feed close`.
 //! - `s` asks the SNMP agent; `$` stands for the project's objects: `s send get $.1.0`, `s send next $`,
 //!   `s send bulk 0 3 $`, `s send get@other $.1.0` (another community), `s expect $.1.0=2`.
@@ -20,7 +21,7 @@
 //!
 //! Nothing waits for a time: every step waits for its event, and fails once none has come for long. Whatever the
 //! script, the scene itself keeps watch on the rules: one answer a request, one attempt out at a time, nothing
-//! that may run once sent again after it may have run, nothing new to what drains.
+//! that may run once sent again after it may have run, nothing new to what drains, nothing begun for who has left.
 
 pub mod engines;
 mod flight;
@@ -31,6 +32,7 @@
 
 use engines::Fleet;
 use magpiechute::config::{Agent, Config, FlightFront, Fronts, Speech};
+use magpiechute::file::{self, Known, Operators};
 use magpiechute::node::Node;
 use serde_json::Value;
 use std::collections::HashMap;
@@ -134,11 +136,29 @@
     callers: HashMap<String, operations::Caller>,
 }
 
+/// An operators' file that sets nothing.
+pub const OPERATORS: &str = "version = 1\n";
+
+/// What a scene begins with.
+pub struct Stage<'a> {
+    pub engines: usize,
+    pub speech: Speech,
+    /// Changes to the settings; see `changed`.
+    pub changes: &'a [&'a str],
+    /// The operators' file.
+    pub operators: &'a str,
+}
+
 /// Plays a script with so many engines that speak lines, or Flight SQL.
 pub fn play(engines: usize, speech: Speech, script: &str) {
+    play_on(&Stage { engines, speech, changes: &[], operators: OPERATORS }, script);
+}
+
+/// Plays a script on this stage.
+pub fn play_on(stage: &Stage<'_>, script: &str) {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("runtime");
     runtime.block_on(async {
-        let mut scene = Scene::new(engines, speech).await;
+        let mut scene = Scene::new(stage).await;
         for step in script.lines().map(str::trim).filter(|l| !l.is_empty()) {
             scene.step(step).await;
         }
@@ -149,14 +169,18 @@
 }
 
 impl Scene {
-    async fn new(engines: usize, speech: Speech) -> Scene {
-        let fleet = Fleet::new(engines, speech).await;
-        let text = configuration(fleet.feed.address, &fleet.known());
+    async fn new(stage: &Stage<'_>) -> Scene {
+        let speech = stage.speech;
+        let fleet = Fleet::new(stage.engines, speech).await;
+        let text = changed(&configuration(fleet.feed.address, &fleet.known()), stage.changes);
         let config = Config::parse(text.as_bytes()).expect("configuration");
         let front = FlightFront { listen: "127.0.0.1:0".to_owned(), engines: speech };
         let agent = Agent { listen: "127.0.0.1:0".to_owned(), community: "public".to_owned() };
         let fronts = Fronts { flight: Some(front), snmp: Some(agent) };
-        let node = Node::start(config, fronts).await.expect("node");
+        let judged = file::judge(stage.operators, Some(&Known::of(&config.parsed)));
+        let policy = Arc::new(judged.expect("operators' file").1.unwrap_or_default());
+        let operators = Operators { fronts, policy, ..Operators::default() };
+        let node = Node::start(config, operators).await.expect("node");
         let manager = snmp::Manager::new(node.snmp.expect("agent")).await;
         let (counters, listen) = (node.counters.clone(), (node.listen, node.flight));
         let (clients, flights, callers) = Default::default();
@@ -225,11 +249,18 @@
                     };
                     let client = platform::Client::new(who, at).await;
                     self.clients.insert(who.to_owned(), client);
+                    self.fleet.returns(who);
                 }
                 let client = self.clients.get_mut(who).expect("client");
                 soon(step, client.step(verb, rest)).await;
-                if verb == "close" {
-                    self.clients.remove(who);
+                match (verb, rest) {
+                    ("close", _) => {
+                        self.clients.remove(who);
+                        self.fleet.leaves(who.to_owned());
+                    }
+                    ("send", ["end"]) => self.fleet.leaves(who.to_owned()),
+                    ("send", ["cancel", id]) => self.fleet.leaves(format!("{who}.{id}")),
+                    _ => {}
                 }
             }
             ("f", _) if who != "feed" => {
@@ -239,6 +270,9 @@
                 }
                 let client = self.flights.get_mut(who).expect("client");
                 soon(step, client.step(verb, rest)).await;
+                if let ("close", [id]) = (verb, rest) {
+                    self.fleet.leaves(format!("{who}.{id}"));
+                }
             }
             _ => soon(step, self.fleet.step(who, verb, rest)).await,
         }
--- a/tests/scene/platform.rs
+++ b/tests/scene/platform.rs
@@ -28,6 +28,8 @@
     pub async fn step(&mut self, verb: &str, rest: &[&str]) {
         match (verb, rest) {
             ("send", ["raw", bytes]) => self.stream.write_all(&hex(bytes)).await.expect("write"),
+            // It sends no more, and reads on.
+            ("send", ["end"]) => self.stream.shutdown().await.expect("shutdown"),
             ("send", ["cancel", id]) => {
                 let mut text = vec![0x93, 2];
                 encode::write_str(&mut text, "cancel").expect("text");
