Heed a client that has left also where its attempt's engine has a full mailbox

Cause: engines/mod.rs, Fleet::tell, drops an order that finds the mailbox full; it is given again each 50 ms, and an attempt that waits for its connection is written meanwhile, for a client that has gone.

Change: core and actor share a Cancellation, set as the attempt is given up and read just before it is written, on both speeches. a_client_that_leaves_is_heeded_though_the_mailbox_is_full failed before ("it was written") and passes.

--- a/src/core/ends.rs
+++ b/src/core/ends.rs
@@ -122,6 +122,7 @@
     pub(super) fn give_up(&mut self, now: Millis, id: RequestId, as_what: Outcome) {
         let Some(open) = self.requests.get_mut(&id) else { return };
         let Some(out) = open.history.give_up(now, as_what) else { return };
+        open.cancellation.cancel();
         self.engines.quit(out.engine, id, out.number, !open.over);
         self.arm(now + self.limits.quit_again_ms, Alarm::Quit(id, out.number));
     }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -48,6 +48,8 @@
     last: Option<(Outcome, EngineId)>,
     /// An attempt that waits out its back-off: its number, engine and time-out.
     waiting: Option<(u16, EngineId, Option<Millis>)>,
+    /// Reaches the attempt that is out, past its engine's mailbox.
+    cancellation: Cancellation,
 }
 
 /// A repeat by key is written so much before engines may have forgotten the first, in ms.
@@ -289,6 +291,7 @@
             keys,
             last: None,
             waiting: None,
+            cancellation: Cancellation::default(),
         };
         let t = &open.taken;
         let (name, member) = (|| crate::log::name(&t.name), || crate::log::name(&t.member));
@@ -506,6 +509,7 @@
         let own = open.keys.attempt_timeout_ms;
         let timeout_ms = timeout_ms.filter(|t| *t > 0.0).or(own);
         let due_ms = timeout_ms.map_or(open.taken.due_ms, |t| (now + t).min(open.taken.due_ms));
+        open.cancellation = Cancellation::default();
         let ask = Ask {
             id,
             attempt: number,
@@ -518,6 +522,7 @@
             idempotency_key: open.taken.idempotency_key.clone(),
             statement: open.taken.statement.clone(),
             kind: open.taken.kind,
+            cancellation: open.cancellation.clone(),
         };
         if !self.engines.ask(engine, ask) {
             return Some(Outcome::NoConnection);
--- a/src/core/ports.rs
+++ b/src/core/ports.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use std::num::NonZeroU64;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use tokio::sync::{mpsc, oneshot};
 
 /// In which form the pieces of a result stand.
@@ -136,6 +137,23 @@
     pub client: Arc<dyn ClientPort>,
 }
 
+/// Whether an attempt was given up: shared by the core and the actor that is to write the attempt, which reads it just
+/// before. So a client that has left is heeded also where the order that says so waits in a mailbox, or found it full.
+#[derive(Clone, Debug, Default)]
+pub struct Cancellation(Arc<AtomicBool>);
+
+impl Cancellation {
+    /// The attempt is not to begin any more.
+    pub fn cancel(&self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether it is not to begin any more.
+    pub fn is_cancelled(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
 /// One attempt, for an engine.
 #[derive(Clone, Debug)]
 pub struct Ask {
@@ -162,13 +180,15 @@
     pub statement: Bytes,
     /// What its client wants of it.
     pub kind: Kind,
+    /// Whether it was given up meanwhile.
+    pub cancellation: Cancellation,
 }
 
 impl Ask {
-    /// Why it may not be written any more, if so: its request's time is over, or engines may have forgotten the attempt
-    /// that it repeats. It never ran then.
+    /// Why it may not be written any more, if so: it was given up, its request's time is over, or engines may have
+    /// forgotten the attempt that it repeats. It never ran then.
     pub fn late(&self, now: Millis) -> Option<EngineNews> {
-        if now >= self.due_ms {
+        if self.cancellation.is_cancelled() || now >= self.due_ms {
             return Some(EngineNews::GivenUp(End::Unsent));
         }
         (now >= self.until_ms).then(|| EngineNews::end(Outcome::Moot))
--- a/src/engines/lines/connection.rs
+++ b/src/engines/lines/connection.rs
@@ -425,7 +425,8 @@
         while self.out.is_empty() {
             let Some(ask) = self.waiting.pop_front() else { return };
             let now = self.context.core.now();
-            // Guard: it was chosen a while ago, and a connection may come up late or take nothing for long.
+            // Guard: it was chosen a while ago, and a connection may come up late or take nothing for long; its client may
+            // have left meanwhile.
             if let Some(late) = ask.late(now) {
                 self.end(ask, late);
                 continue;
--- a/src/engines/tests.rs
+++ b/src/engines/tests.rs
@@ -4,13 +4,18 @@
 use super::context::{EngineContext, Order};
 use super::{Fleet, flight, lines};
 use crate::attempt::End;
-use crate::config::{Listed, engine_id};
-use crate::core::{Ask, Clock, EngineNews, EnginePort, Handle, Input, Inputs, Kind};
-use crate::interface::{EngineEntry, EngineId, ListState, Outcome};
+use crate::config::{ListEvent, Listed, engine_id};
+use crate::core::tests::taken;
+use crate::core::{
+    Answer, Ask, Cancellation, ClientPort, Clock, Core, EngineNews, EnginePort, Handle, Input, Inputs, Kind,
+};
+use crate::interface::{EngineEntry, EngineId, ListKind, ListState, Outcome, RequestId};
+use crate::limits::Limits;
 use bytes::Bytes;
 use std::future::Future;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::time::timeout;
@@ -125,6 +130,52 @@
     });
 }
 
+/// Guard: an attempt whose client has left is not written, though the order that takes it back finds the mailbox full. The
+/// mailbox has room for the attempt alone here, and no actor has a turn between the two.
+#[test]
+fn a_client_that_leaves_is_heeded_though_the_mailbox_is_full() {
+    block(async {
+        let (core, mut news) = Handle::new(64, Clock::new());
+        let (now, parsed) = (core.now(), House::settings_for_tests());
+        let mut limits = Limits::new(256, 32, true, &parsed);
+        limits.mailbox = 1;
+        let house = House::new(core, Arc::new(limits), Arc::default(), false);
+        let (limits, counters) = (house.limits.clone(), house.counters.clone());
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+        let address = listener.local_addr().expect("address");
+        let class = parsed.classes[0].clone();
+        let mut core = Core::new(parsed.settings, 7, Fleet::new(house), limits, counters).expect("core");
+        let entries = vec![Listed { address, ..line(1, ListState::Ready) }];
+        let event = ListEvent { number: 1, kind: ListKind::Full, entries, unusable: Vec::new() };
+        core.handle(now, Input::List(event));
+        let request = taken(1, &class, now + 9000.0, 50.0, Arc::new(NoClient));
+        core.handle(now, Input::Take(request));
+        core.handle(now, Input::Left(1));
+        let written = async {
+            let mut peer = listener.accept().await.expect("accept").0;
+            // At the end of the connection nothing has come.
+            peer.read_u8().await.is_ok()
+        };
+        let told = async {
+            match timeout(Duration::from_secs(20), news.input()).await.expect("an end") {
+                Some(Input::Engine { id, news, .. }) => (id, news),
+                _ => panic!("no end"),
+            }
+        };
+        tokio::select! {
+            told = told => assert!(given_up(&told, 1, End::Unsent), "{told:?}"),
+            true = written => panic!("it was written"),
+        }
+    });
+}
+
+/// A client that takes no answer.
+struct NoClient;
+
+impl ClientPort for NoClient {
+    fn answer(&self, _: RequestId, _: Answer) {}
+}
+
 pub(super) fn given_up(told: &(u32, EngineNews), id: u32, end: End) -> bool {
     matches!(told, (at, EngineNews::GivenUp(e)) if *at == id && *e == end)
 }
@@ -154,5 +205,6 @@
         idempotency_key: None,
         statement: Bytes::from(vec![b' '; bytes]),
         kind: Kind::Query,
+        cancellation: Cancellation::default(),
     }))
 }
