Hold the cold ramp for the sum of twenty to thirty whole managers on loopback

Need: the sum was forced on the decision module alone (tests/fleet.rs), not on managers with their feeds and connections.

Change: tests/standing/cold.rs starts 20, 25 or 30 whole managers in one runtime with paused time, before one stand-in engine that counts what comes whole within a window, against N + 2 root N + 2; light, heavy and mixed requests; all told at once, told up to 4 s apart (those that knew may not be to blame), and counting each other as 20 or 30.

--- a/src/engines/tests.rs
+++ b/src/engines/tests.rs
@@ -136,15 +136,15 @@
 fn a_client_that_leaves_is_heeded_though_the_mailbox_is_full() {
     block(async {
         let (core, mut news) = Handle::new(64, Clock::new());
-        let (now, parsed) = (core.now(), House::settings_for_tests());
+        let (now, parsed) = (core.now(), EngineContext::settings_for_tests());
         let mut limits = Limits::new(256, 32, true, &parsed);
         limits.mailbox = 1;
-        let house = House::new(core, Arc::new(limits), Arc::default(), false);
-        let (limits, counters) = (house.limits.clone(), house.counters.clone());
+        let context = EngineContext::new(core, Arc::new(limits), Arc::default(), false);
+        let (limits, counters) = (context.limits.clone(), context.counters.clone());
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
         let address = listener.local_addr().expect("address");
         let class = parsed.classes[0].clone();
-        let mut core = Core::new(parsed.settings, 7, Fleet::new(house), limits, counters).expect("core");
+        let mut core = Core::new(parsed.settings, 7, Fleet::new(context), limits, counters).expect("core");
         let entries = vec![Listed { address, ..line(1, ListState::Ready) }];
         let event = ListEvent { number: 1, kind: ListKind::Full, entries, unusable: Vec::new() };
         core.handle(now, Input::List(event));
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -1,10 +1,11 @@
 //! Scenarios on loopback sockets; `scene` says how they read.
 
+#[allow(dead_code, reason = "each test target uses a part of the scene")]
 mod scene;
 
 use magpiechute::config::{Fronts, Speech};
 use rstest::rstest;
-use scene::process::handed;
+use scene::process::{Reaped, call, handed, line_with, program, signal};
 use scene::{configuration, play};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -1279,48 +1280,7 @@
     play(8, speech, &format!("{script}wait open=0\nwait taken=192\nwait served=144\nwait failed=48\n"));
 }
 
-/// A child that is ended with its test, also where the test fails: it would hold the test's output open.
-struct Reaped(Child);
-
-impl std::ops::Deref for Reaped {
-    type Target = Child;
-    fn deref(&self) -> &Child {
-        &self.0
-    }
-}
-
-impl std::ops::DerefMut for Reaped {
-    fn deref_mut(&mut self) -> &mut Child {
-        &mut self.0
-    }
-}
-
-impl Drop for Reaped {
-    fn drop(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
-}
-
-/// The program itself, with these files.
-fn program(name: &str, config: &str, fronts: &str) -> Child {
-    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
-    let file = |kind: &str, text: &str| {
-        let path = folder.join(format!("{name}.{kind}"));
-        std::fs::write(&path, text).expect("file");
-        path
-    };
-    let mut program = Command::new(env!("CARGO_BIN_EXE_magpiechute"));
-    let operators = format!("version = 1\n{fronts}");
-    program.env("NODE_CONFIG", file("json", config)).env("MAGPIECHUTE_FILE", file("toml", &operators));
-    program.env("MAGPIECHUTE_FRONTS", folder.join("no-fronts.toml"));
-    for unset in ["NODE_LISTEN", "NODE_OPS", "NODE_LISTEN_FD", "TMPDIR"] {
-        program.env_remove(unset);
-    }
-    program.stderr(Stdio::piped()).spawn().expect("program")
-}
-
-/// The same on a listening socket that the platform holds, in a folder that it gives to every start.
+/// The program on a listening socket that the platform holds, in a folder that it gives to every start.
 fn upgraded(
     listener: &TcpListener,
     config: &Path,
@@ -1334,26 +1294,6 @@
     (child, said, ops.expect("an address"))
 }
 
-/// The next line that says this.
-fn line_with(said: &mut impl BufRead, what: &str) -> String {
-    loop {
-        let mut line = String::new();
-        assert!(said.read_line(&mut line).expect("line") > 0, "the end before {what:?}");
-        if line.contains(what) {
-            return line;
-        }
-    }
-}
-
-/// One call at the operations address.
-fn call(at: SocketAddr, line: &str) -> String {
-    let mut stream = TcpStream::connect(at).expect("connect");
-    stream.write_all(format!("{line}\n").as_bytes()).expect("write");
-    let mut said = String::new();
-    stream.read_to_string(&mut said).expect("an answer");
-    said
-}
-
 /// Two processes are one workload manager: what staff said to one holds in both and in the next, the old one leaves
 /// the socket to its successor, serves what it accepted and ends.
 #[test]
@@ -1473,11 +1413,6 @@
     assert!(child.wait().expect("end").success());
 }
 
-fn signal(child: &Child, name: &str) {
-    let sent = Command::new("kill").args(["-s", name, &child.id().to_string()]).status();
-    assert!(sent.expect("kill").success());
-}
-
 /// A client's connection to a program that says where it serves, with a buffer of about so many bytes for answers.
 fn client_of(said: &mut impl BufRead, buffer: u32) -> TcpStream {
     let serves = line_with(said, "serves on");
--- a/tests/scene/engines.rs
+++ b/tests/scene/engines.rs
@@ -54,19 +54,26 @@
 /// The operators' term: no attempt begins later than this after its client has left.
 const BEGINS_AFTER_LEAVING: Duration = Duration::from_millis(100);
 
+/// A socket on this port, which others may share.
+fn bound(at: SocketAddr) -> TcpSocket {
+    let socket = TcpSocket::new_v4().expect("socket");
+    socket.set_reuseport(true).expect("option");
+    socket.bind(at).expect("bind");
+    socket
+}
+
 /// A listener, and a second socket on its port that never listens.
-fn listen() -> (TcpListener, TcpSocket) {
-    let bound = |at: SocketAddr| {
-        let socket = TcpSocket::new_v4().expect("socket");
-        socket.set_reuseport(true).expect("option");
-        socket.bind(at).expect("bind");
-        socket
-    };
+pub fn listen() -> (TcpListener, TcpSocket) {
     let socket = bound(([127, 0, 0, 1], 0).into());
     let port = bound(socket.local_addr().expect("address"));
     (socket.listen(BACKLOG).expect("listen"), port)
 }
 
+/// A listener on a port that such a second socket keeps.
+pub fn listen_at(at: SocketAddr) -> TcpListener {
+    bound(at).listen(BACKLOG).expect("listen")
+}
+
 pub struct Fleet {
     engines: Vec<Engine>,
     heard: mpsc::UnboundedReceiver<Heard>,
@@ -277,18 +284,18 @@
             ("send", ["only", engine]) => {
                 let (n, at) = (number(engine), self.engines[number(engine)].address);
                 feed.events += 1;
-                let frame = feed_frame(feed.events, 1, n, at, 0);
+                let frame = feed_frame(feed.events, 1, n, at, 0, 0);
                 feed.stream.as_mut().expect("feed").write_all(&frame).await.expect("write");
             }
             // An event that was told already, and half of one before the feed breaks off.
             ("send", ["again", engine]) => {
                 let (n, at) = (number(engine), self.engines[number(engine)].address);
-                let frame = feed_frame(feed.events, 2, n, at, 2);
+                let frame = feed_frame(feed.events, 2, n, at, 2, 0);
                 feed.stream.as_mut().expect("feed").write_all(&frame).await.expect("write");
             }
             ("send", ["half", engine]) => {
                 let (n, at) = (number(engine), self.engines[number(engine)].address);
-                let frame = feed_frame(feed.events + 1, 2, n, at, 2);
+                let frame = feed_frame(feed.events + 1, 2, n, at, 2, 0);
                 feed.stream.as_mut().expect("feed").write_all(&frame[..20]).await.expect("write");
             }
             ("send", [state, engine]) => {
@@ -304,7 +311,7 @@
                     state
                 };
                 self.feed.events += 1;
-                let frame = feed_frame(self.feed.events, 2, n, address, state as u8);
+                let frame = feed_frame(self.feed.events, 2, n, address, state as u8, 0);
                 self.feed.stream.as_mut().expect("feed").write_all(&frame).await.expect("write");
             }
             other => panic!("feed: {other:?}"),
@@ -312,8 +319,8 @@
     }
 }
 
-/// A frame with one record.
-fn feed_frame(event: u64, kind: u8, n: usize, at: SocketAddr, state: u8) -> Vec<u8> {
+/// A frame with one record, of an engine that started at this Unix time in ms, or long ago at 0.
+pub fn feed_frame(event: u64, kind: u8, n: usize, at: SocketAddr, state: u8, started_ms: u64) -> Vec<u8> {
     let mut frame = Vec::new();
     frame.extend_from_slice(&(9 + 27u32).to_be_bytes());
     frame.extend_from_slice(&event.to_be_bytes());
@@ -322,7 +329,7 @@
     frame.extend_from_slice(&[127, 0, 0, 1]);
     frame.extend_from_slice(&at.port().to_be_bytes());
     frame.extend_from_slice(&[state, 0, 0, 0, 0, 0, 0, 3, 232]);
-    frame.extend_from_slice(&0u64.to_be_bytes());
+    frame.extend_from_slice(&started_ms.to_be_bytes());
     frame
 }
 
--- a/tests/scene/mod.rs
+++ b/tests/scene/mod.rs
@@ -62,7 +62,7 @@
     let classes = [class("seat-check", "repeatable", 5000), class("usage-report", "repeatable", 9000)];
     let classes = format!("{},{},{}", classes[0], classes[1], class("log-load", "once", 9000));
     format!(
-        r#"{{"nInstances":1,"classes":[{classes}],"discovery":"push","zones":["hall-a"],"shapes":["std-8c"],
+        r#"{{"nInstances":1,"ordinal":0,"classes":[{classes}],"discovery":"push","zones":["hall-a"],"shapes":["std-8c"],
         "tenants":[{{"name":"member-north","quotaPerS":28}}],"report":{{"how":"inline","names":["rif"]}},
         "guarantees":{{"coldMs":15000,"coldShare":0.3,"overloadForMs":1500,"tipMultiple":3,
         "orderPauseMs":300}},"limits":{{"attemptsCap":6,"cancel":true,"retryAfter":true,"maxRetryAfterMs":1000,"connectTimeoutMs":250,
--- a/tests/scene/platform.rs
+++ b/tests/scene/platform.rs
@@ -75,6 +75,17 @@
         }
     }
 
+    /// The next answer that came, with the number of its request.
+    pub async fn next_answer(&mut self) -> (u64, String) {
+        loop {
+            if let Some(id) = self.answers.keys().next().copied() {
+                return self.answers.remove_entry(&id).expect("an answer");
+            }
+            assert!(!self.closed, "{}: closed", self.name);
+            self.read().await;
+        }
+    }
+
     fn call(&self, id: u64, method: &str, fields: &[(&str, &str)], body: Option<&[u8]>) -> Vec<u8> {
         let mut text = vec![0x94, 0];
         encode::write_uint(&mut text, id).expect("id");
--- a/tests/scene/process.rs
+++ b/tests/scene/process.rs
@@ -1,9 +1,90 @@
-//! The program as the platform starts it for an upgrade.
-#![allow(dead_code)] // the tests of upgrades alone start it so
+//! The program itself as a child process.
 
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::os::fd::OwnedFd;
-use std::path::Path;
-use std::process::{Child, Command, Stdio};
+use std::path::{Path, PathBuf};
+use std::process::{Child, ChildStderr, Command, Stdio};
+
+/// A child that is ended with its test, also where the test fails: it would hold the test's output open.
+pub struct Reaped(pub Child);
+
+impl std::ops::Deref for Reaped {
+    type Target = Child;
+    fn deref(&self) -> &Child {
+        &self.0
+    }
+}
+
+impl std::ops::DerefMut for Reaped {
+    fn deref_mut(&mut self) -> &mut Child {
+        &mut self.0
+    }
+}
+
+impl Drop for Reaped {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+/// The program with these files, which are written under this name.
+pub fn program(name: &str, config: &str, fronts: &str) -> Child {
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+    let file = |kind: &str, text: &str| {
+        let path = folder.join(format!("{name}.{kind}"));
+        std::fs::write(&path, text).expect("file");
+        path
+    };
+    let mut program = Command::new(env!("CARGO_BIN_EXE_magpiechute"));
+    let operators = format!("version = 1\n{fronts}");
+    program.env("NODE_CONFIG", file("json", config)).env("MAGPIECHUTE_FILE", file("toml", &operators));
+    program.env("MAGPIECHUTE_FRONTS", folder.join("no-fronts.toml"));
+    for unset in ["NODE_LISTEN", "NODE_OPS", "NODE_LISTEN_FD", "TMPDIR"] {
+        program.env_remove(unset);
+    }
+    program.stderr(Stdio::piped()).spawn().expect("program")
+}
+
+/// What a program says, by lines.
+pub fn said_by(child: &mut Child) -> BufReader<ChildStderr> {
+    BufReader::new(child.stderr.take().expect("stderr"))
+}
+
+/// The next line that says this.
+pub fn line_with(said: &mut impl BufRead, what: &str) -> String {
+    loop {
+        let mut line = String::new();
+        assert!(said.read_line(&mut line).expect("line") > 0, "the end before {what:?}");
+        if line.contains(what) {
+            return line;
+        }
+    }
+}
+
+/// Where a program serves its clients, and where staff ask it, from the line that says so.
+pub fn addresses(said: &mut impl BufRead) -> (SocketAddr, SocketAddr) {
+    let line = line_with(said, "serves on");
+    let after = |what: &str| line.split(what).nth(1).and_then(|rest| rest.split([',', '\n']).next());
+    let address = |what| after(what).and_then(|at| at.trim().parse().ok()).expect("an address");
+    (address("serves on "), address("is operated at "))
+}
+
+/// One call at the operations address.
+pub fn call(at: SocketAddr, line: &str) -> String {
+    let mut stream = TcpStream::connect(at).expect("connect");
+    stream.write_all(format!("{line}\n").as_bytes()).expect("write");
+    let mut said = String::new();
+    stream.read_to_string(&mut said).expect("an answer");
+    said
+}
+
+/// Sends a signal to a child.
+pub fn signal(child: &Child, name: &str) {
+    let sent = Command::new("kill").args(["-s", name, &child.id().to_string()]).status();
+    assert!(sent.expect("kill").success());
+}
 
 /// Starts it on a listening socket that the platform holds, in a folder that it gives to every start.
 pub fn handed(socket: OwnedFd, config: &Path, folder: &Path) -> Child {
--- a/tests/standing/main.rs
+++ b/tests/standing/main.rs
@@ -5,4 +5,6 @@
 #[allow(dead_code, reason = "each test target uses a part of the scene")]
 mod scene;
 
+mod cold;
+mod engine;
 mod leaving;
