Keep client connections that are about to leave within the descriptors' limit

Cause: clients/slots.rs, make_room, counted no connection that had been asked to leave, and each lingers up to 100 ms for its client's close, or 2 s where half a call had come; newcomers were let in meanwhile.

Change: who was asked counts until it has gone; an eighth of the places is for those. An idle connection that makes room lingers 10 ms, and half a call that others wait for falls silent after 250 ms. tests/standing/descriptors.rs: 300 clients fill a real process while the feed is down; it stays within 64, hears a drain once the feed is back, connects to a new engine, serves.

--- a/src/clients/platform.rs
+++ b/src/clients/platform.rs
@@ -88,6 +88,8 @@
     owing: bool,
     /// What came cannot be read, and nothing more is taken: how many bytes were passed over since.
     deaf: Option<usize>,
+    /// It makes room for another connection, at once or once what it has half sent is whole or has fallen silent.
+    evicted: bool,
 }
 
 /// Why a connection is read no further.
@@ -124,6 +126,7 @@
             faults: 0,
             owing: false,
             deaf: None,
+            evicted: false,
             front,
         }
     }
@@ -134,7 +137,8 @@
             self.owes(true);
             // What crosses this close goes again; an answer under way must not be lost to its being refused.
             let _ = self.stream.shutdown().await;
-            net::linger(&self.stream, &self.front.limits).await;
+            let limits = &self.front.limits;
+            net::linger(&self.stream, if self.evicted { limits.linger_evicted } else { limits.linger }).await;
         }
         self.answers.close();
         self.owes(false);
@@ -153,12 +157,13 @@
             }
             self.owe();
             let done = self.done();
-            if done && self.deaf.is_some() {
+            if done && (self.deaf.is_some() || self.evicted && self.input.is_empty()) {
                 return Ok(());
             }
             // A slow reader holds at most a few answers here: then nothing more is read from it.
             let held = self.out.waiting() > 2 * self.front.limits.answer_bytes as u64;
             let patience = self.patience();
+            let leaving = self.front.lifecycle.now().leaving();
             let untaken = self.taken_at + self.front.limits.client_idle;
             tokio::select! {
                 biased;
@@ -186,12 +191,15 @@
                     return Err(End::Closed);
                 }
                 // Guard: half a request is one on its way; it comes whole first, or falls silent.
-                () = self.slot.asked_to_leave(), if done && self.input.is_empty() => {
+                () = self.slot.asked_to_leave(), if done && (self.input.is_empty() || !leaving) => {
                     self.hear_last().await?;
+                    self.evicted = !leaving && self.done();
                     if self.done() && self.input.is_empty() {
                         return Ok(());
                     }
-                    self.slot.stays();
+                    if !self.evicted {
+                        self.slot.stays();
+                    }
                 }
             }
         }
@@ -205,7 +213,10 @@
     /// When it is closed, where nothing is owed and nothing comes.
     fn patience(&self) -> Instant {
         let idle = self.idle_since + self.front.limits.client_idle;
-        self.half_since.map_or(idle, |since| idle.min(since + self.front.limits.client_silence))
+        let limits = &self.front.limits;
+        let evicted = self.evicted && !self.front.lifecycle.now().leaving();
+        let silence = if evicted { limits.client_silence_evicted } else { limits.client_silence };
+        self.half_since.map_or(idle, |since| idle.min(since + silence))
     }
 
     /// Reads what is there before a close. Guard: what the runtime has not asked the socket for yet counts as not there,
@@ -281,6 +292,9 @@
                     self.slot.speaks();
                     self.idle_since = Instant::now();
                     self.half_since = None;
+                    if std::mem::take(&mut self.evicted) {
+                        self.slot.stays();
+                    }
                     if method.as_ref() == b"health" {
                         let fit = !self.front.lifecycle.now().leaving();
                         self.slot.known();
--- a/src/clients/slots.rs
+++ b/src/clients/slots.rs
@@ -11,6 +11,9 @@
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep};
 
+/// One place in so many is for connections that were asked to leave and have not gone yet.
+const LEAVING_PART: usize = 8;
+
 /// The places of one front.
 pub(crate) struct Slots {
     places: usize,
@@ -57,7 +60,7 @@
         self.held.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Waits until a newcomer may be let in: at once, unless every place has a request open.
+    /// Waits until a newcomer may be let in: at once, unless every place has a request open or is about to be left.
     pub(crate) async fn room(&self) {
         loop {
             let freed = self.freed.notified();
@@ -68,27 +71,30 @@
         }
     }
 
-    /// Guard: strangers make room for strangers first, so that a flood of them costs the clients that are served
-    /// here nothing. Those with a request open are never asked.
+    /// Whether there is a place now; where those that stay fill theirs, one of them is asked to leave. Guard: strangers
+    /// make room for strangers first, so that a flood of them costs the clients that are served here nothing. Those with
+    /// a request open are never asked. Guard: one that was asked holds its descriptor until it has gone, so it counts to
+    /// the end; a part of the places is for those, so that a newcomer seldom waits for them.
     fn make_room(&self) -> bool {
         let mut held = self.held();
         let places = self.limits.share(self.places);
+        let most_staying = places - places.div_ceil(LEAVING_PART);
         // Of these, for connections that have not been served yet.
-        let most_strangers = places.div_ceil(2);
+        let most_strangers = most_staying.div_ceil(2);
         let strangers = held.slots.values().filter(|s| !s.known && !s.asked).count();
-        let all = held.slots.values().filter(|s| !s.asked).count();
-        if strangers < most_strangers && all < places {
-            return true;
-        }
-        let idle = held.slots.values_mut().filter(|s| s.busy == 0 && !s.asked);
+        let staying = held.slots.values().filter(|s| !s.asked).count();
         // Above their part a stranger goes, else whoever idles longest; a stranger before the others.
         let only_strangers = strangers >= most_strangers;
-        let victim = idle.filter(|s| !(only_strangers && s.known)).min_by_key(|s| (s.known, s.since));
-        let Some(victim) = victim else { return all < places };
-        victim.asked = true;
-        victim.leave.notify_one();
-        self.counters.client_evicted.up();
-        true
+        if only_strangers || staying >= most_staying {
+            let idle = held.slots.values_mut().filter(|s| s.busy == 0 && !s.asked);
+            let victim = idle.filter(|s| !(only_strangers && s.known)).min_by_key(|s| (s.known, s.since));
+            if let Some(victim) = victim {
+                victim.asked = true;
+                victim.leave.notify_one();
+                self.counters.client_evicted.up();
+            }
+        }
+        held.slots.len() < places
     }
 
     /// Asks one idle connection to leave though there is a place: descriptors ran out first.
@@ -223,6 +229,8 @@
     /// It was asked, and goes on as a request came in: it may be asked again.
     pub(crate) fn stays(&self) {
         self.with(|s| s.asked = false);
+        // Whoever waits for its place has another one asked.
+        self.slots.freed.notify_one();
     }
 }
 
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -104,6 +104,8 @@
     both: Arc<AtomicBool>,
     /// Wait for the peer's end of a connection whose own is over.
     pub linger: Duration,
+    /// The same for an idle client connection that makes room: others wait for its descriptor.
+    pub linger_evicted: Duration,
     /// Callers at the operations address at once; descriptors are kept for them.
     pub ops_callers: usize,
     /// Bytes of one call there.
@@ -124,6 +126,8 @@
     pub engine_idle: Duration,
     /// Own close of a client connection that has not begun with a call, or stops halfway through one.
     pub client_silence: Duration,
+    /// The same where another connection waits for its place.
+    pub client_silence_evicted: Duration,
     /// Calls that are no use on one connection until it is closed.
     pub client_faults: usize,
     /// Own close of an idle client connection; clients close theirs sooner.
@@ -243,6 +247,7 @@
             feed_first: Duration::from_millis(1200),
             both: Arc::default(),
             linger: Duration::from_millis(100),
+            linger_evicted: Duration::from_millis(10),
             ops_callers,
             ops_line: 256,
             ops_call: Duration::from_secs(5),
@@ -253,6 +258,7 @@
             connect: millis(parsed.connect_timeout_ms),
             engine_idle: millis(parsed.conn_idle_ms * 0.6),
             client_silence: Duration::from_millis(2000),
+            client_silence_evicted: Duration::from_millis(250),
             client_faults: 64,
             client_idle: Duration::from_secs(30),
             answer_stall: Duration::from_millis(1500),
--- a/src/net.rs
+++ b/src/net.rs
@@ -1,10 +1,10 @@
 //! Bytes on their way out, shared by all connections: pieces are queued as they are and leave in gathered
 //! writes; what the socket does not take stays for the next time.
 
-use crate::limits::Limits;
 use bytes::{Buf, Bytes};
 use std::collections::VecDeque;
 use std::io::{self, IoSlice};
+use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
@@ -89,9 +89,9 @@
     }
 }
 
-/// Waits a moment for the peer's end of a connection whose own is over, and throws away what still comes. Guard:
+/// Waits so long for the peer's end of a connection whose own is over, and throws away what still comes. Guard:
 /// a close with bytes unread, or one that bytes still reach, resets the connection and the answer with it.
-pub(crate) async fn linger(stream: &TcpStream, limits: &Limits) {
+pub(crate) async fn linger(stream: &TcpStream, longest: Duration) {
     let rest = async {
         let mut rest = [0; 1024];
         while stream.readable().await.is_ok() {
@@ -102,7 +102,7 @@
             }
         }
     };
-    let _ = timeout(limits.linger, rest).await;
+    let _ = timeout(longest, rest).await;
 }
 
 #[cfg(test)]
--- a/src/operations.rs
+++ b/src/operations.rs
@@ -87,7 +87,7 @@
         }
         stream.write_all(answer.as_bytes()).await?;
         stream.shutdown().await?;
-        linger(&stream, &self.limits).await;
+        linger(&stream, self.limits.linger).await;
         Ok(())
     }
 
--- a/tests/standing/main.rs
+++ b/tests/standing/main.rs
@@ -6,5 +6,6 @@
 mod scene;
 
 mod cold;
+mod descriptors;
 mod engine;
 mod leaving;
