--- a/tests/order.rs
+++ b/tests/order.rs
@@ -3,6 +3,7 @@
 //!
 //! `wait sent=N` fails where more than N attempts have left the core, which sends in the turn in which it takes.
 
+#[allow(dead_code, reason = "each test target uses a part of the scene")]
 mod scene;
 
 use magpiechute::config::Speech;
--- a/tests/order_upgrade.rs
+++ b/tests/order_upgrade.rs
@@ -12,11 +12,10 @@
 use rstest::rstest;
 use scene::engines::Fleet;
 use scene::platform::Client;
-use scene::process::handed;
+use scene::process::inheriting;
 use scene::{changed, configuration, soon};
 use std::io::{BufRead, BufReader};
 use std::net::{SocketAddr, TcpListener};
-use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command};
 use std::time::{Duration, Instant};
@@ -53,8 +52,7 @@
     async fn start(config: &Path, folder: &Path) -> Process {
         let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
         let at = listener.local_addr().expect("address");
-        let socket: OwnedFd = listener.into();
-        let mut child = handed(socket, config, folder);
+        let mut child = inheriting(&listener, config, folder);
         let stderr = BufReader::new(child.stderr.take().expect("stderr"));
         let (tell, lines) = unbounded_channel();
         std::thread::spawn(move || {
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -5,13 +5,12 @@
 
 use magpiechute::config::{Fronts, Speech};
 use rstest::rstest;
-use scene::process::{Reaped, call, handed, line_with, program, signal};
+use scene::process::{Reaped, addresses, call, inheriting, line_with, program, said_by, signal};
 use scene::{configuration, play};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
-use std::process::{Child, ChildStderr, Command, Stdio};
+use std::process::{Child, ChildStderr};
 
 /// The platform's clients and line engines.
 #[rstest]
@@ -1280,18 +1279,16 @@
     play(8, speech, &format!("{script}wait open=0\nwait taken=192\nwait served=144\nwait failed=48\n"));
 }
 
-/// The program on a listening socket that the platform holds, in a folder that it gives to every start.
+/// The program on a listening socket that the platform holds, once it says where it is operated.
 fn upgraded(
     listener: &TcpListener,
     config: &Path,
     folder: &Path,
 ) -> (Child, BufReader<ChildStderr>, SocketAddr) {
-    let socket: OwnedFd = listener.try_clone().expect("socket").into();
-    let mut child = handed(socket, config, folder);
-    let mut said = BufReader::new(child.stderr.take().expect("stderr"));
-    let line = line_with(&mut said, "is operated at");
-    let ops = line.trim().rsplit(' ').next().and_then(|at| at.parse().ok());
-    (child, said, ops.expect("an address"))
+    let mut child = inheriting(listener, config, folder);
+    let mut said = said_by(&mut child);
+    let (_, ops) = addresses(&mut said);
+    (child, said, ops)
 }
 
 /// Two processes are one workload manager: what staff said to one holds in both and in the next, the old one leaves
--- a/tests/scene/process.rs
+++ b/tests/scene/process.rs
@@ -1,7 +1,7 @@
 //! The program itself as a child process.
 
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, ChildStderr, Command, Stdio};
@@ -47,6 +47,24 @@
     program.stderr(Stdio::piped()).spawn().expect("program")
 }
 
+/// The program on a listening socket that the platform holds, in a folder that it gives to every start.
+pub fn inheriting(listener: &TcpListener, config: &Path, folder: &Path) -> Child {
+    let socket: OwnedFd = listener.try_clone().expect("socket").into();
+    Command::new("sh")
+        .args(["-c", "exec \"$0\" 4<&0 0</dev/null", env!("CARGO_BIN_EXE_magpiechute")])
+        .env("NODE_CONFIG", config)
+        .env("MAGPIECHUTE_FRONTS", folder.join("no-fronts.toml"))
+        .env("MAGPIECHUTE_FILE", folder.join("no-file.toml"))
+        .env("NODE_LISTEN_FD", "4")
+        .env("TMPDIR", folder)
+        .env_remove("NODE_LISTEN")
+        .env_remove("NODE_OPS")
+        .stdin(socket)
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("program")
+}
+
 /// What a program says, by lines.
 pub fn said_by(child: &mut Child) -> BufReader<ChildStderr> {
     BufReader::new(child.stderr.take().expect("stderr"))
@@ -85,20 +103,3 @@
     let sent = Command::new("kill").args(["-s", name, &child.id().to_string()]).status();
     assert!(sent.expect("kill").success());
 }
-
-/// Starts it on a listening socket that the platform holds, in a folder that it gives to every start.
-pub fn handed(socket: OwnedFd, config: &Path, folder: &Path) -> Child {
-    Command::new("sh")
-        .args(["-c", "exec \"$0\" 4<&0 0</dev/null", env!("CARGO_BIN_EXE_magpiechute")])
-        .env("NODE_CONFIG", config)
-        .env("MAGPIECHUTE_FRONTS", folder.join("no-fronts.toml"))
-        .env("MAGPIECHUTE_FILE", folder.join("no-file.toml"))
-        .env("NODE_LISTEN_FD", "4")
-        .env("TMPDIR", folder)
-        .env_remove("NODE_LISTEN")
-        .env_remove("NODE_OPS")
-        .stdin(socket)
-        .stderr(Stdio::piped())
-        .spawn()
-        .expect("program")
-}
--- a/tests/standing/main.rs
+++ b/tests/standing/main.rs
@@ -9,3 +9,4 @@
 mod descriptors;
 mod engine;
 mod leaving;
+mod readiness;
