--- /dev/null
+++ b/benches/scale/fit.rs
@@ -0,0 +1,106 @@
+//! A straight line by least squares, and the prediction of the largest size from the smaller ones.
+
+use super::row::{Failure, Kind, Output, rounded};
+use serde::Serialize;
+
+/// One measured point: the size, and the figure there.
+pub type Point = (f64, f64);
+
+/// A straight line.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Line {
+    /// The figure at size 0.
+    pub intercept: f64,
+    /// Its growth for each unit of size.
+    pub slope: f64,
+}
+
+impl Line {
+    /// The line of least squares; none through fewer than two different sizes.
+    pub fn through(points: &[Point]) -> Option<Line> {
+        let count = points.len() as f64;
+        let mean_size = points.iter().map(|(size, _)| size).sum::<f64>() / count;
+        let mean_figure = points.iter().map(|(_, figure)| figure).sum::<f64>() / count;
+        let spread: f64 = points.iter().map(|(size, _)| (size - mean_size).powi(2)).sum();
+        let along: f64 =
+            points.iter().map(|(size, figure)| (size - mean_size) * (figure - mean_figure)).sum();
+        let slope = (points.len() >= 2 && spread > 0.0).then(|| along / spread)?;
+        Some(Line { intercept: mean_figure - slope * mean_size, slope })
+    }
+
+    /// The figure at a size.
+    pub fn at(&self, size: f64) -> f64 {
+        self.intercept + self.slope * size
+    }
+}
+
+/// Which figure of which test, and over which size.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct Figure {
+    /// The test.
+    pub test: &'static str,
+    /// The figure's name in its rows.
+    pub figure: &'static str,
+    /// The size's name there.
+    pub over: &'static str,
+}
+
+/// A figure that was predicted, to be held against its measurement.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct Prediction {
+    #[serde(flatten)]
+    figure: Figure,
+    size: f64,
+    predicted: f64,
+}
+
+#[derive(Serialize)]
+struct FitRow {
+    kind: Kind,
+    #[serde(flatten)]
+    figure: Figure,
+    points: usize,
+    slope: f64,
+    intercept: f64,
+}
+
+#[derive(Serialize)]
+struct PredictionRow {
+    kind: Kind,
+    #[serde(flatten)]
+    prediction: Prediction,
+}
+
+#[derive(Serialize)]
+struct ErrorRow {
+    kind: Kind,
+    #[serde(flatten)]
+    prediction: Prediction,
+    measured: f64,
+    /// Of the measured figure, in percent; positive where the prediction is above it.
+    error_percent: f64,
+}
+
+impl Prediction {
+    /// Fits the line through the smaller sizes, and writes it and what it says of the largest one.
+    pub fn write(
+        output: &mut Output,
+        figure: Figure,
+        points: &[Point],
+        size: f64,
+    ) -> Result<Prediction, Failure> {
+        let broken = || Failure::Broken(format!("no line through the points of {figure:?}"));
+        let line = Line::through(points).ok_or_else(broken)?;
+        let (slope, intercept) = (line.slope, rounded(line.intercept));
+        output.row(&FitRow { kind: Kind::Fit, figure, points: points.len(), slope, intercept })?;
+        let prediction = Prediction { figure, size, predicted: rounded(line.at(size)) };
+        output.row(&PredictionRow { kind: Kind::Prediction, prediction })?;
+        Ok(prediction)
+    }
+
+    /// Writes the prediction beside the measurement, and its error.
+    pub fn check(&self, output: &mut Output, measured: f64) -> Result<(), Failure> {
+        let error_percent = rounded((self.predicted - measured) / measured * 100.0);
+        output.row(&ErrorRow { kind: Kind::Error, prediction: *self, measured, error_percent })
+    }
+}
--- /dev/null
+++ b/benches/scale/fleet.rs
@@ -0,0 +1,83 @@
+//! The fleet at its size: settings of a manager, and lists of engines spread over zones.
+
+use magpiechute::config::{ListEvent, Listed, address, engine_id};
+use magpiechute::settings::{self, Parsed};
+use magpiechute::{EngineEntry, ListKind, ListState};
+
+/// Managers of the whole fleet.
+pub const MANAGERS: u32 = 3_700;
+/// Memory that a manager may use, in MB.
+pub const MEMORY_MB: usize = 256;
+/// Descriptors that a manager may hold.
+pub const SOCKETS: usize = 4_096;
+/// Statements a second that clients offer to one manager.
+pub const STATEMENTS: f64 = 4_595.0;
+/// Listed engines, up to those of the whole fleet.
+pub const LISTED: [usize; 4] = [1_024, 4_096, 10_000, 22_000];
+/// The same for the small case.
+pub const LISTED_SMALL: [usize; 4] = [16, 32, 64, 128];
+/// Hollow managers of one process at most: all of the fleet.
+pub const HOLLOW: usize = MANAGERS as usize;
+/// The same for the small case.
+pub const HOLLOW_SMALL: usize = 12;
+/// Zones of all regions together.
+pub const ZONES: usize = 14;
+/// Data sets that statements name.
+pub const DATA_SETS: u32 = 1_000;
+/// Cores of an engine.
+pub const CORES: f64 = 8.0;
+
+const ENGINE_PORT: u16 = 5_050;
+
+/// The settings of one manager as text, as a configuration holds them.
+pub fn settings_text(managers: u32, ordinal: u32) -> String {
+    let zones: Vec<String> = (0..ZONES).map(|zone| format!("\"zone-{zone}\"")).collect();
+    let zones = zones.join(",");
+    format!(
+        r#"{{"nInstances":{managers},"ordinal":{ordinal},"discovery":"push","az":{az},
+        "classes":[
+        {{"name":"read","effect":"repeatable","promiseMs":1000,"giveUpMs":5000,"points":1}},
+        {{"name":"report","effect":"repeatable","promiseMs":3000,"giveUpMs":9000,"points":20}}],
+        "guarantees":{{"coldMs":20000,"coldShare":0.3,"overloadForMs":1500,"tipMultiple":3}},
+        "limits":{{"attemptsCap":6,"cancel":true}},
+        "report":{{"how":"inline","names":["inflight","util"]}},
+        "specifics":{{"bills":true,"classThreads":[1,3],"sizeCores":[{CORES}],"progressMs":500}},
+        "shapes":["std"],"zones":[{zones}]}}"#,
+        az = ordinal as usize % ZONES,
+    )
+}
+
+/// The settings of one manager.
+pub fn settings(managers: u32, ordinal: u32) -> Parsed {
+    settings::parse(settings_text(managers, ordinal).as_bytes()).expect("settings of the scale tests")
+}
+
+/// An engine of the list; each has an address of its own.
+pub fn engine(id: u32, state: ListState, started_ms: f64) -> Listed {
+    let [high, middle, low, last] = id.to_be_bytes();
+    let entry = EngineEntry {
+        engine: engine_id(id),
+        zone: (id as usize % ZONES) as u8,
+        kind: 0,
+        cell: (id as usize / ZONES % usize::from(u16::MAX)) as u16,
+        state,
+        nominal: CORES,
+        started_ms,
+    };
+    Listed { entry, address: address([127, middle, low, last], ENGINE_PORT + u16::from(high)) }
+}
+
+/// The whole list of so many engines, long started and ready.
+pub fn whole_list(number: u64, engines: usize) -> ListEvent {
+    let entries = (0..engines as u32).map(|id| engine(id, ListState::Ready, 0.0)).collect();
+    ListEvent { number, kind: ListKind::Full, entries, unusable: Vec::new() }
+}
+
+/// Managers of one zone, which a zone's loss starts elsewhere at once.
+pub const MANAGERS_OF_A_ZONE: usize = 264;
+
+/// A change: this engine is gone, and its successor, started now, is ready in its place.
+pub fn replacement(number: u64, gone: u32, successor: u32, started_ms: f64) -> ListEvent {
+    let entries = vec![engine(gone, ListState::Gone, 0.0), engine(successor, ListState::Ready, started_ms)];
+    ListEvent { number, kind: ListKind::Delta, entries, unusable: Vec::new() }
+}
--- /dev/null
+++ b/benches/scale/returning.rs
@@ -0,0 +1,90 @@
+//! The feed goes away for a while: how soon all managers are back and have what they missed, and the feed's worst
+//! 100 ms against its mean.
+
+use super::cost::Memory;
+use super::crowd::Crowd;
+use super::feed::{Feed, IDLE};
+use super::list::TEST;
+use super::load::Stretch;
+use super::row::{Failure, Output, Size, rounded};
+use super::spread::{Times, fits, plan};
+use super::{Options, fleet};
+use serde::Serialize;
+use std::time::{Duration, Instant};
+
+/// How long the feed is away, and how long its load is watched while nothing happens.
+const AWAY: Duration = Duration::from_secs(3);
+const AT_REST: Duration = Duration::from_secs(5);
+const AWAY_SMALL: Duration = Duration::from_millis(200);
+const AT_REST_SMALL: Duration = Duration::from_millis(200);
+/// The number of the event that the managers miss.
+const MISSED: u64 = 2;
+
+#[derive(Serialize)]
+struct ReturnRow {
+    #[serde(flatten)]
+    size: Size,
+    ticks: bool,
+    away_ms: f64,
+    /// From the feed's return until the event that was missed is in force, in ms.
+    #[serde(flatten)]
+    times: Times,
+    feed_connections: u64,
+    feed_bytes: u64,
+    /// The feed's load from its return until the last manager is back, as if that lasted 100 ms; its worst 100 ms; and
+    /// 100 ms before it went, at rest.
+    feed_mean: Stretch,
+    feed_worst: Stretch,
+    feed_at_rest: Stretch,
+    /// Worst 100 ms against the mean of the return.
+    worst_connections: f64,
+    worst_bytes: f64,
+    worst_processor: f64,
+    /// Worst 100 ms against the mean at rest.
+    rest_bytes: f64,
+    rest_processor: f64,
+}
+
+/// All managers with the short list come back after the feed was away.
+pub fn run(options: &Options, output: &mut Output, memory: Memory) -> Result<(), Failure> {
+    let Some(listed) = options.listed().first().copied() else { return Ok(()) };
+    let managers = options.most_managers();
+    if !fits(output, memory, (listed, managers))? {
+        return Ok(());
+    }
+    let (away, at_rest) = if options.small { (AWAY_SMALL, AT_REST_SMALL) } else { (AWAY, AT_REST) };
+    let feed = Feed::start(&fleet::whole_list(1, listed), IDLE)?;
+    let (plan, _) = plan(options, &feed, (listed, managers));
+    let crowd = Crowd::start(&plan, managers)?;
+    crowd.gather(1)?;
+    let rested = Instant::now();
+    std::thread::sleep(at_rest);
+    let (resting, _) = feed.load(rested, Instant::now())?;
+    feed.leave()?;
+    feed.publish(&fleet::replacement(MISSED, 0, listed as u32, 0.0));
+    let before = feed.totals();
+    std::thread::sleep(away);
+    let back = feed.come_back()?;
+    let sightings = crowd.gather(MISSED)?;
+    let over = sightings.iter().map(|sighting| sighting.at).max().unwrap_or_else(Instant::now);
+    let times = sightings.iter().map(|sighting| sighting.at.saturating_duration_since(back));
+    let times = Times::of(times.collect());
+    let (mean, worst) = feed.load(back, over)?;
+    let totals = feed.totals();
+    output.row(&ReturnRow {
+        size: Size::measured(TEST, "return", listed, managers),
+        ticks: plan.ticks,
+        away_ms: rounded(away.as_secs_f64() * 1000.0),
+        times,
+        feed_connections: totals.connections - before.connections,
+        feed_bytes: totals.bytes - before.bytes,
+        worst_connections: rounded(worst.connections / mean.connections),
+        worst_bytes: rounded(worst.bytes / mean.bytes),
+        worst_processor: rounded(worst.processor_ms / mean.processor_ms),
+        rest_bytes: rounded(worst.bytes / resting.bytes),
+        rest_processor: rounded(worst.processor_ms / resting.processor_ms),
+        feed_mean: mean,
+        feed_worst: worst,
+        feed_at_rest: resting,
+    })
+}
--- /dev/null
+++ b/benches/scale/row.rs
@@ -0,0 +1,127 @@
+//! Rows of results: one JSON object a line, on standard output and in the file that was asked for.
+
+use serde::Serialize;
+use std::fmt;
+use std::fs::File;
+use std::io::Write;
+use std::path::Path;
+
+/// Why a scale test could not be played, or found something that must not be.
+#[derive(Debug)]
+pub enum Failure {
+    /// A row, a socket or a file could not be read or written.
+    Io(std::io::Error),
+    /// A row is not JSON.
+    Json(serde_json::Error),
+    /// What the test relies on does not hold.
+    Broken(String),
+}
+
+impl fmt::Display for Failure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Failure::Io(e) => write!(f, "input or output: {e}"),
+            Failure::Json(e) => write!(f, "row: {e}"),
+            Failure::Broken(what) => f.write_str(what),
+        }
+    }
+}
+
+impl From<std::io::Error> for Failure {
+    fn from(e: std::io::Error) -> Failure {
+        Failure::Io(e)
+    }
+}
+
+impl From<serde_json::Error> for Failure {
+    fn from(e: serde_json::Error) -> Failure {
+        Failure::Json(e)
+    }
+}
+
+/// What a row tells.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Kind {
+    /// A figure that was measured.
+    Measured,
+    /// The line fitted on all sizes but the largest.
+    Fit,
+    /// What that line says of the largest size, written before it is played.
+    Prediction,
+    /// The prediction held against the measurement.
+    Error,
+    /// A size that is not played, and why.
+    LeftOut,
+}
+
+/// What a row is about.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct Size {
+    test: &'static str,
+    part: &'static str,
+    kind: Kind,
+    /// Listed engines.
+    pub listed: usize,
+    /// Managers that are played, or that the settings name where one alone is.
+    managers: usize,
+}
+
+impl Size {
+    /// Of a part that is measured.
+    pub fn measured(test: &'static str, part: &'static str, listed: usize, managers: usize) -> Size {
+        Size { test, part, kind: Kind::Measured, listed, managers }
+    }
+
+    /// Of a part that is left out at this size.
+    pub fn left_out(test: &'static str, part: &'static str, listed: usize, managers: usize) -> Size {
+        Size { kind: Kind::LeftOut, ..Size::measured(test, part, listed, managers) }
+    }
+}
+
+/// A size that a test leaves out.
+#[derive(Debug, Serialize)]
+pub struct LeftOut<'a> {
+    /// Which.
+    #[serde(flatten)]
+    pub size: Size,
+    /// Why.
+    pub why: &'a str,
+}
+
+/// Where rows go.
+pub struct Output {
+    file: Option<File>,
+    lines: Vec<String>,
+}
+
+impl Output {
+    /// Standard output, and this file anew where one is named.
+    pub fn new(path: Option<&Path>) -> Result<Output, Failure> {
+        let file = path.map(File::create).transpose()?;
+        Ok(Output { file, lines: Vec::new() })
+    }
+
+    /// Writes one row at once, so that a run that is cut off leaves what it measured.
+    pub fn row(&mut self, row: &impl Serialize) -> Result<(), Failure> {
+        let line = serde_json::to_string(row)?;
+        let mut standard = std::io::stdout().lock();
+        writeln!(standard, "{line}")?;
+        standard.flush()?;
+        if let Some(file) = &mut self.file {
+            writeln!(file, "{line}")?;
+        }
+        self.lines.push(line);
+        Ok(())
+    }
+
+    /// The rows written so far.
+    pub fn lines(&self) -> &[String] {
+        &self.lines
+    }
+}
+
+/// A figure rounded to three decimals, as no clock here tells more.
+pub fn rounded(figure: f64) -> f64 {
+    (figure * 1000.0).round() / 1000.0
+}
--- /dev/null
+++ b/benches/scale/usage.rs
@@ -0,0 +1,24 @@
+//! What this process has used: processor time and memory, as the kernel counts them.
+
+use super::row::Failure;
+use rustix::time::{ClockId, clock_gettime};
+use std::time::Duration;
+
+fn clock(id: ClockId) -> Duration {
+    let time = clock_gettime(id);
+    Duration::new(time.tv_sec.unsigned_abs(), time.tv_nsec.unsigned_abs() as u32)
+}
+
+/// Processor time of the calling thread. Other processes on the machine do not add to it.
+pub fn thread_time() -> Duration {
+    clock(ClockId::ThreadCPUTime)
+}
+
+/// Bytes of memory that the process has resident.
+pub fn resident_bytes() -> Result<usize, Failure> {
+    let status = std::fs::read_to_string("/proc/self/status")?;
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kilobytes =
+        line.and_then(|line| line.split_ascii_whitespace().next()).and_then(|n| n.parse::<usize>().ok());
+    kilobytes.map(|n| n * 1024).ok_or_else(|| Failure::Broken("no resident memory is told".to_owned()))
+}
--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -49,9 +49,8 @@
 }
 
 impl Inputs {
-    /// The next ordinary input, for tests of those who send it.
-    #[cfg(test)]
-    pub(crate) async fn input(&mut self) -> Option<Input> {
+    /// The next ordinary input, for whoever drives a core without [`start`]; none once every [`Handle`] is dropped.
+    pub async fn input(&mut self) -> Option<Input> {
         self.inputs.recv().await
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,7 +22,7 @@
 mod interface;
 mod lifecycle;
 pub mod limits;
-mod list;
+pub mod list;
 pub mod log;
 mod net;
 pub mod node;
--- a/src/list.rs
+++ b/src/list.rs
@@ -38,8 +38,10 @@
     }
 }
 
-/// Follows the feed from event `last` on, at whatever address it has by now: the numbers continue there.
-pub(crate) async fn follow(
+/// Follows the feed from event `last` on, at whatever address it has by now: the numbers continue there. Each event goes
+/// to `core`; `spoken` turns true with the first frame. Records are read against the newest `settings`. It ends once the
+/// sender of `feed` is dropped.
+pub async fn follow(
     mut feed: watch::Receiver<SocketAddr>,
     mut last: u64,
     core: Handle,
