--- a/src/bin/simulator-adapter/encode.rs
+++ b/src/bin/simulator-adapter/encode.rs
@@ -50,11 +50,13 @@
                 [(3, &id.to_le_bytes()), (7, &timeout), (15, &address)];
             add(code::START_ATTEMPT, &fields);
         }
-        Action::Reject { id, retry_after_ms } => {
+        Action::Reject {
+            id, retry_after_ms, ..
+        } => {
             let retry_after = retry_after_ms.to_le_bytes();
             add(code::REJECT, &[(3, &id.to_le_bytes()), (7, &retry_after)]);
         }
-        Action::Fail { id } => add(code::FAIL, &[(3, &id.to_le_bytes())]),
+        Action::Fail { id, .. } => add(code::FAIL, &[(3, &id.to_le_bytes())]),
         Action::CancelAttempt { id, attempt } => {
             let attempt = attempt.to_le_bytes();
             add(
--- a/src/clients/connection_slots.rs
+++ b/src/clients/connection_slots.rs
@@ -218,6 +218,11 @@
 }
 
 impl ConnectionSlot {
+    /// Names the connection in the log: no other connection of its front end has this number.
+    pub(crate) fn number(&self) -> u64 {
+        self.id
+    }
+
     fn update(&self, change: impl FnOnce(&mut ConnectionState)) {
         let mut registry = self.slots.registry();
         let draining = registry.draining;
--- a/src/clients/flight/listener.rs
+++ b/src/clients/flight/listener.rs
@@ -64,10 +64,12 @@
                 self.slots.wait_for_slot().await;
                 let _ = stream.set_nodelay(true);
                 let slot = Arc::new(self.slots.take());
+                tracing::debug!(connection = slot.number(), "client connection accepted");
                 let close_signal = self.close_signal(slot.clone());
                 Ok(TrackedConnection::new(stream, slot, close_signal))
             }
             Err(error) => {
+                tracing::debug!(%error, "client not accepted");
                 self.slots.evict_idle();
                 sleep(ACCEPT_RETRY_DELAY).await;
                 Err(error)
@@ -87,6 +89,7 @@
                     if slot.has_called() {
                         slot.quiet_after_leave_request(quiet).await;
                     } else {
+                        tracing::debug!(connection = slot.number(), "client connection brought no call in time");
                         metrics.client_read_timeouts.increment();
                     }
                 }
--- a/src/clients/msgpack_rpc/connection.rs
+++ b/src/clients/msgpack_rpc/connection.rs
@@ -1,16 +1,16 @@
 //! One connection of a client: its actor reads calls, passes requests to the core and writes the answers.
 
-use super::answers::{AnswerChannel, AnswerQueue, ErrorName};
-use super::call::parse_request;
-use super::errors::{ConnectionError, ProtocolError};
+mod calls;
+
+use super::answers::{AnswerChannel, AnswerQueue};
+use super::errors::{CloseReason, ConnectionError};
 use super::input::Input;
 use super::silence_limits::SilenceLimits;
 use crate::clients::connection_slots::ConnectionSlot;
-use crate::clients::msgpack::{Call, Message};
 use crate::clients::pending::PendingGuard;
 use crate::clients::{Frontend, outcome_counter};
-use crate::core::{AcceptedRequest, Answer, CoreMessage};
-use crate::decision::{Millis, RequestId};
+use crate::core::{Answer, CoreMessage};
+use crate::decision::RequestId;
 use crate::metrics::ClassOutcomes;
 use crate::net;
 use std::collections::HashMap;
@@ -20,9 +20,6 @@
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep_until};
 
-/// Method of the health check; every other method is a class.
-const HEALTH_METHOD: &[u8] = b"health";
-
 /// Answers that the channel from the core holds for each request that may be open.
 const ANSWERS_PER_REQUEST: usize = 2;
 
@@ -79,8 +76,16 @@
 
     /// Serves the connection until it is closed, then withdraws the requests still open on it.
     pub(super) async fn run(mut self) {
-        if self.serve().await.is_ok() {
-            self.close().await;
+        let connection = self.slot.number();
+        match self.serve().await {
+            Ok(reason) => {
+                tracing::debug!(connection, ?reason, "client connection is being closed");
+                self.close().await;
+            }
+            Err(error) => {
+                let open_requests = self.open_requests.len();
+                tracing::debug!(connection, %error, open_requests, "client connection lost");
+            }
         }
         self.answers.close();
         self.set_pending(false);
@@ -105,14 +110,17 @@
     /// # Errors
     ///
     /// If the client has gone or is given up.
-    async fn serve(&mut self) -> Result<(), ConnectionError> {
+    async fn serve(&mut self) -> Result<CloseReason, ConnectionError> {
         loop {
             self.answer_queue.flush(&self.stream)?;
             self.update_accounting();
             let idle = self.is_idle();
             let draining = self.is_draining();
-            if idle && (self.input.is_discarding() || self.evicted && self.input.is_empty()) {
-                return Ok(());
+            if idle && self.input.is_discarding() {
+                return Ok(CloseReason::UnreadableInput);
+            }
+            if idle && self.evicted && self.input.is_empty() {
+                return Ok(CloseReason::Evicted);
             }
             let close_at = self.idle_deadline();
             let write_deadline = self.answer_queue.write_deadline();
@@ -126,7 +134,7 @@
                 }
                 () = sleep_until(close_at), if idle => {
                     if self.is_still_silent().await? {
-                        return Ok(());
+                        return Ok(CloseReason::Silent);
                     }
                 }
                 () = sleep_until(write_deadline), if !self.answer_queue.is_empty() => {
@@ -136,7 +144,7 @@
                 // While draining, a message that has begun is waited for, within its own time limit.
                 () = self.slot.asked_to_leave(), if idle && (self.input.is_empty() || !draining) => {
                     if self.may_leave(draining).await? {
-                        return Ok(());
+                        return Ok(if draining { CloseReason::Draining } else { CloseReason::Evicted });
                     }
                 }
             }
@@ -237,6 +245,13 @@
         let handled = self.handle_messages().await;
         let within_memory = self.input.update_reservation();
         if handled.is_err() || !within_memory {
+            let (connection, error) = (self.slot.number(), handled.err());
+            tracing::debug!(
+                connection,
+                ?error,
+                within_memory,
+                "client connection is read no further"
+            );
             // Earlier calls are answered before the close. Closing at once, with bytes unread, would reset the
             // connection and lose answers on their way.
             self.frontend.metrics.client_malformed.increment();
@@ -245,121 +260,6 @@
         Ok(())
     }
 
-    async fn handle_messages(&mut self) -> Result<(), ProtocolError> {
-        let now_ms = self.frontend.core.now();
-        while let Some(message) = self.input.next_message()? {
-            match message {
-                Message::Call(call) => self.handle_call(now_ms, call).await?,
-                Message::Cancel { id } => self.cancel(id).await,
-                Message::UnknownNotification => {
-                    self.frontend.metrics.client_bad_calls.increment();
-                    self.count_bad_call()?;
-                }
-            }
-        }
-        self.input.messages_exhausted(self.last_message_id > 0);
-        Ok(())
-    }
-
-    async fn handle_call(&mut self, now_ms: Millis, call: Call) -> Result<(), ProtocolError> {
-        let message_id = call.id;
-        self.record_call(message_id)?;
-        if call.method.as_ref() == HEALTH_METHOD {
-            self.slot.mark_proven();
-            let accepts_requests = !self.is_draining();
-            self.answer_queue.push_health(message_id, accepts_requests);
-            return Ok(());
-        }
-        let outcomes = self.frontend.class_outcomes(&call.method);
-        let client = self.answer_channel.clone();
-        match parse_request(&self.frontend, now_ms, call, client) {
-            Ok(request) if self.has_request_capacity() => {
-                let outcomes = outcomes.unwrap_or_default();
-                self.submit(request, message_id, outcomes).await;
-                Ok(())
-            }
-            Ok(_) => {
-                self.frontend.metrics.client_over_limit.increment();
-                if let Some(class) = outcomes {
-                    class.rejected.increment();
-                }
-                self.answer_queue
-                    .push_error(message_id, ErrorName::Overloaded);
-                self.count_bad_call()
-            }
-            Err(error) => {
-                self.frontend.metrics.client_bad_calls.increment();
-                if let Some(class) = outcomes {
-                    class.failed.increment();
-                }
-                self.answer_queue.push_error(message_id, (&error).into());
-                self.count_bad_call()
-            }
-        }
-    }
-
-    fn record_call(&mut self, message_id: u64) -> Result<(), ProtocolError> {
-        // A repeated id would get two answers, and the client could not tell which call each one is for.
-        if message_id <= self.last_message_id {
-            return Err(ProtocolError::MessageIdNotRising {
-                id: message_id,
-                last: self.last_message_id,
-            });
-        }
-        self.last_message_id = message_id;
-        self.slot.record_call();
-        self.idle_since = Instant::now();
-        self.input.call_completed();
-        if std::mem::take(&mut self.evicted) {
-            self.slot.stay();
-        }
-        Ok(())
-    }
-
-    fn has_request_capacity(&self) -> bool {
-        self.open_requests.len() < self.frontend.limits.open_requests_per_client
-    }
-
-    async fn submit(
-        &mut self,
-        request: AcceptedRequest,
-        message_id: u64,
-        outcomes: Arc<ClassOutcomes>,
-    ) {
-        let open_request = OpenRequest {
-            message_id,
-            outcomes,
-        };
-        self.open_requests.insert(request.id, open_request);
-        self.update_accounting();
-        let message = CoreMessage::Request(request);
-        self.frontend.core.send(message).await;
-    }
-
-    /// Withdraws the request of a call, if it is still open.
-    async fn cancel(&mut self, message_id: u64) {
-        let id = self
-            .open_requests
-            .iter()
-            .find(|(_, request)| request.message_id == message_id)
-            .map(|(id, _)| *id);
-        if let Some(id) = id {
-            self.open_requests.remove(&id);
-            let message = CoreMessage::ClientDisconnected(id);
-            self.frontend.core.send(message).await;
-        }
-    }
-
-    /// Limits bad calls: a client that sends them as fast as they are answered would keep the process busy.
-    fn count_bad_call(&mut self) -> Result<(), ProtocolError> {
-        self.bad_calls += 1;
-        let limit = self.frontend.limits.client_bad_calls;
-        if self.bad_calls > limit {
-            return Err(ProtocolError::TooManyBadCalls { limit });
-        }
-        Ok(())
-    }
-
     /// Queues the core's answer to a request, unless the client has cancelled it.
     fn handle_answer(&mut self, id: RequestId, answer: &Answer) {
         let Some(request) = self.open_requests.remove(&id) else {
--- /dev/null
+++ b/src/clients/msgpack_rpc/connection/calls.rs
@@ -0,0 +1,147 @@
+//! What a connection does with the calls of its client: requests go to the core, the others are answered at once.
+
+use super::{Connection, OpenRequest};
+use crate::clients::msgpack::{Call, Message};
+use crate::clients::msgpack_rpc::answers::ErrorName;
+use crate::clients::msgpack_rpc::call::parse_request;
+use crate::clients::msgpack_rpc::errors::ProtocolError;
+use crate::core::{AcceptedRequest, CoreMessage};
+use crate::decision::Millis;
+use crate::log::lossy_text;
+use crate::metrics::ClassOutcomes;
+use std::sync::Arc;
+use tokio::time::Instant;
+
+/// Method of the health check; every other method is a class.
+const HEALTH_METHOD: &[u8] = b"health";
+
+impl Connection {
+    pub(super) async fn handle_messages(&mut self) -> Result<(), ProtocolError> {
+        let now_ms = self.frontend.core.now();
+        while let Some(message) = self.input.next_message()? {
+            match message {
+                Message::Call(call) => self.handle_call(now_ms, call).await?,
+                Message::Cancel { id } => self.cancel(id).await,
+                Message::UnknownNotification => {
+                    self.frontend.metrics.client_bad_calls.increment();
+                    self.count_bad_call()?;
+                }
+            }
+        }
+        self.input.messages_exhausted(self.last_message_id > 0);
+        Ok(())
+    }
+
+    async fn handle_call(&mut self, now_ms: Millis, call: Call) -> Result<(), ProtocolError> {
+        let message_id = call.id;
+        self.record_call(message_id)?;
+        if call.method.as_ref() == HEALTH_METHOD {
+            self.slot.mark_proven();
+            let accepts_requests = !self.is_draining();
+            self.answer_queue.push_health(message_id, accepts_requests);
+            return Ok(());
+        }
+        let outcomes = self.frontend.class_outcomes(&call.method);
+        let client = self.answer_channel.clone();
+        match parse_request(&self.frontend, now_ms, call, client) {
+            Ok(request) if self.has_request_capacity() => {
+                let outcomes = outcomes.unwrap_or_default();
+                self.submit(request, message_id, outcomes).await;
+                Ok(())
+            }
+            Ok(_) => {
+                self.log_refused_call(message_id, &"too many open requests");
+                self.frontend.metrics.client_over_limit.increment();
+                if let Some(class) = outcomes {
+                    class.rejected.increment();
+                }
+                self.answer_queue
+                    .push_error(message_id, ErrorName::Overloaded);
+                self.count_bad_call()
+            }
+            Err(error) => {
+                self.log_refused_call(message_id, &error);
+                self.frontend.metrics.client_bad_calls.increment();
+                if let Some(class) = outcomes {
+                    class.failed.increment();
+                }
+                self.answer_queue.push_error(message_id, (&error).into());
+                self.count_bad_call()
+            }
+        }
+    }
+
+    fn log_refused_call(&self, message_id: u64, reason: &dyn std::fmt::Display) {
+        let connection = self.slot.number();
+        tracing::debug!(connection, message_id, %reason, "call refused");
+    }
+
+    fn record_call(&mut self, message_id: u64) -> Result<(), ProtocolError> {
+        // A repeated id would get two answers, and the client could not tell which call each one is for.
+        if message_id <= self.last_message_id {
+            return Err(ProtocolError::MessageIdNotRising {
+                id: message_id,
+                last: self.last_message_id,
+            });
+        }
+        self.last_message_id = message_id;
+        self.slot.record_call();
+        self.idle_since = Instant::now();
+        self.input.call_completed();
+        if std::mem::take(&mut self.evicted) {
+            self.slot.stay();
+        }
+        Ok(())
+    }
+
+    fn has_request_capacity(&self) -> bool {
+        self.open_requests.len() < self.frontend.limits.open_requests_per_client
+    }
+
+    async fn submit(
+        &mut self,
+        request: AcceptedRequest,
+        message_id: u64,
+        outcomes: Arc<ClassOutcomes>,
+    ) {
+        let open_request = OpenRequest {
+            message_id,
+            outcomes,
+        };
+        tracing::debug!(
+            id = request.id,
+            r#ref = %lossy_text(&request.client_reference),
+            connection = self.slot.number(),
+            message_id,
+            "request read"
+        );
+        self.open_requests.insert(request.id, open_request);
+        self.update_accounting();
+        let message = CoreMessage::Request(request);
+        self.frontend.core.send(message).await;
+    }
+
+    /// Withdraws the request of a call, if it is still open.
+    async fn cancel(&mut self, message_id: u64) {
+        let id = self
+            .open_requests
+            .iter()
+            .find(|(_, request)| request.message_id == message_id)
+            .map(|(id, _)| *id);
+        if let Some(id) = id {
+            self.open_requests.remove(&id);
+            let message = CoreMessage::ClientDisconnected(id);
+            self.frontend.core.send(message).await;
+        }
+    }
+
+    /// Limits bad calls: a client that sends them as fast as they are answered would keep the process busy.
+    fn count_bad_call(&mut self) -> Result<(), ProtocolError> {
+        self.bad_calls += 1;
+        let limit = self.frontend.limits.client_bad_calls;
+        if self.bad_calls > limit {
+            return Err(ProtocolError::TooManyBadCalls { limit });
+        }
+        Ok(())
+    }
+}
--- a/src/clients/msgpack_rpc/errors.rs
+++ b/src/clients/msgpack_rpc/errors.rs
@@ -2,6 +2,19 @@
 
 use crate::clients::msgpack::MessageError;
 
+/// Why a connection is closed in order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum CloseReason {
+    /// Its last message could not be understood, and the calls before it are answered.
+    UnreadableInput,
+    /// Another connection needs its slot.
+    Evicted,
+    /// The client sent nothing, or nothing complete, for too long.
+    Silent,
+    /// Clients are asked to leave.
+    Draining,
+}
+
 /// Why a connection is dropped without an orderly close.
 #[derive(Debug, thiserror::Error)]
 pub(super) enum ConnectionError {
--- a/src/clients/msgpack_rpc/listener.rs
+++ b/src/clients/msgpack_rpc/listener.rs
@@ -27,7 +27,8 @@
                 tokio::task::yield_now().await;
             }
             // Out of descriptors, or the client left before it was accepted: neither ends the listener.
-            Err(_) => {
+            Err(error) => {
+                tracing::debug!(%error, "client not accepted");
                 slots.evict_idle();
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             }
@@ -42,6 +43,7 @@
         let metrics = frontend.metrics.clone();
         metrics.client_connections.increment();
         metrics.client_connections_open.increment();
+        tracing::debug!(connection = slot.number(), "client connection accepted");
         Connection::new(stream, slot, frontend).run().await;
         metrics.client_connections_open.decrement();
     });
--- a/src/core/admission.rs
+++ b/src/core/admission.rs
@@ -9,6 +9,7 @@
 use crate::retry_policy::{AttemptPolicy, RequestAttributes};
 
 /// Why a request is not admitted. Nothing of it has run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum AdmissionError {
     /// The process ends before it could be answered.
     ShuttingDown,
@@ -26,7 +27,7 @@
         self.metrics.requests_accepted.increment();
         match self.check_admission(now, &accepted) {
             Ok(policy) => self.open_request(now, accepted, policy),
-            Err(error) => self.refuse_request(&accepted, &error),
+            Err(error) => self.refuse_request(&accepted, error),
         }
     }
 
@@ -65,7 +66,13 @@
         }))
     }
 
-    fn refuse_request(&self, accepted: &AcceptedRequest, error: &AdmissionError) {
+    fn refuse_request(&self, accepted: &AcceptedRequest, error: AdmissionError) {
+        tracing::debug!(
+            id = accepted.id,
+            r#ref = %crate::log::lossy_text(&accepted.client_reference),
+            reason = ?error,
+            "request not admitted"
+        );
         let cause: Option<&Counter> = match error {
             AdmissionError::DuplicateReference => Some(&self.metrics.client_bad_calls),
             AdmissionError::OverLimit => Some(&self.metrics.client_over_limit),
@@ -119,6 +126,7 @@
     /// The client disconnected: it is owed nothing, and its attempt is cancelled at once to free the engine.
     pub(super) fn client_disconnected(&mut self, now: Millis, id: RequestId) {
         if self.close_request(now, id, Outcome::Cancelled).is_some() {
+            tracing::debug!(id, "request withdrawn by its client");
             self.metrics.client_disconnects.increment();
             self.notify_dispatcher(now, Event::ClientDisconnected { id });
         }
--- a/src/core/attempt_end.rs
+++ b/src/core/attempt_end.rs
@@ -225,6 +225,7 @@
             return;
         };
         let (engine, attempt) = (in_flight.engine, in_flight.number);
+        tracing::debug!(id, %engine, attempt, ?outcome, "attempt is being cancelled");
         request.cancellation.cancel();
         let retry_may_follow = !request.answered;
         self.send_cancellation(now, engine, id, attempt, retry_may_follow);
@@ -263,6 +264,7 @@
         if now - cancellation.since_ms < self.limits.cancellation_timeout_ms {
             return self.send_cancellation(now, engine, id, attempt, !answered);
         }
+        tracing::debug!(id, %engine, attempt, "cancellation not confirmed in time");
         self.metrics.cancellations_timed_out.increment();
         if !answered && !streaming {
             self.fail_and_drop(now, id, FailureReason::AttemptFailed);
@@ -293,7 +295,7 @@
         } else {
             self.metrics.requests_failed.increment();
         }
-        tracing::debug!(id, ?outcome, rejected, "request answered");
+        tracing::debug!(id, ?answer, attempt_outcome = ?outcome, "request answered");
         client.answer(id, answer);
     }
 
--- a/src/core/attempt_start.rs
+++ b/src/core/attempt_start.rs
@@ -9,6 +9,7 @@
 };
 use crate::attempt::SentTo;
 use crate::decision::{AttemptEnded, DedupScope, EngineId, Idempotency, LoadReport};
+use crate::log::lossy_text;
 
 /// A retry with an idempotency key is written this long before engines may have forgotten the first attempt, in ms.
 const DEDUP_MARGIN_MS: Millis = 1.0;
@@ -33,16 +34,16 @@
         };
         // One attempt at a time, counting one in backoff; no second run of a non-idempotent request; none beyond the
         // limit; none for an answered request.
-        let number = request
-            .history
-            .next_attempt(resend_allowed, max_attempts)
-            .ok()
-            .filter(|_| !request.answered && request.backoff.is_none());
-        let Some(number) = number else {
+        let numbered = request.history.next_attempt(resend_allowed, max_attempts);
+        let is_due = !request.answered && request.backoff.is_none();
+        let Some(number) = numbered.ok().filter(|_| is_due) else {
+            let denied = numbered.err();
+            tracing::debug!(id, %engine, ?denied, is_due, "attempt blocked by a guard");
             self.metrics.sends_blocked_by_guard.increment();
             return Err(Outcome::NotSent);
         };
         if !engine_accepts {
+            tracing::debug!(id, %engine, attempt = number, "attempt blocked: its engine takes none");
             self.metrics.sends_blocked_by_guard.increment();
             return Err(Outcome::NoConnection);
         }
@@ -144,7 +145,15 @@
         request
             .history
             .record_sent(number, engine, SentTo { zone, cell, at_ms });
-        tracing::debug!(id, %engine, attempt = number, deadline_ms, "attempt sent");
+        tracing::debug!(
+            id,
+            r#ref = %lossy_text(&request.accepted.client_reference),
+            %engine,
+            attempt = number,
+            after = ?request.last_end.map(|end| end.outcome),
+            deadline_ms,
+            "attempt sent"
+        );
         self.metrics.attempts_started.increment();
         self.set_attempt_timers(now, id, number, policy_timeout_ms);
         Ok(())
--- a/src/core/dispatch.rs
+++ b/src/core/dispatch.rs
@@ -49,13 +49,19 @@
                 memory_mb,
                 priority,
             } => self.set_attempt_terms(id, memory_mb, priority),
-            Action::Reject { id, retry_after_ms } => self.reject_request(now, id, retry_after_ms),
-            Action::Fail { id } => self.answer_client(
-                now,
+            Action::Reject {
                 id,
-                Answer::Failed(FailureReason::AttemptFailed),
-                Outcome::Cancelled,
-            ),
+                retry_after_ms,
+                reason,
+            } => {
+                tracing::debug!(id, ?reason, retry_after_ms, "dispatcher rejects a request");
+                self.reject_request(now, id, retry_after_ms);
+            }
+            Action::Fail { id, reason } => {
+                tracing::debug!(id, ?reason, "dispatcher fails a request");
+                let answer = Answer::Failed(FailureReason::AttemptFailed);
+                self.answer_client(now, id, answer, Outcome::Cancelled);
+            }
             Action::CancelAttempt { id, attempt } => self.cancel_attempt(now, id, attempt),
             Action::SetTimer { after_ms, token } => {
                 self.set_timer(now + after_ms.max(1.0), Timer::Dispatcher(token));
--- a/src/core/retry/tests.rs
+++ b/src/core/retry/tests.rs
@@ -7,7 +7,9 @@
 use crate::decision::EngineId;
 use crate::decision::EngineState;
 use crate::decision::ListUpdateKind;
+use crate::log::capture::LogCapture;
 use crate::node_config::{EndpointListEvent, EngineRecord, engine_id};
+use crate::operator_config::text::{LogFormat, LogLevel};
 use crate::operator_config::{self, PlatformConstraints};
 use crate::settings_json::{self, NamedClass};
 use bytes::Bytes;
@@ -358,61 +360,23 @@
     );
 }
 
-/// A writer of log lines into a shared buffer.
-#[derive(Clone, Default)]
-struct LogBuffer(Arc<Mutex<Vec<u8>>>);
-
-impl std::io::Write for LogBuffer {
-    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
-        self.0.lock().expect("lines").extend_from_slice(bytes);
-        Ok(bytes.len())
-    }
-    fn flush(&mut self) -> std::io::Result<()> {
-        Ok(())
-    }
-}
-
 #[test]
 fn each_retry_decision_is_logged_at_debug_and_not_at_info() {
-    let lines = LogBuffer::default();
-    // With a single subscriber, a callsite that another test's thread reaches first is disabled for all threads.
-    let _second = tracing::Dispatch::new(
-        tracing_subscriber::fmt()
-            .with_writer(std::io::sink)
-            .finish(),
-    );
     let run_at = |level| {
-        let writer = lines.clone();
-        let json = tracing_subscriber::fmt()
-            .json()
-            .with_writer(move || writer.clone());
-        let subscriber = json.with_max_level(level).finish();
-        tracing::subscriber::with_default(subscriber, || {
-            let mut bench = TestBench::new(
-                "version = 1\n[attempts.default]\nmax_attempts = 2\nretry_on = [\"full\"]\n",
-            );
-            bench.take(0.0, 1, 0);
-            bench.ends(10.0, Outcome::Rejected);
-            bench.ends(20.0, Outcome::Error);
-        })
-    };
-    run_at(tracing::Level::INFO);
-    assert!(
-        lines.0.lock().expect("lines").is_empty(),
-        "nothing at the default level"
-    );
-    run_at(tracing::Level::DEBUG);
-    let text = String::from_utf8(lines.0.lock().expect("lines").clone()).expect("text");
-    let events: Vec<serde_json::Value> = text
-        .lines()
-        .map(|l| serde_json::from_str(l).expect("JSON"))
-        .collect();
-    let count = |what: &str| {
-        events
-            .iter()
-            .filter(|e| e["fields"]["message"] == what)
-            .count()
+        let log = LogCapture::new(level, LogFormat::Json);
+        let mut bench = TestBench::new(
+            "version = 1\n[attempts.default]\nmax_attempts = 2\nretry_on = [\"full\"]\n",
+        );
+        bench.take(0.0, 1, 0);
+        bench.ends(10.0, Outcome::Rejected);
+        bench.ends(20.0, Outcome::Error);
+        log
     };
+    let log = run_at(LogLevel::Info);
+    assert_eq!(log.text(), "", "nothing at the default level");
+    drop(log);
+    let log = run_at(LogLevel::Debug);
+    let count = |message: &str| log.events(message).len();
     assert_eq!(
         (
             count("request admitted"),
@@ -421,17 +385,21 @@
             count("request answered")
         ),
         (1, 2, 2, 1),
-        "{text}"
+        "{}",
+        log.text()
     );
-    let taken = events
-        .iter()
-        .find(|e| e["fields"]["message"] == "request admitted")
-        .expect("admitted");
+    let admitted = &log.events("request admitted")[0];
     assert_eq!(
-        (
-            taken["fields"]["class"].as_str(),
-            taken["fields"]["ref"].as_str()
-        ),
+        (admitted["class"].as_str(), admitted["ref"].as_str()),
         (Some("seat-check"), Some("0000000000000001"))
     );
+    let sent = log.events("attempt sent");
+    assert_eq!(
+        (sent[0]["after"].as_str(), sent[1]["after"].as_str()),
+        (Some("None"), Some("Some(Rejected)")),
+        "a retry names the outcome that it follows"
+    );
+    let rejected = log.events("dispatcher rejects a request");
+    assert_eq!(rejected.len(), 1, "{}", log.text());
+    assert_eq!(rejected[0]["reason"], "NoRetryAllowed");
 }
--- a/src/decision/admission.rs
+++ b/src/decision/admission.rs
@@ -1,7 +1,7 @@
 //! Admission and load shedding: which requests enter the queue, and which are rejected before their time.
 
 use super::requests::QueuedRequest;
-use super::{Action, DedupScope, Dispatcher, Idempotency, Request, RequestId};
+use super::{Action, DedupScope, Dispatcher, EndReason, Idempotency, Request, RequestId};
 use super::{health_checks::AwaitedHealthChecks, outlier_ejection::MAX_FAILING_ENGINES};
 
 /// Time in ms before its client's deadline at which a waiting request is ended.
@@ -44,7 +44,8 @@
         self.retry_window.record_request(self.now_ms, budget);
         self.traffic.record_request();
         let Some(queued) = self.admit(request) else {
-            return actions.push(Action::Fail { id });
+            let reason = EndReason::UnknownClass;
+            return actions.push(Action::Fail { id, reason });
         };
         self.queue.insert(queued.arrival_number, id);
         self.requests.insert(id, queued);
@@ -54,7 +55,7 @@
         self.dispatch_queue(actions);
         // A client with little patience may be gone before the next tick (18f1f014: no answer in its time).
         if self.cannot_meet_deadline(id) {
-            self.reject_or_fail(id, actions);
+            self.reject_or_fail(id, EndReason::TooLate, actions);
         }
     }
 
@@ -135,7 +136,7 @@
             let Some(candidate) = backlog.cheapest.filter(|_| is_too_long) else {
                 return;
             };
-            self.reject_or_fail(candidate.id, actions);
+            self.reject_or_fail(candidate.id, EndReason::LoadShed, actions);
         }
     }
 
@@ -182,7 +183,12 @@
     }
 
     /// Gives the final answer at once: rejected with a `Retry-After` where the rules allow, else failed.
-    pub(super) fn reject_or_fail(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+    pub(super) fn reject_or_fail(
+        &mut self,
+        id: RequestId,
+        reason: EndReason,
+        actions: &mut Vec<Action>,
+    ) {
         let Some(request) = self.requests.get(&id) else {
             return;
         };
@@ -191,9 +197,13 @@
         let fails_everywhere = request.failed_on.len() >= MAX_FAILING_ENGINES;
         if self.may_reject(request) && client_waits && !fails_everywhere {
             let retry_after_ms = self.retry_after_ms();
-            actions.push(Action::Reject { id, retry_after_ms });
+            actions.push(Action::Reject {
+                id,
+                retry_after_ms,
+                reason,
+            });
         } else {
-            actions.push(Action::Fail { id });
+            actions.push(Action::Fail { id, reason });
         }
         self.finish(id);
     }
--- a/src/decision/attempt_end.rs
+++ b/src/decision/attempt_end.rs
@@ -5,7 +5,9 @@
 };
 use super::health_checks::FailureCause;
 use super::requests::{FirstExecution, InFlightAttempt};
-use super::{Action, AttemptEnded, Dispatcher, Engine, EngineId, Millis, Outcome, RequestId};
+use super::{
+    Action, AttemptEnded, Dispatcher, EndReason, Engine, EngineId, Millis, Outcome, RequestId,
+};
 use super::{TICK_MS, class_statistics::MIN_WORK_MS};
 
 /// Least latency of an attempt that is learned from, in ms.
@@ -72,13 +74,23 @@
         }
         // It keeps its place in the order of arrival.
         self.queue.insert(arrival_number, id);
-        let cannot_go_on = ended.outcome == Outcome::NotSent || !self.may_resend(id);
-        if cannot_go_on || self.cannot_meet_deadline(id) {
-            return self.reject_or_fail(id, actions);
+        if let Some(reason) = self.reason_to_end(id, ended.outcome) {
+            return self.reject_or_fail(id, reason, actions);
         }
         self.send_health_checks(id, actions);
     }
 
+    /// Why a request whose attempt ended this way gets no other one; none where it waits for a retry.
+    fn reason_to_end(&self, id: RequestId, outcome: Outcome) -> Option<EndReason> {
+        if outcome == Outcome::NotSent {
+            return Some(EndReason::NotSent);
+        }
+        if !self.may_resend(id) {
+            return Some(EndReason::NoRetryAllowed);
+        }
+        self.cannot_meet_deadline(id).then_some(EndReason::TooLate)
+    }
+
     /// Threads a core on an engine, 1 at least.
     fn crowding(&self, engine_id: EngineId) -> f64 {
         self.engines.get(&engine_id).map_or(1.0, |engine| {
--- a/src/decision/events.rs
+++ b/src/decision/events.rs
@@ -178,6 +178,21 @@
     },
 }
 
+/// Why the dispatcher ends a request that no attempt has served.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndReason {
+    /// The settings have no such class.
+    UnknownClass,
+    /// It would come too late: for its latency objective, or for its client.
+    TooLate,
+    /// The backlog is too large, and it weighs least for its work.
+    LoadShed,
+    /// Its last attempt was not sent, and the host allows no other.
+    NotSent,
+    /// Its last attempt failed, and no other may follow.
+    NoRetryAllowed,
+}
+
 /// What the host is to do, in this order.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
@@ -205,11 +220,15 @@
         id: RequestId,
         /// `Retry-After`; 0 for none.
         retry_after_ms: Millis,
+        /// Why.
+        reason: EndReason,
     },
     /// Final answer: failed; it may have run.
     Fail {
         /// Which request.
         id: RequestId,
+        /// Why.
+        reason: EndReason,
     },
     /// Cancel an attempt in flight.
     CancelAttempt {
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -39,7 +39,8 @@
 
 pub use endpoint_list::{EngineEntry, EngineId, EngineSharing, EngineState, ListUpdateKind};
 pub use events::{
-    Action, AttemptEnded, Event, LoadReport, Millis, Outcome, Progress, Request, RequestId,
+    Action, AttemptEnded, EndReason, Event, LoadReport, Millis, Outcome, Progress, Request,
+    RequestId,
 };
 pub use settings::{
     Class, DedupScope, Idempotency, LoadReportMode, ReplacedSettings, RetryBudget, Settings,
@@ -261,7 +262,7 @@
             .filter(|id| self.cannot_meet_deadline(*id))
             .collect();
         for id in late {
-            self.reject_or_fail(id, actions);
+            self.reject_or_fail(id, EndReason::TooLate, actions);
         }
         self.shed_load(actions);
     }
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -50,6 +50,7 @@
             change = feed.changed() => Some(change),
             result = session::run(address, &mut last_event, &context) => {
                 let Err(error) = result;
+                tracing::debug!(feed = %address, last_event, %error, "connection to the feed failed");
                 count_failure(&error, &context.metrics);
                 let made_progress = last_event > event_before;
                 backoff = if made_progress { first_backoff } else { (backoff * 2).min(max_backoff) };
--- a/src/discovery/session.rs
+++ b/src/discovery/session.rs
@@ -43,6 +43,7 @@
     let limits = &context.limits;
     let mut stream = timeout(limits.feed_connect_timeout, TcpStream::connect(feed)).await??;
     context.metrics.feed_connections.increment();
+    tracing::debug!(%feed, last_event = *last_event, "connected to the feed");
     stream.write_all(&last_event.to_be_bytes()).await?;
     let mut buffer = Vec::new();
     loop {
--- a/src/engines/connection_slots.rs
+++ b/src/engines/connection_slots.rs
@@ -164,6 +164,11 @@
 }
 
 impl ConnectionSlot {
+    /// Names the connection in the log: no other connection of this process, to whatever engine, has this number.
+    pub(super) fn number(&self) -> u64 {
+        self.id
+    }
+
     /// Resolves once the slot has its descriptor, so that a socket may be opened. To be awaited once.
     pub(super) fn descriptor_ready(&mut self) -> impl Future<Output = ()> + Send + 'static {
         let descriptor_freed = self.descriptor_freed.take();
--- a/src/engines/flight/attempt.rs
+++ b/src/engines/flight/attempt.rs
@@ -48,7 +48,14 @@
     };
     let (outcome, body) = match result {
         Ok(body) => (Outcome::Ok, body),
-        Err(failure) => (failure.outcome(), None),
+        Err(failure) => {
+            let AttemptId {
+                request: id,
+                number: attempt,
+            } = attempt;
+            tracing::debug!(id, attempt, engine = %link.engine(), %failure, "attempt failed at its engine");
+            (failure.outcome(), None)
+        }
     };
     if matches!(outcome, Outcome::Reset | Outcome::NoConnection) {
         // The next attempt opens a new connection, and so knows for sure whether it was sent.
--- a/src/engines/flight/engine_link.rs
+++ b/src/engines/flight/engine_link.rs
@@ -78,6 +78,10 @@
         }
     }
 
+    pub(super) fn engine(&self) -> EngineId {
+        self.engine
+    }
+
     pub(super) fn address(&self) -> SocketAddr {
         self.address
     }
--- a/src/engines/line_protocol/connection.rs
+++ b/src/engines/line_protocol/connection.rs
@@ -8,6 +8,7 @@
 mod attempt_ends;
 mod attempt_queue;
 mod cancellations;
+mod events_log;
 mod result_pages;
 mod timers;
 
@@ -49,12 +50,25 @@
     CancellationTimeout,
 }
 
+/// Why a connection is closed without a fault of its own.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CloseReason {
+    ClosedByEngine,
+    /// Its engine was removed from the list, and its attempts did not end within the grace for that.
+    EngineRemoved,
+    /// Its engine takes no attempts, and it carries none.
+    EngineClosed,
+    /// Its descriptor is needed for another connection.
+    Evicted,
+    Idle,
+}
+
 /// Whether a connection goes on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Flow {
     Continue,
     /// It is to be closed, without a fault.
-    Close,
+    Close(CloseReason),
 }
 
 /// An attempt that is written, or being written, to this connection.
@@ -76,6 +90,8 @@
 /// The state of the actor.
 pub(super) struct Connection {
     engine: EngineId,
+    /// Names it in the log.
+    number: u64,
     context: EngineContext,
     admission: Arc<Admission>,
     load: Arc<ConnectionLoad>,
@@ -106,6 +122,7 @@
 impl Connection {
     pub(super) fn new(
         engine: EngineId,
+        number: u64,
         mailbox: mpsc::Receiver<EngineMessage>,
         unsent_attempts: UnsentAttempts,
         load: Arc<ConnectionLoad>,
@@ -114,6 +131,7 @@
     ) -> Connection {
         Connection {
             engine,
+            number,
             context,
             admission,
             load,
@@ -141,6 +159,7 @@
         if let Some(stream) = stream {
             self.serve_and_close(stream, &slot).await;
         }
+        self.log_left_attempts();
         self.mailbox.close();
         self.receive_waiting_messages();
         self.give_back_queued(was_connected);
@@ -169,7 +188,7 @@
         let mut connecting = Box::pin(timeout(connect_timeout, connect));
         loop {
             tokio::select! {
-                connected = &mut connecting => return connected.ok().and_then(Result::ok),
+                connected = &mut connecting => return self.log_connected(connected),
                 () = slot.evicted() => return None,
                 Some(message) = self.mailbox.recv() => self.handle_message(message),
             }
@@ -183,8 +202,15 @@
     async fn serve_and_close(&mut self, stream: TcpStream, slot: &ConnectionSlot) {
         let _ = stream.set_nodelay(true);
         self.context.metrics.engine_connections.increment();
-        if let Err(error) = self.serve(&stream, slot).await {
-            self.count_error(&error);
+        let (engine, connection) = (self.engine, self.number);
+        match self.serve(&stream, slot).await {
+            Ok(reason) => {
+                tracing::debug!(%engine, connection, ?reason, "connection to an engine closed");
+            }
+            Err(error) => {
+                tracing::debug!(%engine, connection, %error, "connection to an engine failed");
+                self.count_error(&error);
+            }
         }
         // The ends that are reported next assume that the engine gets no more of the output than it has by now: a
         // reset discards what the kernel still holds.
@@ -202,15 +228,15 @@
         }
     }
 
-    /// Serves until the connection is to be closed.
+    /// Serves until the connection is to be closed, for the reason returned.
     async fn serve(
         &mut self,
         stream: &TcpStream,
         slot: &ConnectionSlot,
-    ) -> Result<(), ConnectionError> {
+    ) -> Result<CloseReason, ConnectionError> {
         loop {
-            if self.check_idle_connection(stream).await? == Flow::Close {
-                return Ok(());
+            if let Flow::Close(reason) = self.check_idle_connection(stream).await? {
+                return Ok(reason);
             }
             self.receive_waiting_messages();
             self.write_next_attempt();
@@ -221,10 +247,10 @@
                 continue;
             }
             if self.is_idle() && self.admission.is_closed() {
-                return Ok(());
+                return Ok(CloseReason::EngineClosed);
             }
-            if self.wait_for_event(stream, slot).await? == Flow::Close {
-                return Ok(());
+            if let Flow::Close(reason) = self.wait_for_event(stream, slot).await? {
+                return Ok(reason);
             }
             self.report_ended().await;
         }
@@ -256,7 +282,7 @@
                 }
             },
             ready = stream.writable(), if !self.output.is_empty() => ready?,
-            () = slot.evicted() => return Ok(Flow::Close),
+            () = slot.evicted() => return Ok(Flow::Close(CloseReason::Evicted)),
             () = sleep_until(wake_at) => return self.handle_timers(&timers, Instant::now()),
         }
         Ok(Flow::Continue)
@@ -281,7 +307,7 @@
         self.handle_input().await?;
         match is_open? {
             true => Ok(Flow::Continue),
-            false => Ok(Flow::Close),
+            false => Ok(Flow::Close(CloseReason::ClosedByEngine)),
         }
     }
 
@@ -313,8 +339,11 @@
 
     /// Acts on the timers that are due.
     fn handle_timers(&mut self, timers: &Timers, now: Instant) -> Result<Flow, ConnectionError> {
-        if is_due(timers.removal, now) || is_due(timers.idle, now) {
-            return Ok(Flow::Close);
+        if is_due(timers.removal, now) {
+            return Ok(Flow::Close(CloseReason::EngineRemoved));
+        }
+        if is_due(timers.idle, now) {
+            return Ok(Flow::Close(CloseReason::Idle));
         }
         // An engine that reads nothing, or answers nothing, would keep the attempt in flight for ever.
         if is_due(timers.cancellation, now) {
--- a/src/engines/line_protocol/connection/answers.rs
+++ b/src/engines/line_protocol/connection/answers.rs
@@ -1,5 +1,6 @@
 //! What a connection does with the answers of its engine: ends of attempts, pages of results and progress reports.
 
+use super::events_log::IgnoredAnswer;
 use super::result_pages::{PageInsertion, ResultPages};
 use super::{Connection, ConnectionError, SentAttempt};
 use crate::attempt::{AttemptEnd, never_ran};
@@ -45,18 +46,20 @@
         self.unsent_attempts.reset_failures();
         self.load.record_answer(self.context.core.now());
         if answer.status == AnswerStatus::Confirmed {
-            self.confirm_cancellations(&answer.reference);
+            self.confirm_cancellations(&answer);
             return Ok(());
         }
         let Some(sent) = self.sent.get(&answer.reference) else {
             // The attempt was cancelled meanwhile, or never sent. The connection is good all the same.
-            self.count_unexpected_answer();
+            self.ignore_answer(&answer, IgnoredAnswer::NoSuchAttempt);
             return Ok(());
         };
         let has_pages = sent.pages.is_some();
         match answer.status {
             // An engine may repeat its answer; the copy has no effect.
-            AnswerStatus::Served if has_pages => self.count_unexpected_answer(),
+            AnswerStatus::Served if has_pages => {
+                self.ignore_answer(&answer, IgnoredAnswer::RepeatedResult);
+            }
             AnswerStatus::Served => self.handle_first_page(&answer).await?,
             AnswerStatus::Page => self.handle_further_page(&answer).await?,
             AnswerStatus::Progress => self.handle_progress(&answer).await,
@@ -103,14 +106,14 @@
     async fn handle_further_page(&mut self, answer: &Answer) -> Result<(), ConnectionError> {
         let sent = self.sent.get_mut(&answer.reference);
         let pages = sent.and_then(|sent| sent.pages.as_mut());
-        let (Some(pages), Some(number)) = (pages, answer.whole_number("batch")) else {
-            self.count_unexpected_answer();
+        let number = answer.whole_number("batch");
+        let wanted = pages
+            .zip(number)
+            .filter(|(pages, number)| pages.is_missing(*number));
+        let Some((pages, number)) = wanted else {
+            self.ignore_answer(answer, IgnoredAnswer::UnexpectedPage);
             return Ok(());
         };
-        if !pages.is_missing(number) {
-            self.count_unexpected_answer();
-            return Ok(());
-        }
         answer.check_page()?;
         match pages.insert(number, answer.body.clone(), &self.context.limits) {
             PageInsertion::TooLarge => self.release_result(&answer.reference, Outcome::Error),
@@ -139,6 +142,9 @@
         };
         let was_cancelled = sent.state.is_cancelling();
         let end = sent.state.answered(!never_ran(outcome));
+        if let Some(sent) = self.sent.get(&answer.reference) {
+            self.log_final_answer(answer, sent);
+        }
         let event = if was_cancelled {
             AttemptEvent::Cancelled(end)
         } else {
@@ -154,6 +160,7 @@
             return;
         };
         self.load.end_attempt(ConnectionUse::of(&request));
+        self.log_ended(&request, &event);
         self.context
             .send_event(self.engine, (&*request).into(), report, event)
             .await;
@@ -170,8 +177,9 @@
         }
     }
 
-    /// Counts an answer that nothing asked for, or that was given already.
-    pub(super) fn count_unexpected_answer(&mut self) {
+    /// Passes over an answer that nothing asked for, or that was given already.
+    pub(super) fn ignore_answer(&mut self, answer: &Answer, reason: IgnoredAnswer) {
+        self.log_ignored_answer(answer, reason);
         self.context.metrics.engine_unexpected_answers.increment();
         self.uneventful_answers += self.context.limits.unexpected_answer_weight;
     }
--- a/src/engines/line_protocol/connection/attempt_ends.rs
+++ b/src/engines/line_protocol/connection/attempt_ends.rs
@@ -18,6 +18,7 @@
     /// Counts an attempt off; the core receives its end with the next report.
     pub(super) fn end_attempt(&mut self, request: Box<AttemptRequest>, event: AttemptEvent) {
         self.load.end_attempt(ConnectionUse::of(&request));
+        self.log_ended(&request, &event);
         self.ended.push(AttemptReport { request, event });
     }
 
--- a/src/engines/line_protocol/connection/attempt_queue.rs
+++ b/src/engines/line_protocol/connection/attempt_queue.rs
@@ -72,6 +72,7 @@
     }
 
     fn write_attempt(&mut self, request: Box<AttemptRequest>, now_ms: f64) {
+        self.log_written(&request);
         self.output.push(attempt_line(&request, now_ms));
         self.output.push(request.statement.clone());
         let end_mark = self.output.push(LINE_END);
--- a/src/engines/line_protocol/connection/cancellations.rs
+++ b/src/engines/line_protocol/connection/cancellations.rs
@@ -5,10 +5,12 @@
 //! overtake a cancellation that was merely written. Commands of one connection are read in order, so the answer to a
 //! command that follows the cancellation is that confirmation.
 
+use super::events_log::IgnoredAnswer;
 use super::{Connection, SentAttempt};
 use crate::attempt::{AttemptEnd, AttemptState};
 use crate::core::AttemptEvent;
 use crate::engines::context::{AfterCancellation, AttemptId};
+use crate::engines::line_protocol::answer::Answer;
 use crate::engines::line_protocol::command::Command;
 use crate::limits::Limits;
 use crate::net::Outbox;
@@ -156,10 +158,11 @@
         self.sent.remove(reference)
     }
 
-    /// The engine confirms that it has read all commands up to this tag.
-    pub(super) fn confirm_cancellations(&mut self, tag: &Bytes) {
+    /// The engine confirms that it has read all commands up to a tag.
+    pub(super) fn confirm_cancellations(&mut self, confirmation: &Answer) {
+        let tag = &confirmation.reference;
         let Some(confirmed) = self.cancellations.take_confirmed(tag) else {
-            return self.count_unexpected_answer();
+            return self.ignore_answer(confirmation, IgnoredAnswer::UnknownTag);
         };
         for cancellation in confirmed {
             let sent = self.sent.get_mut(&cancellation.reference);
--- a/src/engines/line_protocol/engine.rs
+++ b/src/engines/line_protocol/engine.rs
@@ -114,6 +114,7 @@
         let (mailbox, messages) = mpsc::channel(self.context.limits.mailbox_messages);
         let connection = Connection::new(
             self.id,
+            slot.number(),
             messages,
             self.unsent_attempts.clone(),
             load.clone(),
--- a/src/engines/line_protocol/tests.rs
+++ b/src/engines/line_protocol/tests.rs
@@ -8,7 +8,9 @@
     EngineTestBench, LARGE, TEST_TIMEOUT, attempt, attempt_with_statement, cancel, is_cancelled,
     is_ended, run_test, start,
 };
+use crate::log::capture::LogCapture;
 use crate::node_config::EngineProtocol;
+use crate::operator_config::text::{LogFormat, LogLevel};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::time::sleep;
@@ -357,3 +359,43 @@
         }
     });
 }
+
+/// The log at `debug` names the connection of each attempt, the answers that have no effect, and why it was closed.
+#[test]
+fn log_names_the_connection_of_each_attempt_and_the_reasons_of_its_events() {
+    run_test(async {
+        let log = LogCapture::new(LogLevel::Debug, LogFormat::Json);
+        let mut bench = EngineTestBench::new(EngineProtocol::Lines).await;
+        bench.send(start(attempt(1))).await;
+        let mut peer = bench.accept().await;
+        // All of it is read: a peer that closes with bytes unread resets the connection.
+        let mut received = Vec::new();
+        while !received.ends_with(b"          \r\n") {
+            assert!(peer.read_buf(&mut received).await.expect("bytes") > 0);
+        }
+        let answers =
+            "00000000000000aa served batches=1 0\r\n\r\n0000000000000001 crashed - 0\r\n\r\n";
+        peer.write_all(answers.as_bytes()).await.expect("answers");
+        assert!(is_ended(&bench.next_event().await, 1, Outcome::Error));
+        drop(peer);
+        let closed = "connection to an engine closed";
+        let is_logged = async {
+            while log.events(closed).is_empty() {
+                tokio::task::yield_now().await;
+            }
+        };
+        let logged = tokio::time::timeout(TEST_TIMEOUT, is_logged).await;
+        logged.unwrap_or_else(|_| panic!("no close in {}", log.text()));
+        let event = |message| log.events(message).remove(0);
+        let number = event("connection to an engine opened")["connection"].clone();
+        assert!(number.is_u64(), "{}", log.text());
+        let handed = event("attempt handed to its connection");
+        assert_eq!((&handed["connection"], &handed["id"]), (&number, &1.into()));
+        let ignored = event("answer ignored");
+        assert_eq!(ignored["reason"], "NoSuchAttempt");
+        assert_eq!(event("answer without a result")["status"], "Failed");
+        let ended = event("attempt ended on its connection");
+        assert_eq!((&ended["connection"], &ended["id"]), (&number, &1.into()));
+        assert_eq!(event(closed)["reason"], "ClosedByEngine");
+    });
+}
--- a/src/lifecycle.rs
+++ b/src/lifecycle.rs
@@ -48,6 +48,14 @@
     /// Changes the state and notifies its followers.
     pub(crate) fn update(&self, change: impl FnOnce(&mut LifecycleState)) {
         self.0.send_modify(change);
+        let state = self.current();
+        tracing::debug!(
+            ready = state.is_ready(),
+            drained = state.drained,
+            shutting_down = state.shutting_down,
+            listener_handed_over = state.listener_handed_over,
+            "state of the workload manager"
+        );
     }
 
     pub(crate) fn subscribe(&self) -> watch::Receiver<LifecycleState> {
--- a/src/log.rs
+++ b/src/log.rs
@@ -123,5 +123,8 @@
     is_own && *metadata.level() <= tracing::Level::INFO
 }
 
+#[cfg(test)]
+pub(crate) mod capture;
+
 #[cfg(test)]
 mod tests;
--- /dev/null
+++ b/src/log/capture.rs
@@ -0,0 +1,60 @@
+//! Captures the events of one thread, for tests.
+
+use super::subscriber;
+use crate::operator_config::text::{LogFormat, LogLevel, LogTable};
+use std::io::{self, Write};
+use std::sync::{Arc, Mutex};
+use tracing::subscriber::DefaultGuard;
+
+/// Standard error's stand-in: what all events wrote.
+#[derive(Clone, Default)]
+struct Output(Arc<Mutex<Vec<u8>>>);
+
+impl Write for Output {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.lock().expect("output").extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Captures what the current thread logs until it is dropped.
+pub(crate) struct LogCapture {
+    output: Output,
+    _subscriber: DefaultGuard,
+    /// With a single subscriber, a callsite that another test's thread reaches first is disabled for all threads.
+    _second_subscriber: tracing::Dispatch,
+}
+
+impl LogCapture {
+    /// Captures at this level, in this format.
+    pub(crate) fn new(level: LogLevel, format: LogFormat) -> LogCapture {
+        let output = Output::default();
+        let writer = output.clone();
+        let second = tracing_subscriber::fmt().with_writer(io::sink).finish();
+        let second = tracing::Dispatch::new(second);
+        let subscriber = subscriber(&LogTable { level, format }, move || writer.clone());
+        LogCapture {
+            output,
+            _subscriber: tracing::subscriber::set_default(subscriber),
+            _second_subscriber: second,
+        }
+    }
+
+    /// All lines so far.
+    pub(crate) fn text(&self) -> String {
+        String::from_utf8(self.output.0.lock().expect("output").clone()).expect("UTF-8")
+    }
+
+    /// All events so far, which were written as JSON, with this message.
+    pub(crate) fn events(&self, message: &str) -> Vec<serde_json::Value> {
+        self.text()
+            .lines()
+            .map(|line| serde_json::from_str(line).expect("one JSON object a line"))
+            .filter(|event: &serde_json::Value| event["message"] == message)
+            .collect()
+    }
+}
--- a/src/log/tests.rs
+++ b/src/log/tests.rs
@@ -1,45 +1,14 @@
 //! Tests of this module.
 
-use super::subscriber;
-use crate::operator_config::text::{LogFormat, LogLevel, LogTable};
+use super::capture::LogCapture;
+use crate::operator_config::text::{LogFormat, LogLevel};
 use rstest::rstest;
-use std::io::{self, Write};
-use std::sync::{Arc, Mutex};
 use tracing::{debug, error, info, warn};
 
-/// Standard error's stand-in: what all events wrote.
-#[derive(Clone, Default)]
-struct CapturedOutput(Arc<Mutex<Vec<u8>>>);
-
-impl CapturedOutput {
-    fn text(&self) -> String {
-        String::from_utf8(self.0.lock().expect("output").clone()).expect("UTF-8")
-    }
-}
-
-impl Write for CapturedOutput {
-    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        self.0.lock().expect("output").extend_from_slice(bytes);
-        Ok(bytes.len())
-    }
-
-    fn flush(&mut self) -> io::Result<()> {
-        Ok(())
-    }
-}
-
 fn logged(level: LogLevel, format: LogFormat, log_events: impl FnOnce()) -> String {
-    let output = CapturedOutput::default();
-    let writer = output.clone();
-    let subscriber = subscriber(&LogTable { level, format }, move || writer.clone());
-    // With a single subscriber, callsites that other tests' threads meet first would be switched off for all.
-    let _second = tracing::Dispatch::new(subscriber_without_output());
-    tracing::subscriber::with_default(subscriber, log_events);
-    output.text()
-}
-
-fn subscriber_without_output() -> impl tracing::Subscriber + Send + Sync {
-    tracing_subscriber::fmt().with_writer(io::sink).finish()
+    let log = LogCapture::new(level, format);
+    log_events();
+    log.text()
 }
 
 #[test]
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -251,5 +251,5 @@
 pub(crate) fn answered(actions: &[Action], id: u32) -> bool {
     actions
         .iter()
-        .any(|a| matches!(a, Action::Reject { id: i, .. } | Action::Fail { id: i } if *i == id))
+        .any(|a| matches!(a, Action::Reject { id: i, .. } | Action::Fail { id: i, .. } if *i == id))
 }
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -262,7 +262,10 @@
     );
     assert_eq!(
         bench.request(1, 9, 0),
-        vec![Action::Fail { id: 1 }],
+        vec![Action::Fail {
+            id: 1,
+            reason: EndReason::UnknownClass
+        }],
         "an unknown class is failed at once"
     );
     let at = sent(&bench.request_with(2, 0, 0, 9000.0, Some(f64::NAN)), 2).unwrap();
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -50,7 +50,10 @@
     assert!(
         bench
             .ended(1, 1, at, Outcome::Reset)
-            .contains(&Action::Fail { id: 1 })
+            .contains(&Action::Fail {
+                id: 1,
+                reason: EndReason::NoRetryAllowed
+            })
     );
 }
 
@@ -116,7 +119,10 @@
         bench.now += 1000.0;
         let late = bench.ended(1, 1, second, Outcome::Error);
         assert!(
-            late.contains(&Action::Fail { id: 1 }),
+            late.contains(&Action::Fail {
+                id: 1,
+                reason: EndReason::NoRetryAllowed
+            }),
             "span over; a refusal would promise too much"
         );
     }
@@ -514,7 +520,7 @@
                     self.check_rejection(*id);
                     self.check_answer(*id);
                 }
-                Action::Fail { id } => self.check_answer(*id),
+                Action::Fail { id, .. } => self.check_answer(*id),
                 _ => {}
             }
         }
