Carry a client's reference once on each connection to an engine

Cause: answers of the line protocol name the client's reference and no attempt (src/engines/line_protocol/connection/ answers.rs looks its attempts up by reference), and src/engines/connection_choice.rs let a retry go over the connection of the attempt before it. An answer that came late for that attempt ended the retry, a third attempt started beside it, and the engine was charged with errors that it had not given.

Change: the engine's actor keeps the references that each connection was given, and passes over a connection that has carried the attempt's. A connection keeps 1,024 and then takes no more; it closes once it is idle. Where an engine may have no further connection an idle one makes room.

--- a/src/engines/connection_choice.rs
+++ b/src/engines/connection_choice.rs
@@ -3,13 +3,17 @@
 //! One answer that cannot be parsed ends its connection and all attempts on it. So a non-idempotent attempt has a
 //! connection of its own, and others share one in small groups, while there are slots for further connections. A
 //! connection that was idle may be reset by the peer just as the next request is written, which leaves open whether it
-//! ran; so a non-idempotent attempt takes a new connection unless an existing one answered a moment ago.
+//! ran; so a non-idempotent attempt takes a new connection unless an existing one answered a moment ago. No attempt goes
+//! over a connection that has carried its reference before ([`CarriedReferences`]).
 
+use super::carried_references::CarriedReferences;
 use super::connection_load::{AttemptCounts, ConnectionLoad, ConnectionUse};
 use super::connection_slots::{ConnectionSlot, SlotPurpose};
 use super::context::{EngineContext, EngineMessage};
+use crate::core::AttemptRequest;
 use crate::decision::Millis;
 use crate::limits::Limits;
+use bytes::Bytes;
 use std::sync::Arc;
 use tokio::sync::mpsc;
 
@@ -17,6 +21,14 @@
 pub(super) struct ConnectionEntry {
     pub(super) mailbox: mpsc::Sender<EngineMessage>,
     pub(super) load: Arc<ConnectionLoad>,
+    pub(super) carried: CarriedReferences,
+}
+
+impl ConnectionEntry {
+    /// Whether nothing is on it and nothing more may be, so that it is of no use.
+    pub(super) fn is_used_up(&self) -> bool {
+        self.carried.is_full() && self.load.is_idle()
+    }
 }
 
 /// What carries an attempt.
@@ -28,7 +40,7 @@
         slot: ConnectionSlot,
         load: Arc<ConnectionLoad>,
     },
-    /// Nothing: the engine has no connection, and there is no slot for one.
+    /// Nothing: the engine has no connection that may, and there is no slot for one.
     NoSlot,
 }
 
@@ -55,15 +67,16 @@
     }
 }
 
-/// Chooses the connection for one more attempt: an existing one that fits, else a new one, else the least loaded.
+/// Chooses the connection for this attempt: an existing one that fits, else a new one, else the least loaded.
 pub(super) fn choose_connection(
     connections: &[ConnectionEntry],
-    usage: ConnectionUse,
+    attempt: &AttemptRequest,
     context: &EngineContext,
 ) -> ConnectionChoice {
+    let usage = ConnectionUse::of(attempt);
     let limits = &context.limits;
     let now_ms = context.core.now();
-    let candidates = candidates(connections, now_ms, limits);
+    let candidates = candidates(connections, &attempt.client_reference, now_ms, limits);
     if let Some(index) = best_fit(&candidates, usage, now_ms, limits) {
         return ConnectionChoice::Existing(index);
     }
@@ -79,6 +92,7 @@
 
 fn candidates<'a>(
     connections: &'a [ConnectionEntry],
+    reference: &Bytes,
     now_ms: Millis,
     limits: &Limits,
 ) -> Vec<Candidate<'a>> {
@@ -86,6 +100,8 @@
         .iter()
         .enumerate()
         .filter(|(_, connection)| !connection.load.is_evicted())
+        // A late answer to an earlier attempt with this reference would be taken for this one's.
+        .filter(|(_, connection)| connection.carried.allow(reference))
         .map(|(index, connection)| Candidate {
             index,
             load: &connection.load,
--- a/src/engines/line_protocol/connection.rs
+++ b/src/engines/line_protocol/connection.rs
@@ -60,6 +60,8 @@
     EngineClosed,
     /// Its descriptor is needed for another connection.
     Evicted,
+    /// Its engine's actor gives it nothing more.
+    Retired,
     Idle,
 }
 
@@ -249,6 +251,9 @@
             if self.is_idle() && self.admission.is_closed() {
                 return Ok(CloseReason::EngineClosed);
             }
+            if self.is_idle() && self.mailbox_closed {
+                return Ok(CloseReason::Retired);
+            }
             if let Flow::Close(reason) = self.wait_for_event(stream, slot).await? {
                 return Ok(reason);
             }
--- a/src/engines/line_protocol/engine.rs
+++ b/src/engines/line_protocol/engine.rs
@@ -5,6 +5,7 @@
 use crate::core::{AttemptEvent, AttemptRequest};
 use crate::decision::{EngineId, Outcome};
 use crate::engines::admission::Admission;
+use crate::engines::carried_references::CarriedReferences;
 use crate::engines::connection_choice::{ConnectionChoice, ConnectionEntry, choose_connection};
 use crate::engines::connection_load::{ConnectionLoad, ConnectionUse};
 use crate::engines::connection_slots::ConnectionSlot;
@@ -43,7 +44,7 @@
                 None => return,
             },
         };
-        engine.forget_closed_connections();
+        engine.forget_connections();
         match message {
             Some(EngineMessage::StartAttempt(attempt)) => engine.start_attempt(attempt).await,
             Some(message) => engine.send_to_connections(&message),
@@ -69,9 +70,20 @@
 }
 
 impl Engine {
-    fn forget_closed_connections(&mut self) {
+    /// Drops the entries of connections that are closed, and of those that are to close, as they are of no more use.
+    fn forget_connections(&mut self) {
         self.connections
-            .retain(|connection| !connection.mailbox.is_closed());
+            .retain(|connection| !connection.mailbox.is_closed() && !connection.is_used_up());
+    }
+
+    /// Has an idle connection close; false where there is none. Its actor ends once its mailbox is closed.
+    fn retire_idle_connection(&mut self) -> bool {
+        let idle = self
+            .connections
+            .iter()
+            .position(|entry| entry.load.is_idle());
+        idle.map(|index| self.connections.swap_remove(index))
+            .is_some()
     }
 
     /// Sends to all connections, as each of them knows which attempts it has.
@@ -89,14 +101,20 @@
             return self.reject(&attempt, Outcome::NoConnection).await;
         }
         let usage = ConnectionUse::of(&attempt);
-        let index = match choose_connection(&self.connections, usage, &self.context) {
+        let mut choice = choose_connection(&self.connections, &attempt, &self.context);
+        // All connections that the engine may have carried this reference before: an idle one makes room.
+        if matches!(choice, ConnectionChoice::NoSlot) && self.retire_idle_connection() {
+            choice = choose_connection(&self.connections, &attempt, &self.context);
+        }
+        let index = match choice {
             ConnectionChoice::Existing(index) => index,
             ConnectionChoice::New { slot, load } => self.open_connection(slot, load),
             ConnectionChoice::NoSlot => {
                 return self.reject(&attempt, Outcome::NoConnectionSlot).await;
             }
         };
-        let connection = &self.connections[index];
+        let connection = &mut self.connections[index];
+        connection.carried.record(&attempt.client_reference);
         connection
             .load
             .begin_attempt(usage, self.context.core.now());
@@ -122,7 +140,11 @@
             self.admission.clone(),
         );
         tokio::spawn(connection.run(self.address, slot));
-        self.connections.push(ConnectionEntry { mailbox, load });
+        self.connections.push(ConnectionEntry {
+            mailbox,
+            load,
+            carried: CarriedReferences::new(self.context.limits.references_per_connection),
+        });
         self.connections.len() - 1
     }
 
--- a/src/engines/mod.rs
+++ b/src/engines/mod.rs
@@ -5,6 +5,7 @@
 //! [`EnginePort`](crate::core::EnginePort); actors answer with [`AttemptEvent`](crate::core::AttemptEvent)s.
 
 mod admission;
+mod carried_references;
 mod connection_choice;
 mod connection_load;
 mod connection_slots;
--- a/src/engines/tests.rs
+++ b/src/engines/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of the fleet: which engines can be reached, and what takes effect although a mailbox is full.
 
+mod connection_reuse;
 mod engines_beyond_descriptors;
 pub(super) mod test_bench;
 
--- /dev/null
+++ b/src/engines/tests/connection_reuse.rs
@@ -0,0 +1,111 @@
+//! Tests of which connection carries an attempt whose reference an earlier attempt had.
+
+use super::test_bench::{EngineTestBench, TEST_TIMEOUT, attempt, is_ended, run_test, start};
+use crate::core::AttemptRequest;
+use crate::decision::{Outcome, RequestId};
+use crate::engines::context::EngineMessage;
+use crate::limits::Limits;
+use crate::node_config::EngineProtocol;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// The message that starts the retry of a request.
+fn start_retry(id: RequestId) -> EngineMessage {
+    start(AttemptRequest {
+        attempt: 1,
+        ..attempt(id)
+    })
+}
+
+/// Reads one attempt, which has to have this reference, and rejects it.
+async fn reject(bench: &mut EngineTestBench, peer: &mut TcpStream, id: RequestId) {
+    let mut received = Vec::new();
+    while !received.ends_with(b"          \r\n") {
+        assert!(peer.read_buf(&mut received).await.expect("bytes") > 0);
+    }
+    let asked = format!("ASK {id:016x} ");
+    assert!(received.starts_with(asked.as_bytes()));
+    let answer = format!("{id:016x} overload - 0\r\n\r\n");
+    peer.write_all(answer.as_bytes()).await.expect("answer");
+    let event = bench.next_event().await;
+    assert!(is_ended(&event, id, Outcome::Rejected), "{event:?}");
+}
+
+/// A bench whose engine may have one connection, which has carried the first attempt of request 1 and is idle.
+async fn bench_with_one_connection() -> (EngineTestBench, TcpStream) {
+    let only_one = |limits: &mut Limits| limits.connections_per_engine = 1;
+    let mut bench = EngineTestBench::with_limits(EngineProtocol::Lines, only_one).await;
+    bench.send(start(attempt(1))).await;
+    let mut first = bench.accept().await;
+    reject(&mut bench, &mut first, 1).await;
+    (bench, first)
+}
+
+async fn expect_closed(peer: &mut TcpStream) {
+    let read = timeout(TEST_TIMEOUT, peer.read(&mut [0])).await;
+    assert_eq!(read.expect("the end in time").expect("the end"), 0);
+}
+
+/// A retry does not go over the connection of its first attempt, other requests do.
+#[test]
+fn a_retry_takes_another_connection_and_other_requests_share_both() {
+    run_test(async {
+        let mut bench = EngineTestBench::new(EngineProtocol::Lines).await;
+        bench.send(start(attempt(1))).await;
+        let mut first = bench.accept().await;
+        reject(&mut bench, &mut first, 1).await;
+        bench.send(start_retry(1)).await;
+        let mut second = bench.accept().await;
+        reject(&mut bench, &mut second, 1).await;
+        bench.send(start(attempt(2))).await;
+        // Of two idle connections the one that answered last is chosen.
+        reject(&mut bench, &mut second, 2).await;
+        assert_eq!(bench.context.metrics.engine_connections.get(), 2);
+    });
+}
+
+/// Where an engine may have no further connection, an idle one that carried the reference makes room.
+#[test]
+fn a_retry_replaces_an_idle_connection_where_no_other_is_allowed() {
+    run_test(async {
+        let (mut bench, mut first) = bench_with_one_connection().await;
+        bench.send(start_retry(1)).await;
+        let mut second = bench.accept().await;
+        reject(&mut bench, &mut second, 1).await;
+        expect_closed(&mut first).await;
+    });
+}
+
+/// Where the only connection is busy, the attempt is none: another engine may be tried, or the same one later.
+#[test]
+fn a_retry_is_not_sent_where_the_only_connection_is_busy() {
+    run_test(async {
+        let (mut bench, mut first) = bench_with_one_connection().await;
+        bench.send(start(attempt(2))).await;
+        bench.send(start_retry(1)).await;
+        let event = bench.next_event().await;
+        assert!(is_ended(&event, 1, Outcome::NoConnectionSlot), "{event:?}");
+        reject(&mut bench, &mut first, 2).await;
+    });
+}
+
+/// A connection that has carried as many references as it can keep takes no more, and is closed once it is idle.
+#[test]
+fn a_connection_is_replaced_once_it_can_keep_no_further_reference() {
+    run_test(async {
+        let mut bench = EngineTestBench::with_limits(EngineProtocol::Lines, |limits| {
+            limits.references_per_connection = 2;
+        })
+        .await;
+        bench.send(start(attempt(1))).await;
+        let mut first = bench.accept().await;
+        reject(&mut bench, &mut first, 1).await;
+        bench.send(start(attempt(2))).await;
+        reject(&mut bench, &mut first, 2).await;
+        bench.send(start(attempt(3))).await;
+        let mut second = bench.accept().await;
+        expect_closed(&mut first).await;
+        reject(&mut bench, &mut second, 3).await;
+    });
+}
--- a/src/limits/basis.rs
+++ b/src/limits/basis.rs
@@ -30,9 +30,13 @@
 /// The longest time of the platform's settings that a limit takes over: an hour.
 const LONGEST_MS: f64 = 3_600_000.0;
 
-/// Bytes that a connection to an engine takes at most: two pages read, one written, and its own state.
+/// References that a connection to an engine carries in its life.
+pub(super) const REFERENCES_PER_CONNECTION: usize = 1024;
+
+/// Bytes that a connection to an engine takes at most: two pages read, one written, the references that it has carried,
+/// and its own state.
 pub(super) const fn engine_connection_bytes(page_bytes: usize) -> usize {
-    3 * page_bytes + 4096
+    3 * page_bytes + REFERENCES_PER_CONNECTION * size_of::<u64>() + 4096
 }
 
 /// What the values of the table are computed from.
--- a/src/limits/table.rs
+++ b/src/limits/table.rs
@@ -1,6 +1,6 @@
 //! The table of limits. Each has its unit in its type, name or description, and its value beside it.
 
-use super::basis::{Basis, PAGE_BYTES, RECORD_BYTES, duration_of_ms};
+use super::basis::{Basis, PAGE_BYTES, RECORD_BYTES, REFERENCES_PER_CONNECTION, duration_of_ms};
 use crate::settings_json::PlatformSettings;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -119,6 +119,8 @@
     engine_connections: usize = (basis.sockets / 4).min(basis.engine_connections() * 2 / 3);
     /// Connections reserved for engines that have none, past the bound of all.
     engine_connections_reserved: usize = (basis.sockets / 8).min(basis.engine_connections() / 3);
+    /// Attempts that one connection is given in all: it carries no reference twice, and keeps them to know.
+    references_per_connection: usize = REFERENCES_PER_CONNECTION;
     /// Connections in a row that may be lost before their first answer and return their unsent attempts.
     returned_connections: usize = 3;
     /// Connections to one engine.
