Go on after short and failed system calls and clock steps; add a seeded soak under faults

A soak of our own plays them: system calls that fail as Linux documents (a library loaded into the program), engines that lose pages, answer twice, hang or break off, clients that leave and send until the kill, signals in series, a stepped wall clock, drains by the list, crowds of idle connections.

Found by reading for the same causes, and repaired: EINTR on the pipe of signals ended the program; a lingering close ended at EINTR; any failed accept evicted an idle client; start times of the list were compared with a clock that does not follow steps of the wall clock (an engine just started could look warm); ejections of a process that started before a step back were refused by its successor, and later decisions lost against them; a state file that could not be written once was not written again; in a hot restart the shutdown took up to 5.45 s, where the kill may come after 3.7 s.

--- a/src/admin.rs
+++ b/src/admin.rs
@@ -17,7 +17,7 @@
 use crate::lifecycle::Lifecycle;
 use crate::limits::Limits;
 use crate::metrics::Metrics;
-use crate::net::linger;
+use crate::net::{RetryingStream, linger};
 use crate::retry_policy::{EffectiveValue, FrontendKind, Policy, RequestAttributes};
 use crate::settings_json::PlatformSettings;
 use answer::{AdminAnswer, AdminError};
@@ -58,7 +58,7 @@
 
 /// Reads the line of a call, which may come in pieces of any size and end with the connection's end. `None`: the line
 /// is empty at the connection's end, or longer than `max_bytes`.
-async fn read_line(stream: &mut TcpStream, max_bytes: usize) -> io::Result<Option<Vec<u8>>> {
+async fn read_line(stream: &mut RetryingStream, max_bytes: usize) -> io::Result<Option<Vec<u8>>> {
     let mut line = Vec::new();
     loop {
         if let Some(end) = line.iter().position(|byte| *byte == b'\n') {
@@ -96,7 +96,8 @@
     }
 
     /// One line, one answer.
-    async fn exchange(&self, mut stream: TcpStream) -> io::Result<()> {
+    async fn exchange(&self, stream: TcpStream) -> io::Result<()> {
+        let mut stream = RetryingStream::new(stream);
         let line = read_line(&mut stream, self.limits.admin_line_bytes).await?;
         let text = match self.answer_line(line).await {
             Ok(answer) => {
@@ -110,7 +111,7 @@
         };
         stream.write_all(text.as_bytes()).await?;
         stream.shutdown().await?;
-        linger(&stream, self.limits.linger).await;
+        linger(stream.socket(), self.limits.linger).await;
         Ok(())
     }
 
--- a/src/clients/flight/listener.rs
+++ b/src/clients/flight/listener.rs
@@ -3,7 +3,7 @@
 use super::service::FlightFrontend;
 use super::tracked_connection::{CloseSignal, TrackedConnection};
 use crate::clients::connection_slots::{ConnectionSlot, ConnectionSlots};
-use crate::clients::{ACCEPT_RETRY_DELAY, Frontend};
+use crate::clients::{ACCEPT_RETRY_DELAY, Frontend, is_out_of_resources};
 use crate::limits::Limits;
 use crate::metrics::Metrics;
 use arrow_flight::flight_service_server::FlightServiceServer;
@@ -70,7 +70,9 @@
             }
             Err(error) => {
                 tracing::debug!(%error, "client not accepted");
-                self.slots.evict_idle();
+                if is_out_of_resources(&error) {
+                    self.slots.evict_idle();
+                }
                 sleep(ACCEPT_RETRY_DELAY).await;
                 Err(error)
             }
--- a/src/clients/flight/tracked_connection.rs
+++ b/src/clients/flight/tracked_connection.rs
@@ -1,6 +1,7 @@
 //! A client's connection, as the gRPC server reads and writes it.
 
 use crate::clients::connection_slots::ConnectionSlot;
+use crate::net::RetryingStream;
 use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::sync::Arc;
@@ -15,7 +16,7 @@
 /// A connection with its slot. After the close signal it reads as if the client had closed its side; no call is open
 /// then, so the server closes it.
 pub(super) struct TrackedConnection {
-    stream: TcpStream,
+    stream: RetryingStream,
     slot: Arc<ConnectionSlot>,
     close_signal: CloseSignal,
     /// The close signal has resolved and must not be polled again.
@@ -29,7 +30,7 @@
         close_signal: CloseSignal,
     ) -> TrackedConnection {
         TrackedConnection {
-            stream,
+            stream: RetryingStream::new(stream),
             slot,
             close_signal,
             closing: false,
--- a/src/clients/mod.rs
+++ b/src/clients/mod.rs
@@ -17,6 +17,7 @@
 use crate::limits::{Limits, MemoryPool};
 use crate::metrics::{ClassOutcomes, Counter, Metrics};
 use crate::settings_json::{NamedClass, PlatformSettings};
+use nix::errno::Errno;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::watch;
@@ -27,6 +28,16 @@
 /// Pause after a failed `accept`, so that a lack of descriptors does not become a busy loop.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
 
+/// Whether `accept` failed for want of descriptors or memory, so that closing a connection helps. All its other errors
+/// concern the one connection, or pass by themselves.
+pub(crate) fn is_out_of_resources(error: &std::io::Error) -> bool {
+    let errno = error.raw_os_error().map(Errno::from_raw);
+    matches!(
+        errno,
+        Some(Errno::EMFILE | Errno::ENFILE | Errno::ENOBUFS | Errno::ENOMEM)
+    )
+}
+
 /// What the front ends share.
 #[derive(Clone)]
 pub(crate) struct Frontend {
@@ -127,3 +138,6 @@
     let is_allowed = |byte: &u8| byte.is_ascii_graphic() && !matches!(byte, b',' | b'=');
     (1..=max_bytes).contains(&value.len()) && value.iter().all(is_allowed)
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/clients/msgpack_rpc/listener.rs
+++ b/src/clients/msgpack_rpc/listener.rs
@@ -2,7 +2,7 @@
 
 use super::connection::Connection;
 use crate::clients::connection_slots::ConnectionSlots;
-use crate::clients::{ACCEPT_RETRY_DELAY, Frontend};
+use crate::clients::{ACCEPT_RETRY_DELAY, Frontend, is_out_of_resources};
 use std::sync::Arc;
 use tokio::net::{TcpListener, TcpStream};
 
@@ -26,10 +26,11 @@
                 // Lets the actor read what the client sent at once, before the next connection could evict it.
                 tokio::task::yield_now().await;
             }
-            // Out of descriptors, or the client left before it was accepted: neither ends the listener.
             Err(error) => {
                 tracing::debug!(%error, "client not accepted");
-                slots.evict_idle();
+                if is_out_of_resources(&error) {
+                    slots.evict_idle();
+                }
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
--- /dev/null
+++ b/src/clients/tests.rs
@@ -0,0 +1,19 @@
+//! Tests of what the front ends share.
+
+use super::is_out_of_resources;
+use nix::errno::Errno;
+use rstest::rstest;
+
+/// An idle client loses its connection only where that helps.
+#[rstest]
+#[case(Errno::EMFILE, true)]
+#[case(Errno::ENFILE, true)]
+#[case(Errno::ENOBUFS, true)]
+#[case(Errno::ENOMEM, true)]
+#[case(Errno::ECONNABORTED, false)]
+#[case(Errno::EINTR, false)]
+#[case(Errno::EPROTO, false)]
+fn only_a_lack_of_resources_asks_for_an_eviction(#[case] errno: Errno, #[case] lacking: bool) {
+    let error = std::io::Error::from_raw_os_error(errno as i32);
+    assert_eq!(is_out_of_resources(&error), lacking);
+}
--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -18,11 +18,8 @@
 impl Clock {
     /// Reads the system's clock once.
     pub fn new() -> Clock {
-        let unix = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .unwrap_or_default();
         Clock {
-            unix_ms: unix.as_secs_f64() * 1000.0,
+            unix_ms: unix_ms(),
             start: Instant::now(),
         }
     }
@@ -32,12 +29,23 @@
         self.unix_ms + self.start.elapsed().as_secs_f64() * 1000.0
     }
 
+    /// By how much the system's clock is ahead of this one, in ms: it was stepped by so much since.
+    pub fn wall_clock_step_ms(&self) -> Millis {
+        unix_ms() - self.now()
+    }
+
     fn instant(&self, at: Millis) -> Instant {
         let after = (at - self.unix_ms).clamp(0.0, 1e12);
         self.start + Duration::from_micros((after * 1000.0).ceil() as u64)
     }
 }
 
+/// The system's clock, in Unix ms.
+fn unix_ms() -> Millis {
+    let unix = SystemTime::now().duration_since(UNIX_EPOCH);
+    unix.unwrap_or_default().as_secs_f64() * 1000.0
+}
+
 impl Default for Clock {
     fn default() -> Self {
         Clock::new()
@@ -122,6 +130,11 @@
         self.clock.now()
     }
 
+    /// By how much the system's clock was stepped since the start, in ms.
+    pub fn wall_clock_step_ms(&self) -> Millis {
+        self.clock.wall_clock_step_ms()
+    }
+
     /// Puts a message into the mailbox, and waits while it is full. The core never waits for its peers, so this
     /// cannot deadlock.
     pub async fn send(&self, message: CoreMessage) {
--- a/src/core/endpoint_list.rs
+++ b/src/core/endpoint_list.rs
@@ -3,11 +3,13 @@
 
 use super::roster::SubsetChange;
 use super::{Core, EnginePort, Event, Membership, Millis, Settings};
+use crate::decision::ListUpdateKind;
 use crate::node_config::{EndpointListEvent, format_engine_id};
 
 impl<E: EnginePort> Core<E> {
     /// Applies an event of the endpoint list.
     pub(super) fn update_endpoint_list(&mut self, now: Millis, event: EndpointListEvent) {
+        log_event(&event);
         let update = self.roster.apply(&event);
         update
             .removed
@@ -109,3 +111,26 @@
         );
     }
 }
+
+/// Logs an event; of a complete list, which may have thousands of records, their number alone.
+fn log_event(event: &EndpointListEvent) {
+    let (number, kind) = (event.number, event.kind);
+    tracing::debug!(
+        number,
+        ?kind,
+        records = event.records.len(),
+        "event of the endpoint list"
+    );
+    if kind != ListUpdateKind::Delta {
+        return;
+    }
+    for record in &event.records {
+        let entry = &record.entry;
+        tracing::debug!(
+            engine = %entry.engine,
+            state = ?entry.state,
+            started_at_ms = entry.started_at_ms,
+            "engine listed"
+        );
+    }
+}
--- a/src/core/manual_ejection.rs
+++ b/src/core/manual_ejection.rs
@@ -41,6 +41,8 @@
             at_ms,
             ..
         } = order;
+        // A peer's time may be ahead where the clock was stepped back: a slow start begins now at the latest.
+        let at_ms = at_ms.min(now);
         self.notify_dispatcher(
             now,
             Event::ManualEjection {
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -1,18 +1,21 @@
 //! Endpoint discovery: follows the discovery feed, which announces every change of the endpoint list, and passes its
 //! events to the core.
 //!
-//! [`frame`] decodes the feed's wire form and [`session`] reads one connection. The actor here owns the connection and
+//! [`frame`] decodes the feed's wire form, [`session`] reads one connection, and [`start_times`] sees to wall clocks that
+//! are stepped. The actor here owns the connection and
 //! reconnects with a backoff whenever it fails. `node` starts it with the address and the number of the last event that
 //! the configuration knows; the core is the only receiver of its events.
 
 mod frame;
 mod session;
+mod start_times;
 
 use crate::core::Handle;
 use crate::limits::Limits;
 use crate::metrics::Metrics;
 use crate::settings_json::PlatformSettings;
 use session::SessionError;
+use start_times::WallClockStep;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use tokio::sync::watch;
@@ -41,6 +44,7 @@
 ) {
     let (first_backoff, max_backoff) = context.limits.feed_reconnect_backoff;
     let mut backoff = first_backoff;
+    let mut step = WallClockStep::default();
     loop {
         let (event_before, address) = (last_event, *feed.borrow_and_update());
         // A feed that has moved announces nothing further at its old address, although that connection stays open for a
@@ -48,7 +52,7 @@
         let address_change = tokio::select! {
             biased;
             change = feed.changed() => Some(change),
-            result = session::run(address, &mut last_event, &context) => {
+            result = session::run(address, &mut last_event, &mut step, &context) => {
                 let Err(error) = result;
                 tracing::debug!(feed = %address, last_event, %error, "connection to the feed failed");
                 count_failure(&error, &context.metrics);
--- a/src/discovery/session.rs
+++ b/src/discovery/session.rs
@@ -2,7 +2,9 @@
 
 use super::FollowerContext;
 use super::frame::{self, Frame, FrameError};
+use super::start_times::WallClockStep;
 use crate::core::CoreMessage;
+use crate::net::RetryingStream;
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
@@ -38,13 +40,16 @@
 pub(super) async fn run(
     feed: SocketAddr,
     last_event: &mut u64,
+    step: &mut WallClockStep,
     context: &FollowerContext,
 ) -> Result<Infallible, SessionError> {
     let limits = &context.limits;
-    let mut stream = timeout(limits.feed_connect_timeout, TcpStream::connect(feed)).await??;
+    let connected = timeout(limits.feed_connect_timeout, TcpStream::connect(feed)).await??;
+    let mut stream = RetryingStream::new(connected);
     context.metrics.feed_connections.increment();
     tracing::debug!(%feed, last_event = *last_event, "connected to the feed");
-    stream.write_all(&last_event.to_be_bytes()).await?;
+    let position = last_event.to_be_bytes();
+    timeout(limits.feed_read_timeout, stream.write_all(&position)).await??;
     let mut buffer = Vec::new();
     loop {
         // The limit is on the complete frame: one that arrives byte by byte is no better than none.
@@ -53,9 +58,11 @@
         let frame = frame::decode(&buffer, &context.settings.borrow())?;
         // Later events follow without a pause, so that the first frame is also the sign that the list is current.
         context.first_frame_received.send_replace(true);
-        let Frame::Event(event) = frame else {
+        let Frame::Event(mut event) = frame else {
             continue;
         };
+        step.observe(context.core.wall_clock_step_ms());
+        step.adjust(&mut event, context.core.now());
         if event.number <= *last_event {
             continue; // known from an earlier connection
         }
@@ -70,7 +77,7 @@
 
 /// Reads one frame without its length into the buffer.
 async fn receive(
-    stream: &mut TcpStream,
+    stream: &mut RetryingStream,
     buffer: &mut Vec<u8>,
     max_bytes: usize,
 ) -> Result<(), SessionError> {
--- a/src/engines/flight/flush_tracking_socket.rs
+++ b/src/engines/flight/flush_tracking_socket.rs
@@ -1,6 +1,7 @@
 //! A socket that counts its flushes, so that it is known what has been sent.
 
 use super::connection_signals::ConnectionSignals;
+use crate::net::RetryingStream;
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -11,7 +12,7 @@
 
 /// The socket of one HTTP/2 connection. Dropping it closes the `flushes` channel.
 pub(super) struct FlushTrackingSocket {
-    stream: TcpStream,
+    stream: RetryingStream,
     /// Number of flushes so far.
     flushes: watch::Sender<u64>,
     signals: Arc<ConnectionSignals>,
@@ -24,7 +25,7 @@
         signals: Arc<ConnectionSignals>,
     ) -> FlushTrackingSocket {
         FlushTrackingSocket {
-            stream,
+            stream: RetryingStream::new(stream),
             flushes,
             signals,
         }
@@ -44,7 +45,7 @@
     fn drop(&mut self) {
         // A reset discards what the kernel still holds: the peer must not receive it after the ends that are reported.
         if self.signals.is_close_requested() {
-            let _ = self.stream.set_zero_linger();
+            let _ = self.stream.socket().set_zero_linger();
         }
     }
 }
--- a/src/hot_restart/peer_sync.rs
+++ b/src/hot_restart/peer_sync.rs
@@ -73,6 +73,7 @@
     /// Passes to the core what has changed at the peer since the last call.
     pub(crate) async fn synchronize(&mut self) {
         self.report_peer_presence().await;
+        self.store.write_again(self.core.now()).await;
         for (engine, ejection) in self.store.take_peer_changes(self.core.now()) {
             let at_ms = ejection.decided_at_ms;
             // An engine that was returned to service begins with slow start. The core starts that where an ejected
--- a/src/hot_restart/state_store.rs
+++ b/src/hot_restart/state_store.rs
@@ -15,10 +15,16 @@
 use std::sync::Arc;
 use tokio::time::sleep;
 
-/// A decision may lie this far in the future, in ms: the clocks of two processes on one machine are read at slightly
-/// different moments.
+/// Decisions of two processes differ by less than this from their order, in ms, as both read the clock of one machine.
+/// Where they differ by more, the clock was stepped between the starts of the processes.
 const MAX_CLOCK_SKEW_MS: Millis = 1000.0;
 
+/// A decision may lie this far in the future, in ms: the clock was stepped back. What lies further is no time.
+const MAX_CLOCK_STEP_MS: Millis = 86_400_000.0;
+
+/// By how much a decision follows the one before it where the clock cannot tell, in ms.
+const DECISION_STEP_MS: Millis = 1.0;
+
 /// The manual ejections of this workload manager, shared with the peer process by a file.
 pub(crate) struct StateStore {
     state_path: PathBuf,
@@ -30,6 +36,8 @@
     ejections: BTreeMap<EngineId, ManualEjection>,
     /// Decisions read from the file that have not been passed on yet.
     peer_changes: Vec<(EngineId, ManualEjection)>,
+    /// A decision could not be written. It is owed to the peer and to the next start, so writing is tried again.
+    write_failed: bool,
     /// The state file as it was when it was last read.
     last_read: Option<FileFingerprint>,
     limits: Arc<Limits>,
@@ -78,6 +86,7 @@
             is_successor,
             ejections: BTreeMap::new(),
             peer_changes: Vec::new(),
+            write_failed: false,
             last_read: None,
             limits,
             metrics,
@@ -122,11 +131,11 @@
         }
     }
 
-    /// Takes over the stored decisions that are newer than the known ones. A time in the future is refused, as it would
-    /// override every later decision.
+    /// Takes over the stored decisions that are newer than the known ones. A time that no step of the clock explains is
+    /// refused.
     fn merge(&mut self, stored: StoredState, now: Millis) {
         for (id, ejection) in stored.ejections {
-            let plausible = (0.0..=now + MAX_CLOCK_SKEW_MS).contains(&ejection.decided_at_ms);
+            let plausible = (0.0..=now + MAX_CLOCK_STEP_MS).contains(&ejection.decided_at_ms);
             let Some(engine) = parse_engine_id(&id).filter(|_| plausible) else {
                 self.metrics.state_errors.increment();
                 continue;
@@ -142,20 +151,59 @@
     /// Records one more decision, together with what the peer process has recorded.
     pub(super) async fn record(&mut self, engine: EngineId, ejection: ManualEjection) {
         // Without the lock the decision is written all the same: a lost update of the peer is the lesser harm.
+        let ejection = self.in_order(engine, ejection);
         let locked = self.lock_for_writing().await;
         self.refresh(ejection.decided_at_ms);
         self.ejections.insert(engine, ejection);
         self.forget_old_returns(ejection.decided_at_ms);
-        if let Err(error) = self.write() {
-            self.metrics.state_errors.increment();
-            let path = self.state_path.display();
-            tracing::warn!(%path, %error, "cannot write the stored state");
+        self.write_or_note_failure();
+        if locked {
+            let _ = self.write_lock.unlock();
         }
+    }
+
+    /// Writes what could not be written before, if there is anything.
+    pub(super) async fn write_again(&mut self, now: Millis) {
+        if !self.write_failed {
+            return;
+        }
+        let locked = self.lock_for_writing().await;
+        self.refresh(now);
+        self.write_or_note_failure();
         if locked {
             let _ = self.write_lock.unlock();
         }
     }
 
+    /// The decision with a time after the one that it follows. A time far before that was read off a clock that was
+    /// stepped back since the other process started.
+    fn in_order(&self, engine: EngineId, ejection: ManualEjection) -> ManualEjection {
+        let known_ms = self.ejections.get(&engine).map(|known| known.decided_at_ms);
+        let stepped_back =
+            known_ms.filter(|known_ms| known_ms - ejection.decided_at_ms > MAX_CLOCK_SKEW_MS);
+        let decided_at_ms = stepped_back.map_or(ejection.decided_at_ms, |known_ms| {
+            known_ms + DECISION_STEP_MS
+        });
+        ManualEjection {
+            decided_at_ms,
+            ..ejection
+        }
+    }
+
+    /// Writes the state. The first of several failures in a row is logged.
+    fn write_or_note_failure(&mut self) {
+        let written = self.write();
+        let failed_before = std::mem::replace(&mut self.write_failed, written.is_err());
+        let Err(error) = written else {
+            return;
+        };
+        if !failed_before {
+            self.metrics.state_errors.increment();
+            let path = self.state_path.display();
+            tracing::warn!(%path, %error, "cannot write the stored state, trying again");
+        }
+    }
+
     /// Locks the state file against the peer's writes; false where the peer keeps it locked for too long.
     async fn lock_for_writing(&self) -> bool {
         for _ in 0..self.limits.state_lock_attempts {
--- a/src/hot_restart/tests.rs
+++ b/src/hot_restart/tests.rs
@@ -75,6 +75,52 @@
     let _ = fs::remove_dir_all(&folder);
 }
 
+/// A successor that started after the clock was stepped back knows the ejections of the old process, and its own decisions
+/// win although their times are earlier.
+#[test]
+fn decisions_keep_their_order_where_the_clock_was_stepped_back() {
+    const HOUR_MS: f64 = 3_600_000.0;
+    let folder = empty_folder("stepped");
+    let metrics: Arc<Metrics> = Arc::default();
+    run(async {
+        let mut old = open_store(&folder, &metrics).await;
+        old.record(engine_id(1), ejection(true, 2.0 * HOUR_MS))
+            .await;
+        let mut new = open_store(&folder, &metrics).await;
+        assert_eq!(
+            new.take_peer_changes(HOUR_MS),
+            [change(1, true, 2.0 * HOUR_MS)]
+        );
+        new.record(engine_id(1), ejection(false, HOUR_MS + 5000.0))
+            .await;
+        let returned = old.take_peer_changes(2.0 * HOUR_MS + 5000.0);
+        assert_eq!(returned, [change(1, false, 2.0 * HOUR_MS + 1.0)]);
+        assert_eq!(metrics.state_errors.get(), 0);
+    });
+    let _ = fs::remove_dir_all(&folder);
+}
+
+/// A decision that cannot be written for a while is written once that is possible again.
+#[test]
+fn a_decision_that_could_not_be_written_is_written_later() {
+    let folder = empty_folder("unwritable");
+    let metrics: Arc<Metrics> = Arc::default();
+    run(async {
+        let mut store = open_store(&folder, &metrics).await;
+        // A folder stands where the file is to be written first.
+        let obstacle = folder.join("magpiechute-n1.next");
+        fs::create_dir(&obstacle).expect("folder");
+        store.record(engine_id(1), ejection(true, 100.0)).await;
+        store.write_again(150.0).await;
+        assert_eq!(metrics.state_errors.get(), 1, "one failure in a row");
+        fs::remove_dir(&obstacle).expect("no folder");
+        store.write_again(200.0).await;
+        let mut successor = open_store(&folder, &metrics).await;
+        assert_eq!(successor.take_peer_changes(300.0), [change(1, true, 100.0)]);
+    });
+    let _ = fs::remove_dir_all(&folder);
+}
+
 /// A damaged file does not stop a start, and its sound records are used.
 #[rstest]
 #[case::noise("noise", "\u{1}\u{2}", 0)]
--- a/src/limits/table.rs
+++ b/src/limits/table.rs
@@ -197,11 +197,8 @@
     state_write_timeout: Duration = Duration::from_millis(300);
     /// For this long the end of a manual ejection stays in the stored state.
     state_retention: Duration = Duration::from_secs(120);
-    /// Where the platform holds the listening socket: after SIGTERM no deadline counts as longer than the first time;
-    /// the platform kills the process the second time later, less a reserve for the last answers.
-    handover_shutdown: (Duration, Duration) =
-        (Duration::from_secs(5), Duration::from_millis(450));
-    /// The same where the platform does not hold it. The protocol page has 3 s, and 0.7 s more.
+    /// After SIGTERM no deadline counts as longer than the first time; the platform kills the process 0.7 s after it,
+    /// which the second time is, less a reserve for the last answers. A hot restart gives no more time.
     planned_shutdown: (Duration, Duration) =
         (Duration::from_secs(3), Duration::from_millis(500));
     /// A successor process waits this long at most for the first event of the feed.
--- a/src/net.rs
+++ b/src/net.rs
@@ -1,7 +1,12 @@
-//! Helpers for TCP connections: an output queue with gathered writes, a bounded read, and a lingering close.
+//! Helpers for TCP connections: an output queue with gathered writes, a bounded read, a lingering close, and a stream
+//! for readers and writers that wait.
 //!
 //! Nothing here waits but [`linger`]; the connections' actors decide when a socket is read or written.
 
+mod retrying_stream;
+
+pub(crate) use retrying_stream::RetryingStream;
+
 use bytes::{Buf, Bytes, BytesMut};
 use std::collections::VecDeque;
 use std::io::{self, ErrorKind, IoSlice};
@@ -121,7 +126,11 @@
     while stream.readable().await.is_ok() {
         match stream.try_read(&mut discarded) {
             Ok(0) => return,
-            Err(error) if error.kind() != ErrorKind::WouldBlock => return,
+            Err(error)
+                if !matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) =>
+            {
+                return;
+            }
             _ => {}
         }
     }
--- a/src/node/shutdown.rs
+++ b/src/node/shutdown.rs
@@ -31,7 +31,7 @@
     pub async fn shut_down(&self) {
         self.begin_shutdown();
         let handed_over = self.lifecycle.current().listener_handed_over;
-        self.announce_deadline(handed_over).await;
+        self.announce_deadline().await;
         let mut completion = Completion {
             accept_until: Instant::now() + self.accept_window(handed_over),
             idle_since: None,
@@ -52,12 +52,8 @@
 
     /// Sends the core the time at which the process ends. The platform kills the process after the longest client
     /// timeout, which counts as no longer than the bound of the limits; a request that is open then has no answer.
-    async fn announce_deadline(&self, handed_over: bool) {
-        let (max_timeout, margin) = if handed_over {
-            self.limits.handover_shutdown
-        } else {
-            self.limits.planned_shutdown
-        };
+    async fn announce_deadline(&self) {
+        let (max_timeout, margin) = self.limits.planned_shutdown;
         let longest_timeout_ms = self
             .settings
             .borrow()
--- a/src/signals.rs
+++ b/src/signals.rs
@@ -72,7 +72,7 @@
     ///
     /// # Errors
     ///
-    /// The pipe can no longer be read; no signal is received from then on.
+    /// The pipe is closed or can no longer be read; no signal is received from then on.
     pub async fn next(&mut self) -> io::Result<Signal> {
         loop {
             if let Some(signal) = self.take_pending() {
@@ -92,21 +92,25 @@
 
     async fn wait_for_byte(&mut self) -> io::Result<()> {
         let mut bytes = [0; PIPE_READ_BYTES];
-        match self.pipe.read(&mut bytes).await? {
-            0 => Err(io::Error::new(
-                io::ErrorKind::UnexpectedEof,
-                "the pipe of signals closed",
-            )),
-            _ => Ok(()),
+        loop {
+            match self.pipe.read(&mut bytes).await {
+                Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
+                Ok(_) => return Ok(()),
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) => return Err(error),
+            }
         }
     }
 
     /// Empties the pipe before the flags are taken, so that a signal that arrives in between wakes the reader again.
     fn drain_pipe(&mut self) {
         let mut bytes = [0; PIPE_READ_BYTES];
-        while let Ok(read) = self.pipe.try_read(&mut bytes) {
-            if read == 0 {
-                return;
+        loop {
+            match self.pipe.try_read(&mut bytes) {
+                Ok(0) => return,
+                Ok(_) => {}
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => return,
             }
         }
     }
--- /dev/null
+++ b/tests/fault_soak/client.rs
@@ -0,0 +1,125 @@
+//! A client that keeps requests open, takes some back, leaves at times, and goes on sending until the manager has ended.
+
+use crate::draws::Draws;
+use crate::rules::{MAX_LATE, Rules};
+use crate::scene::msgpack_client::Client;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+/// A request that crosses the close of its connection by less than this goes again on a new one.
+const CROSSING: Duration = Duration::from_millis(100);
+
+/// Requests that a client keeps open.
+const MAX_OPEN: usize = 4;
+
+/// A request without its answer.
+struct Open {
+    label: String,
+    sent_at: Instant,
+    deadline: Instant,
+}
+
+/// What the clients of a run share.
+#[derive(Clone)]
+pub(crate) struct ClientSetup {
+    pub(crate) manager: SocketAddr,
+    pub(crate) rules: Rules,
+    /// False from the moment on in which no new connections come.
+    pub(crate) may_connect: watch::Receiver<bool>,
+}
+
+/// Plays a client until its connection is closed and no new one may be made.
+pub(crate) async fn play(number: u64, setup: ClientSetup, mut draws: Draws) {
+    let mut connections = 0;
+    while *setup.may_connect.borrow() {
+        connections += 1;
+        let name = format!("c{number}x{connections}");
+        if let Some(client) = Client::try_new(&name, setup.manager).await {
+            play_connection(&name, client, &setup, &mut draws).await;
+        }
+    }
+}
+
+async fn play_connection(name: &str, mut client: Client, setup: &ClientSetup, draws: &mut Draws) {
+    let rules = &setup.rules;
+    let mut open: HashMap<u64, Open> = HashMap::new();
+    let mut last_id = 0;
+    loop {
+        let pause = Duration::from_millis(draws.between(1, 30));
+        tokio::select! {
+            biased;
+            answer = client.next_answer_or_end() => match answer {
+                Some((id, text)) => {
+                    // One that was taken back may still be answered.
+                    if let Some(request) = open.remove(&id) {
+                        rules.answered(&request.label, &text);
+                    }
+                }
+                None => return check_unanswered(&open, rules),
+            },
+            () = sleep(pause) => {
+                let may_leave = *setup.may_connect.borrow();
+                if may_leave && draws.happens(80) {
+                    return; // with its requests open
+                }
+                if draws.happens(15) && let Some(id) = open.keys().next().copied() {
+                    open.remove(&id);
+                    client.try_cancel(id).await;
+                } else if open.len() < MAX_OPEN {
+                    last_id += 1;
+                    let request = send(name, last_id, &mut client, rules, draws).await;
+                    open.insert(last_id, request);
+                }
+            }
+        }
+        check_overdue(&mut open, rules);
+    }
+}
+
+async fn send(name: &str, id: u64, client: &mut Client, rules: &Rules, draws: &mut Draws) -> Open {
+    let class = match draws.between(0, 4) {
+        0 => "log-load",
+        1 => "usage-report",
+        _ => "seat-check",
+    };
+    let allow = Duration::from_millis(draws.between(200, 2500));
+    let label = format!("{name}.{id}");
+    let sent_at = Instant::now();
+    let deadline = sent_at + allow;
+    rules.request_sent(&label, class == "log-load", deadline);
+    client
+        .try_send(id, class, &format!("allow={}", allow.as_millis()))
+        .await;
+    Open {
+        label,
+        sent_at,
+        deadline,
+    }
+}
+
+/// The connection was closed: what was open on it is lost, unless it crossed the close unread.
+fn check_unanswered(open: &HashMap<u64, Open>, rules: &Rules) {
+    for request in open.values() {
+        let crossed = request.sent_at.elapsed() < CROSSING;
+        if !crossed || rules.was_forwarded(&request.label) {
+            let age = request.sent_at.elapsed();
+            rules.violated(format!(
+                "{}: closed without an answer after {age:?}",
+                request.label
+            ));
+        }
+    }
+}
+
+fn check_overdue(open: &mut HashMap<u64, Open>, rules: &Rules) {
+    open.retain(|_, request| {
+        let overdue = Instant::now() > request.deadline + MAX_LATE;
+        if overdue {
+            rules.violated(format!("{}: no answer in its time", request.label));
+        }
+        !overdue
+    });
+}
--- /dev/null
+++ b/tests/fault_soak/engine.rs
@@ -0,0 +1,252 @@
+//! An engine that fails in the ways that engines do, each chosen by a seeded draw.
+
+use crate::draws::Draws;
+use crate::rules::{End, Rules};
+use crate::scene::engine_fleet::label;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Mutex, Notify};
+use tokio::time::sleep;
+
+/// The close of a connection reaches its task within this time after an attempt that followed the close.
+const CLOSE_DELAY: Duration = Duration::from_millis(150);
+
+/// What an engine does with an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Plan {
+    /// It serves so many pages.
+    Serve {
+        pages: usize,
+    },
+    /// It serves the first of so many pages and has lost the others.
+    LosePages {
+        pages: usize,
+    },
+    Overload,
+    Crash,
+    Hang,
+    /// It breaks the connection inside its answer.
+    Cut,
+    /// It sends what is no answer.
+    Malformed,
+}
+
+fn draw_plan(draws: &mut Draws) -> Plan {
+    let pages = draws.between(2, 6) as usize;
+    match draws.between(0, 100) {
+        0..45 => Plan::Serve { pages: 1 },
+        45..58 => Plan::Serve { pages },
+        58..74 => Plan::LosePages { pages },
+        74..82 => Plan::Overload,
+        82..90 => Plan::Crash,
+        90..95 => Plan::Hang,
+        95..98 => Plan::Cut,
+        _ => Plan::Malformed,
+    }
+}
+
+/// Numbers the connections of all engines.
+static CONNECTIONS: AtomicU64 = AtomicU64::new(0);
+
+/// Serves until the run is over.
+pub(crate) async fn serve(engine: usize, listener: TcpListener, rules: Rules, mut draws: Draws) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let _ = stream.set_nodelay(true);
+        let (reader, connection) = Connection::new(engine, stream, rules.clone());
+        tokio::spawn(connection.run(reader, draws.branch()));
+    }
+}
+
+/// One connection. Answers are written by tasks of their own, in any order.
+#[derive(Clone)]
+struct Connection {
+    /// The engine's place in the list.
+    engine: usize,
+    number: u64,
+    rules: Rules,
+    writer: Arc<Mutex<Option<OwnedWriteHalf>>>,
+    cut: Arc<Notify>,
+}
+
+/// An attempt on a connection.
+#[derive(Clone)]
+struct Attempt {
+    reference: String,
+    label: String,
+    plan: Plan,
+}
+
+impl Connection {
+    fn new(engine: usize, stream: TcpStream, rules: Rules) -> (OwnedReadHalf, Connection) {
+        let (reader, writer) = stream.into_split();
+        let connection = Connection {
+            engine,
+            number: CONNECTIONS.fetch_add(1, Ordering::Relaxed),
+            rules,
+            writer: Arc::new(Mutex::new(Some(writer))),
+            cut: Arc::default(),
+        };
+        (reader, connection)
+    }
+
+    async fn run(self, reader: OwnedReadHalf, mut draws: Draws) {
+        let mut reader = BufReader::new(reader);
+        let mut attempts = HashMap::new();
+        let mut line = String::new();
+        loop {
+            line.clear();
+            tokio::select! {
+                biased;
+                // The end of the connection may cut a line off.
+                read = reader.read_line(&mut line) => if read.is_err() || !line.ends_with('\n') {
+                    break;
+                },
+                () = self.cut.notified() => break,
+            }
+            let words: Vec<String> = line.split_whitespace().map(str::to_owned).collect();
+            if !self
+                .handle(&words, &mut reader, &mut attempts, &mut draws)
+                .await
+            {
+                break;
+            }
+        }
+        drop(self.writer.lock().await.take());
+        for attempt in attempts.values() {
+            self.rules
+                .attempt_ended(&attempt.label, self.number, End::GivenUp);
+        }
+    }
+
+    /// Handles one command; false where the connection ended inside it.
+    async fn handle(
+        &self,
+        words: &[String],
+        reader: &mut BufReader<OwnedReadHalf>,
+        attempts: &mut HashMap<String, Attempt>,
+        draws: &mut Draws,
+    ) -> bool {
+        let words: Vec<&str> = words.iter().map(String::as_str).collect();
+        match words[..] {
+            ["ASK", reference, fields, length] => {
+                let mut body = vec![0; length.parse::<usize>().expect("length") + 2];
+                if reader.read_exact(&mut body).await.is_err() {
+                    return false;
+                }
+                let statement = String::from_utf8(body).expect("text");
+                let attempt = Attempt {
+                    reference: reference.to_owned(),
+                    label: label(statement.trim_end()).0,
+                    plan: draw_plan(draws),
+                };
+                self.rules.check_drain(&attempt.label, self.engine);
+                self.rules
+                    .attempt_received(&attempt.label, self.number, patience(fields));
+                attempts.insert(reference.to_owned(), attempt.clone());
+                tokio::spawn(self.clone().answer(attempt, draws.branch()));
+            }
+            ["QUIT", reference] => {
+                if let Some(attempt) = attempts.get(reference) {
+                    self.rules
+                        .attempt_ended(&attempt.label, self.number, End::GivenUp);
+                }
+            }
+            ["NEXT", reference, page] => {
+                let attempt = attempts[reference].clone();
+                let page = page.parse().expect("a page");
+                tokio::spawn(self.clone().answer_page(attempt, page, draws.branch()));
+            }
+            ["NOOP", tag] => {
+                let text = format!("{tag} green - 0\r\n\r\n");
+                let pause = Duration::from_millis(draws.between(0, 20));
+                tokio::spawn(self.clone().write_after(pause, text));
+            }
+            ["FREE" | "PRIO", ..] => {}
+            _ => self.rules.violated(format!("no command: {words:?}")),
+        }
+        true
+    }
+
+    async fn answer(self, attempt: Attempt, mut draws: Draws) {
+        sleep(Duration::from_millis(draws.between(1, 120))).await;
+        if self.rules.is_overlapped(&attempt.label, self.number) {
+            sleep(CLOSE_DELAY).await;
+        }
+        let end = match attempt.plan {
+            Plan::Hang => return,
+            Plan::Overload => End::NeverRan,
+            _ => End::Ran,
+        };
+        if !self.rules.attempt_ended(&attempt.label, self.number, end) {
+            return; // it was cancelled
+        }
+        let reference = &attempt.reference;
+        let text = match attempt.plan {
+            Plan::Serve { pages } | Plan::LosePages { pages } => {
+                let result: String = (0..pages).map(|page| row(&attempt.label, page)).collect();
+                self.rules.result_made(&attempt.label, &result);
+                let first = row(&attempt.label, 0);
+                format!(
+                    "{reference} served batches={pages} {}\r\n{first}\r\n",
+                    first.len()
+                )
+            }
+            Plan::Overload => format!("{reference} overload - 0\r\n\r\n"),
+            Plan::Crash | Plan::Hang => format!("{reference} crashed - 0\r\n\r\n"),
+            Plan::Cut => format!("{reference} served batches=1 9\r\nab"),
+            Plan::Malformed => "lol\r\n".to_owned(),
+        };
+        let is_repeated = draws.happens(4);
+        self.write(&text).await;
+        match attempt.plan {
+            Plan::Cut => self.cut.notify_one(),
+            // An engine may send an answer twice, the second time milliseconds later.
+            _ if is_repeated => {
+                let pause = Duration::from_millis(draws.between(0, 8));
+                self.write_after(pause, text).await;
+            }
+            _ => {}
+        }
+    }
+
+    async fn answer_page(self, attempt: Attempt, page: usize, mut draws: Draws) {
+        let reference = &attempt.reference;
+        let text = match attempt.plan {
+            Plan::Serve { .. } => {
+                let row = row(&attempt.label, page);
+                format!("{reference} rows batch={page} {}\r\n{row}\r\n", row.len())
+            }
+            _ => format!("{reference} crashed - 0\r\n\r\n"),
+        };
+        let pause = Duration::from_millis(draws.between(0, 8));
+        self.write_after(pause, text).await;
+    }
+
+    async fn write_after(self, pause: Duration, text: String) {
+        sleep(pause).await;
+        self.write(&text).await;
+    }
+
+    async fn write(&self, text: &str) {
+        if let Some(writer) = self.writer.lock().await.as_mut() {
+            let _ = writer.write_all(text.as_bytes()).await;
+        }
+    }
+}
+
+/// One page of a result: it names its request.
+fn row(label: &str, page: usize) -> String {
+    format!("{label}\t{page}\tx\n")
+}
+
+/// The `patience` among a request's fields.
+fn patience(fields: &str) -> Duration {
+    let mut fields = fields.split(',');
+    let value = fields.find_map(|field| field.strip_prefix("patience="));
+    Duration::from_millis(value.and_then(|ms| ms.parse().ok()).expect("patience"))
+}
--- /dev/null
+++ b/tests/fault_soak/faults.c
@@ -0,0 +1,160 @@
+/* System calls that fail as Linux documents, for the program under the soak: loaded before the C library (LD_PRELOAD).
+ *
+ * FAULT_SEED seeds the choices. Waits are interrupted; accept, socket and connect fail for a moment; reads and writes on
+ * sockets are short; connections that the program made break with ETIMEDOUT or EHOSTUNREACH. CLOCK_STEP_S steps the wall
+ * clock by so many seconds, CLOCK_STEP_AFTER_MS after the start; the monotonic clock runs on. */
+#define _GNU_SOURCE
+#include <dlfcn.h>
+#include <errno.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <sys/uio.h>
+#include <time.h>
+#include <unistd.h>
+
+#define MAX_DESCRIPTORS 4096
+#define REAL(name) ((__typeof__(&name))dlsym(RTLD_NEXT, #name))
+
+static uint64_t state;
+/* Connections that the program made itself. */
+static unsigned char outgoing[MAX_DESCRIPTORS];
+static int64_t step_s, step_at_ms;
+
+static int64_t monotonic_ms(void) {
+    static __typeof__(&clock_gettime) real;
+    if (!real)
+        real = REAL(clock_gettime);
+    struct timespec now;
+    real(CLOCK_MONOTONIC, &now);
+    return now.tv_sec * 1000 + now.tv_nsec / 1000000;
+}
+
+__attribute__((constructor)) static void begin(void) {
+    const char *seed = getenv("FAULT_SEED"), *step = getenv("CLOCK_STEP_S"), *after = getenv("CLOCK_STEP_AFTER_MS");
+    state = seed ? strtoull(seed, NULL, 10) * 2 + 1 : 1;
+    step_s = step ? strtoll(step, NULL, 10) : 0;
+    step_at_ms = monotonic_ms() + (after ? strtoll(after, NULL, 10) : 0);
+}
+
+/* Whether the event with one chance in so many happens (xorshift). */
+static int happens(unsigned one_in) {
+    state ^= state << 13;
+    state ^= state >> 7;
+    state ^= state << 17;
+    return state % one_in == 0;
+}
+
+static int fail(int error) {
+    errno = error;
+    return -1;
+}
+
+int accept4(int fd, struct sockaddr *address, socklen_t *length, int flags) {
+    static __typeof__(&accept4) real;
+    if (!real)
+        real = REAL(accept4);
+    if (happens(20))
+        return fail(happens(2) ? ECONNABORTED : ENFILE);
+    int accepted = real(fd, address, length, flags);
+    if (accepted >= 0 && accepted < MAX_DESCRIPTORS)
+        outgoing[accepted] = 0;
+    return accepted;
+}
+
+int socket(int domain, int type, int protocol) {
+    static __typeof__(&socket) real;
+    if (!real)
+        real = REAL(socket);
+    if (monotonic_ms() > step_at_ms && happens(30))
+        return fail(happens(2) ? ENOBUFS : ENFILE);
+    int fd = real(domain, type, protocol);
+    if (fd >= 0 && fd < MAX_DESCRIPTORS)
+        outgoing[fd] = 0;
+    return fd;
+}
+
+int connect(int fd, const struct sockaddr *address, socklen_t length) {
+    static __typeof__(&connect) real;
+    if (!real)
+        real = REAL(connect);
+    if (happens(30))
+        return fail(happens(2) ? EADDRNOTAVAIL : ENETUNREACH);
+    if (fd >= 0 && fd < MAX_DESCRIPTORS)
+        outgoing[fd] = 1;
+    return real(fd, address, length);
+}
+
+int epoll_wait(int fd, struct epoll_event *events, int most, int timeout) {
+    static __typeof__(&epoll_wait) real;
+    if (!real)
+        real = REAL(epoll_wait);
+    if (happens(20))
+        return fail(EINTR);
+    return real(fd, events, most, timeout);
+}
+
+/* Breaks a connection that the program made; its peer sees the end. */
+static int breaks(int fd) {
+    if (fd < 0 || fd >= MAX_DESCRIPTORS || !outgoing[fd] || !happens(400))
+        return 0;
+    shutdown(fd, SHUT_RDWR);
+    errno = happens(2) ? ETIMEDOUT : EHOSTUNREACH;
+    return 1;
+}
+
+/* Pipes, counters of events and files: sockets are read by recv. */
+ssize_t read(int fd, void *bytes, size_t length) {
+    static __typeof__(&read) real;
+    if (!real)
+        real = REAL(read);
+    if (happens(10))
+        return fail(EINTR);
+    return real(fd, bytes, length);
+}
+
+ssize_t recv(int fd, void *bytes, size_t length, int flags) {
+    static __typeof__(&recv) real;
+    if (!real)
+        real = REAL(recv);
+    if (breaks(fd))
+        return -1;
+    if (happens(30))
+        return fail(EINTR);
+    return real(fd, bytes, length > 1 && happens(4) ? 1 + length / 7 % 64 : length, flags);
+}
+
+ssize_t send(int fd, const void *bytes, size_t length, int flags) {
+    static __typeof__(&send) real;
+    if (!real)
+        real = REAL(send);
+    if (breaks(fd))
+        return -1;
+    return real(fd, bytes, length > 1 && happens(4) ? length / 2 : length, flags);
+}
+
+ssize_t writev(int fd, const struct iovec *chunks, int count) {
+    static __typeof__(&writev) real;
+    if (!real)
+        real = REAL(writev);
+    if (breaks(fd))
+        return -1;
+    if (count > 0 && happens(4)) {
+        struct iovec first = chunks[0];
+        if (first.iov_len > 1)
+            first.iov_len /= 2;
+        return real(fd, &first, 1);
+    }
+    return real(fd, chunks, count);
+}
+
+int clock_gettime(clockid_t clock, struct timespec *now) {
+    static __typeof__(&clock_gettime) real;
+    if (!real)
+        real = REAL(clock_gettime);
+    int result = real(clock, now);
+    if (clock == CLOCK_REALTIME && result == 0 && step_s && monotonic_ms() >= step_at_ms)
+        now->tv_sec += step_s;
+    return result;
+}
--- /dev/null
+++ b/tests/fault_soak/feed.rs
@@ -0,0 +1,66 @@
+//! The discovery feed of a run: engines drain and come back, and its connections are resumed after the last event.
+
+use crate::scene::list_feed::feed_frame;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+/// The kind of a frame with changes, and the states of a record.
+const KIND_CHANGES: u8 = 2;
+const READY: u8 = 0;
+const DRAINING: u8 = 1;
+
+/// The number of the event that the configuration has.
+const KNOWN_EVENT: u64 = 1;
+
+/// The events so far, which each connection follows.
+#[derive(Clone)]
+pub(crate) struct Feed {
+    pub(crate) address: SocketAddr,
+    frames: watch::Sender<Arc<Vec<Vec<u8>>>>,
+}
+
+impl Feed {
+    pub(crate) async fn start() -> Feed {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+        let address = listener.local_addr().expect("address");
+        let (frames, followed) = watch::channel(Arc::default());
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(follow(stream, followed.clone()));
+            }
+        });
+        Feed { address, frames }
+    }
+
+    /// Tells that an engine, by its place in the list, drains or is ready again.
+    pub(crate) fn tell(&self, engine: usize, address: SocketAddr, drains: bool) {
+        let state = if drains { DRAINING } else { READY };
+        self.frames.send_modify(|frames| {
+            let number = KNOWN_EVENT + 1 + frames.len() as u64;
+            let frame = feed_frame(number, KIND_CHANGES, engine, address, state, 0);
+            Arc::make_mut(frames).push(frame);
+        });
+    }
+}
+
+async fn follow(mut stream: TcpStream, mut followed: watch::Receiver<Arc<Vec<Vec<u8>>>>) {
+    let Ok(last) = stream.read_u64().await else {
+        return;
+    };
+    let mut sent = (last - KNOWN_EVENT) as usize;
+    loop {
+        let frames = followed.borrow_and_update().clone();
+        for frame in &frames[sent..] {
+            if stream.write_all(frame).await.is_err() {
+                return;
+            }
+        }
+        sent = frames.len();
+        if followed.changed().await.is_err() {
+            return;
+        }
+    }
+}
--- a/tests/scene/child_process.rs
+++ b/tests/scene/child_process.rs
@@ -29,8 +29,14 @@
     }
 }
 
-/// The program with these files, which are written under this name.
+/// Starts the program with these files, which are written under this name.
 pub(crate) fn start_program(name: &str, config: &str, fronts: &str) -> Child {
+    let mut program = program(name, config, fronts);
+    program.stderr(Stdio::piped()).spawn().expect("program")
+}
+
+/// The program with these files, which are written under this name.
+pub(crate) fn program(name: &str, config: &str, fronts: &str) -> Command {
     let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
     let file = |kind: &str, text: &str| {
         let path = folder.join(format!("{name}.{kind}"));
@@ -46,7 +52,7 @@
     for unset in ["NODE_LISTEN", "NODE_OPS", "NODE_LISTEN_FD", "TMPDIR"] {
         program.env_remove(unset);
     }
-    program.stderr(Stdio::piped()).spawn().expect("program")
+    program
 }
 
 /// The program on a listening socket that the platform holds, in a folder that it gives to every start.
--- a/tests/scene/msgpack_client.rs
+++ b/tests/scene/msgpack_client.rs
@@ -24,6 +24,16 @@
     /// Connects.
     pub(crate) async fn new(name: &str, at: SocketAddr) -> Client {
         let stream = TcpStream::connect(at).await.expect("connect");
+        Client::on(name, stream)
+    }
+
+    /// Connects; none where that fails.
+    pub(crate) async fn try_new(name: &str, at: SocketAddr) -> Option<Client> {
+        let stream = TcpStream::connect(at).await.ok()?;
+        Some(Client::on(name, stream))
+    }
+
+    fn on(name: &str, stream: TcpStream) -> Client {
         let (input, answers) = (Vec::new(), HashMap::new());
         Client {
             name: name.to_owned(),
@@ -56,11 +66,18 @@
     }
 
     async fn send_cancel(&mut self, id: &str) {
-        let mut text = vec![0x93, 2];
-        encode::write_str(&mut text, "cancel").expect("text");
-        text.push(0x91);
-        encode::write_uint(&mut text, id.parse().expect("id")).expect("id");
-        self.write(&text).await;
+        self.write(&cancellation(id.parse().expect("id"))).await;
+    }
+
+    /// Takes a request back, unless the connection has broken.
+    pub(crate) async fn try_cancel(&mut self, id: u64) {
+        let _ = self.stream.write_all(&cancellation(id)).await;
+    }
+
+    /// Sends a statement of a class with one change of a field, unless the connection has broken.
+    pub(crate) async fn try_send(&mut self, id: u64, class: &str, change: &str) {
+        let text = self.statement_call(id, class, &[change]);
+        let _ = self.stream.write_all(&text).await;
     }
 
     async fn send_health(&mut self, id: &str) {
@@ -70,7 +87,11 @@
 
     /// Sends a statement of a class. `NAME=VALUE` replaces a field, `NAME=` leaves it out.
     async fn send_statement(&mut self, id: &str, class: &str, changes: &[&str]) {
-        let id: u64 = id.parse().expect("id");
+        let text = self.statement_call(id.parse().expect("id"), class, changes);
+        self.write(&text).await;
+    }
+
+    fn statement_call(&self, id: u64, class: &str, changes: &[&str]) -> Vec<u8> {
         let client = self.name.bytes();
         let client = client.fold(0u32, |hash, byte| hash * 31 + u32::from(byte));
         let reference = format!("{client:08x}{id:08x}");
@@ -87,8 +108,7 @@
             }
         }
         let body = statement(class, &format!("{}.{id}", self.name));
-        let text = self.call(id, class, &fields, Some(body.as_bytes()));
-        self.write(&text).await;
+        self.call(id, class, &fields, Some(body.as_bytes()))
     }
 
     async fn expect_closed(&mut self) {
@@ -118,6 +138,19 @@
         }
     }
 
+    /// The next answer that came, with the number of its request; none at the end of the connection.
+    pub(crate) async fn next_answer_or_end(&mut self) -> Option<(u64, String)> {
+        loop {
+            if let Some(id) = self.answers.keys().next().copied() {
+                return self.answers.remove_entry(&id);
+            }
+            if self.closed {
+                return None;
+            }
+            self.read().await;
+        }
+    }
+
     fn call(&self, id: u64, method: &str, fields: &[(&str, &str)], body: Option<&[u8]>) -> Vec<u8> {
         let mut text = vec![0x94, 0];
         encode::write_uint(&mut text, id).expect("id");
@@ -152,6 +185,15 @@
     }
 }
 
+/// The message that takes a request back.
+fn cancellation(id: u64) -> Vec<u8> {
+    let mut text = vec![0x93, 2];
+    encode::write_str(&mut text, "cancel").expect("text");
+    text.push(0x91);
+    encode::write_uint(&mut text, id).expect("id");
+    text
+}
+
 /// One answer as a script writes it, and its length; none while it is incomplete.
 fn read_answer(bytes: &[u8]) -> Option<(u64, String, usize)> {
     let mut at = Cursor::new(bytes);
