--- a/src/engines/flight/tests.rs
+++ b/src/engines/flight/tests.rs
@@ -84,6 +84,37 @@
     });
 }
 
+/// An answer that cannot be used ends its attempt only once the engine has read that its call is over: the engine would go
+/// on with it, and a retry elsewhere would run beside it.
+#[test]
+fn unusable_answer_ends_the_attempt_once_the_engine_has_read_the_reset() {
+    /// The prefix of a gRPC message of one byte, and a byte that begins no message.
+    const UNUSABLE: &[u8] = &[0, 0, 0, 0, 1, 0xff];
+    run_test(async {
+        let mut bench = EngineTestBench::new(EngineProtocol::Flight).await;
+        bench.send(start(attempt(1))).await;
+        let mut peer = peer(&bench).await;
+        let (_call, mut answer) = peer.accept().await.expect("a call").expect("a call");
+        let head = http::Response::builder().header("content-type", "application/grpc");
+        let head = head.body(()).expect("a head");
+        let mut body = answer.send_response(head, false).expect("a response");
+        body.send_data(Bytes::from_static(UNUSABLE), false)
+            .expect("data");
+        // One turn of the peer writes the answer. It reads nothing after that until it has its next turn.
+        poll_fn(|context| std::task::Poll::Ready(peer.poll_accept(context).is_ready())).await;
+        assert!(
+            bench.is_silent().await,
+            "the peer has read nothing of the end"
+        );
+        tokio::select! {
+            biased;
+            event = bench.next_event() => assert!(is_ended(&event, 1, Outcome::Error), "{event:?}"),
+            _ = peer.accept() => panic!("a call"),
+        }
+        assert!(poll_fn(|cx| std::task::Poll::Ready(body.poll_reset(cx).is_ready())).await);
+    });
+}
+
 /// The wait for a peer that reads no more is bounded: its connection is closed, and the other call on it ends as reset.
 #[test]
 fn peer_that_reads_nothing_is_closed_after_a_cancellation() {
