End a Flight attempt with an unusable answer once the engine has read its reset

Cause: engines/flight/attempt.rs reported the end of an attempt in the turn in which its answer failed to decode, or outgrew its memory. The call was dropped, which only queues its reset, and the core could start a retry at another engine while the first one was at work: an end without proof, as in the incident.

Change: such an end waits until a ping behind the reset is answered, or the connection is closed, as a cancellation does before a retry. Not where a status tells a rejection, a lost connection or a time-out.

--- a/src/engines/flight/attempt.rs
+++ b/src/engines/flight/attempt.rs
@@ -1,13 +1,14 @@
 //! The task of one attempt: sends the statement, collects its result, and reports the attempt's end.
 
 use super::attempt_failure::AttemptFailure;
+use super::cancellation::confirm_reset;
 use super::engine_link::EngineLink;
 use super::http2_connection::Http2Connection;
 use super::metadata::{INFLIGHT, USED_MB, WORK_MS, call_request, figure, keep_measurements};
 use super::result_collector::ResultCollector;
 use crate::core::{AttemptEvent, AttemptRequest, ResultBody, StatementKind};
 use crate::decision::{LoadReport, Outcome};
-use crate::engines::context::AttemptId;
+use crate::engines::context::{AfterCancellation, AttemptId};
 use crate::rows;
 use arrow_flight::flight_service_client::FlightServiceClient;
 use arrow_flight::sql::{
@@ -54,6 +55,14 @@
                 number: attempt,
             } = attempt;
             tracing::debug!(id, attempt, engine = %link.engine(), %failure, "attempt failed at its engine");
+            // The engine may go on with a call that failed here alone: its reset was queued as the call was dropped,
+            // and a retry elsewhere could begin before the engine has read it.
+            if let Some(connection) = used_connection.get()
+                && failure.may_leave_call_open()
+            {
+                let after = AfterCancellation::RetryMayFollow;
+                confirm_reset(&link, connection.clone(), after).await;
+            }
             (failure.outcome(), None)
         }
     };
--- a/src/engines/flight/attempt_failure.rs
+++ b/src/engines/flight/attempt_failure.rs
@@ -35,6 +35,23 @@
 }
 
 impl AttemptFailure {
+    /// Whether the engine may still be at work on the attempt, although it has failed on this side: what came cannot be
+    /// used, and the call that brought it was left before its end. A status does not say which side found the fault.
+    pub(super) fn may_leave_call_open(&self) -> bool {
+        match self {
+            AttemptFailure::Call(_) => self.outcome() == Outcome::Error,
+            AttemptFailure::InvalidUpdateResult(_) | AttemptFailure::ResultMemoryExhausted => true,
+            AttemptFailure::EngineClosed
+            | AttemptFailure::NoConnectionSlot
+            | AttemptFailure::Connect(_)
+            | AttemptFailure::Origin(_)
+            | AttemptFailure::Statement(_)
+            | AttemptFailure::MissingTicket
+            | AttemptFailure::MissingUpdateResult
+            | AttemptFailure::ClientDisconnected => false,
+        }
+    }
+
     /// The outcome that is reported to the core.
     pub(super) fn outcome(&self) -> Outcome {
         match self {
