Report changes of an engine's health by a type, and name engines in the log by their ids

Need: the incident's logs named engines by the four bytes of their id as an IPv4 address and port 0, which is in no list; only decoding them showed that the ejected engine was the one with the concurrent attempts. The dispatcher also built these lines itself, as strings.

Change: Action::EngineHealthChanged with EngineHealthChange in place of Action::Log; the core logs it with the engine's id as the list has it, and so do the lines at debug. The simulator's adapter writes the line of before.

--- a/src/bin/simulator-adapter/encode.rs
+++ b/src/bin/simulator-adapter/encode.rs
@@ -81,8 +81,10 @@
                 [(3, &id.to_le_bytes()), (7, &memory), (11, &[*priority])];
             add(code::SET_ATTEMPT_TERMS, &fields);
         }
-        Action::Log { line } => {
-            let text = reply.add_text(line);
+        Action::EngineHealthChanged { engine, change } => {
+            let (event, reason) = (change.event(), change.reason());
+            let line = format!("{event} engine={engine} reason={reason}");
+            let text = reply.add_text(&line);
             reply.add_record(code::LOG, instance, &[(3, &text)]);
         }
         Action::SubscribeEndpointList => add(code::SUBSCRIBE, &[(3, &SUBSCRIBE_ON)]),
--- a/src/core/attempt_end.rs
+++ b/src/core/attempt_end.rs
@@ -12,6 +12,7 @@
 use crate::attempt::InFlight;
 use crate::decision::{AttemptEnded, EngineId, LoadReport};
 use crate::metrics::Counter;
+use crate::node_config::format_engine_id;
 
 /// What an engine measured of an attempt, where it reports that.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -138,7 +139,7 @@
         let elapsed_ms = now - ended.sent_to.at_ms;
         tracing::debug!(
             id,
-            %engine,
+            engine = %format_engine_id(engine),
             attempt,
             ?outcome,
             elapsed_ms,
@@ -225,7 +226,7 @@
             return;
         };
         let (engine, attempt) = (in_flight.engine, in_flight.number);
-        tracing::debug!(id, %engine, attempt, ?outcome, "attempt is being cancelled");
+        tracing::debug!(id, engine = %format_engine_id(engine), attempt, ?outcome, "attempt is being cancelled");
         request.cancellation.cancel();
         let retry_may_follow = !request.answered;
         self.send_cancellation(now, engine, id, attempt, retry_may_follow);
@@ -264,7 +265,7 @@
         if now - cancellation.since_ms < self.limits.cancellation_timeout_ms {
             return self.send_cancellation(now, engine, id, attempt, !answered);
         }
-        tracing::debug!(id, %engine, attempt, "cancellation not confirmed in time");
+        tracing::debug!(id, engine = %format_engine_id(engine), attempt, "cancellation not confirmed in time");
         self.metrics.cancellations_timed_out.increment();
         if !answered && !streaming {
             self.fail_and_drop(now, id, FailureReason::AttemptFailed);
--- a/src/core/attempt_start.rs
+++ b/src/core/attempt_start.rs
@@ -10,6 +10,7 @@
 use crate::attempt::SentTo;
 use crate::decision::{AttemptEnded, DedupScope, EngineId, Idempotency, LoadReport};
 use crate::log::lossy_text;
+use crate::node_config::format_engine_id;
 
 /// A retry with an idempotency key is written this long before engines may have forgotten the first attempt, in ms.
 const DEDUP_MARGIN_MS: Millis = 1.0;
@@ -38,12 +39,12 @@
         let is_due = !request.answered && request.backoff.is_none();
         let Some(number) = numbered.ok().filter(|_| is_due) else {
             let denied = numbered.err();
-            tracing::debug!(id, %engine, ?denied, is_due, "attempt blocked by a guard");
+            tracing::debug!(id, engine = %format_engine_id(engine), ?denied, is_due, "attempt blocked by a guard");
             self.metrics.sends_blocked_by_guard.increment();
             return Err(Outcome::NotSent);
         };
         if !engine_accepts {
-            tracing::debug!(id, %engine, attempt = number, "attempt blocked: its engine takes none");
+            tracing::debug!(id, engine = %format_engine_id(engine), attempt = number, "attempt blocked: its engine takes none");
             self.metrics.sends_blocked_by_guard.increment();
             return Err(Outcome::NoConnection);
         }
@@ -148,7 +149,7 @@
         tracing::debug!(
             id,
             r#ref = %lossy_text(&request.accepted.client_reference),
-            %engine,
+            engine = %format_engine_id(engine),
             attempt = number,
             after = ?request.last_end.map(|end| end.outcome),
             deadline_ms,
@@ -187,7 +188,7 @@
         outcome: Outcome,
     ) {
         self.outcome_counter(outcome).increment();
-        tracing::debug!(id, %engine, attempt, ?outcome, "attempt not sent");
+        tracing::debug!(id, engine = %format_engine_id(engine), attempt, ?outcome, "attempt not sent");
         if let Some(request) = self.requests.get_mut(id) {
             request.last_end = Some(LastEnd { outcome, engine });
         }
--- a/src/core/dispatch.rs
+++ b/src/core/dispatch.rs
@@ -3,6 +3,7 @@
 use super::timers::Timer;
 use super::{Answer, Core, EnginePort, Event, FailureReason, Millis, Outcome, RequestId};
 use crate::decision::{Action, EngineId};
+use crate::node_config::format_engine_id;
 
 /// An attempt that could not be started, of which the dispatcher is notified after its other actions.
 struct FailedStart {
@@ -66,7 +67,10 @@
             Action::SetTimer { after_ms, token } => {
                 self.set_timer(now + after_ms.max(1.0), Timer::Dispatcher(token));
             }
-            Action::Log { line } => tracing::info!("{line}"),
+            Action::EngineHealthChanged { engine, change } => {
+                let (engine, reason) = (format_engine_id(engine), change.reason());
+                tracing::info!(%engine, %reason, "{}", change.event());
+            }
             // The settings allow no health checks to engines, and the discovery feed pushes its updates.
             Action::SendHealthCheck { .. } | Action::SubscribeEndpointList => {}
         }
--- a/src/core/endpoint_list.rs
+++ b/src/core/endpoint_list.rs
@@ -127,7 +127,7 @@
     for record in &event.records {
         let entry = &record.entry;
         tracing::debug!(
-            engine = %entry.engine,
+            engine = %format_engine_id(entry.engine),
             state = ?entry.state,
             started_at_ms = entry.started_at_ms,
             "engine listed"
--- a/src/decision/attempt_end.rs
+++ b/src/decision/attempt_end.rs
@@ -3,10 +3,10 @@
 use super::concurrency_limit::{
     ENGINE_MIN_INTERVALS, FitRule, FitSample, POOLED_MIN_INTERVALS, START_THREADS_PER_CORE,
 };
-use super::health_checks::FailureCause;
 use super::requests::{FirstExecution, InFlightAttempt};
 use super::{
-    Action, AttemptEnded, Dispatcher, EndReason, Engine, EngineId, Millis, Outcome, RequestId,
+    Action, AttemptEnded, Dispatcher, EndReason, Engine, EngineHealthChange, EngineId, Millis,
+    Outcome, RequestId,
 };
 use super::{TICK_MS, class_statistics::MIN_WORK_MS};
 
@@ -174,7 +174,7 @@
                 self.mark_saturated(engine_id);
             }
             Outcome::NoConnection => {
-                self.record_failure(engine_id, FailureCause::NoConnection, actions);
+                self.record_failure(engine_id, EngineHealthChange::Unreachable, actions);
             }
             Outcome::NoConnectionSlot => self.on_no_connection_slot(id, engine_id),
             Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled | Outcome::NotSent => {}
--- a/src/decision/events.rs
+++ b/src/decision/events.rs
@@ -193,6 +193,40 @@
     NoRetryAllowed,
 }
 
+/// How the dispatcher's view of an engine's health has changed, and why.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EngineHealthChange {
+    /// A health check failed: it is down.
+    HealthCheckFailed,
+    /// An attempt got no connection: it is down.
+    Unreachable,
+    /// It answers again.
+    Recovered,
+    /// It fails what others serve: it is ejected.
+    EjectedForErrors,
+}
+
+impl EngineHealthChange {
+    /// What has happened, as operators read it.
+    pub fn event(self) -> &'static str {
+        match self {
+            Self::HealthCheckFailed | Self::Unreachable => "engine down",
+            Self::Recovered => "engine recovered",
+            Self::EjectedForErrors => "engine ejected",
+        }
+    }
+
+    /// Why, as operators read it.
+    pub fn reason(self) -> &'static str {
+        match self {
+            Self::HealthCheckFailed => "health_check",
+            Self::Unreachable => "no_connection",
+            Self::Recovered => "answered",
+            Self::EjectedForErrors => "errors",
+        }
+    }
+}
+
 /// What the host is to do, in this order.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
@@ -251,9 +285,11 @@
     },
     /// Poll the endpoint list, and subscribe to its changes.
     SubscribeEndpointList,
-    /// A line for the operators.
-    Log {
-        /// The line.
-        line: String,
+    /// The state of an engine has changed, which operators are to know.
+    EngineHealthChanged {
+        /// Which engine.
+        engine: EngineId,
+        /// How, and why.
+        change: EngineHealthChange,
     },
 }
--- a/src/decision/health_checks.rs
+++ b/src/decision/health_checks.rs
@@ -1,7 +1,8 @@
 //! Failure detection and health checks: which engines are down, and which are checked.
 
-use super::{Action, Dispatcher, EngineId, Millis, Outcome, RequestId, hash::mix};
-use std::fmt;
+use super::{
+    Action, Dispatcher, EngineHealthChange, EngineId, Millis, Outcome, RequestId, hash::mix,
+};
 
 /// First pause after a failure, in ms.
 pub(super) const FIRST_PAUSE_MS: Millis = 250.0;
@@ -24,24 +25,6 @@
 /// Affinity engines checked for a request.
 const CHECKED_AFFINITY_ENGINES: usize = 2;
 
-/// What has shown that an engine cannot be reached.
-#[derive(Clone, Copy)]
-pub(super) enum FailureCause {
-    /// A health check failed.
-    HealthCheck,
-    /// An attempt got no connection.
-    NoConnection,
-}
-
-impl fmt::Display for FailureCause {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.write_str(match self {
-            Self::HealthCheck => "health_check",
-            Self::NoConnection => "no_connection",
-        })
-    }
-}
-
 /// Whether an engine is down, from failures and answers.
 #[derive(Default)]
 pub(super) struct FailureDetector {
@@ -182,7 +165,7 @@
         match outcome {
             Outcome::Ok => self.record_success(engine_id, actions),
             Outcome::Rejected | Outcome::NotSent => {}
-            _ => self.record_failure(engine_id, FailureCause::HealthCheck, actions),
+            _ => self.record_failure(engine_id, EngineHealthChange::HealthCheckFailed, actions),
         }
     }
 
@@ -267,8 +250,9 @@
             engine
                 .slow_start
                 .begin_recovery(self.now_ms, self.settings.slow_start_ms);
-            actions.push(Action::Log {
-                line: format!("engine recovered engine={engine_id} reason=answered"),
+            actions.push(Action::EngineHealthChanged {
+                engine: engine_id,
+                change: EngineHealthChange::Recovered,
             });
         }
     }
@@ -277,15 +261,16 @@
     pub(super) fn record_failure(
         &mut self,
         engine_id: EngineId,
-        cause: FailureCause,
+        cause: EngineHealthChange,
         actions: &mut Vec<Action>,
     ) {
         let Some(engine) = self.engines.get_mut(&engine_id) else {
             return;
         };
         if engine.failures.record_failure(self.now_ms) {
-            actions.push(Action::Log {
-                line: format!("engine down engine={engine_id} reason={cause}"),
+            actions.push(Action::EngineHealthChanged {
+                engine: engine_id,
+                change: cause,
             });
         }
     }
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -39,8 +39,8 @@
 
 pub use endpoint_list::{EngineEntry, EngineId, EngineSharing, EngineState, ListUpdateKind};
 pub use events::{
-    Action, AttemptEnded, EndReason, Event, LoadReport, Millis, Outcome, Progress, Request,
-    RequestId,
+    Action, AttemptEnded, EndReason, EngineHealthChange, Event, LoadReport, Millis, Outcome,
+    Progress, Request, RequestId,
 };
 pub use settings::{
     Class, DedupScope, Idempotency, LoadReportMode, ReplacedSettings, RetryBudget, Settings,
--- a/src/decision/outlier_ejection.rs
+++ b/src/decision/outlier_ejection.rs
@@ -1,7 +1,7 @@
 //! Outlier ejection: engines that reject queries, or fail queries that others serve, rest for growing pauses.
 
 use super::health_checks::FIRST_PAUSE_MS;
-use super::{Action, Dispatcher, Millis, RequestId};
+use super::{Action, Dispatcher, EngineHealthChange, Millis, RequestId};
 
 /// Doublings of the first pause, up to 4 s: a trial costs a query its time.
 const MAX_PAUSE_DOUBLINGS: u32 = 4;
@@ -101,8 +101,9 @@
                 continue;
             };
             if engine.outlier.attribute_error(self.now_ms) {
-                actions.push(Action::Log {
-                    line: format!("engine ejected engine={engine_id} reason=errors"),
+                actions.push(Action::EngineHealthChanged {
+                    engine: engine_id,
+                    change: EngineHealthChange::EjectedForErrors,
                 });
             }
         }
--- a/src/engines/flight/attempt.rs
+++ b/src/engines/flight/attempt.rs
@@ -9,6 +9,7 @@
 use crate::core::{AttemptEvent, AttemptRequest, ResultBody, StatementKind};
 use crate::decision::{LoadReport, Outcome};
 use crate::engines::context::{AfterCancellation, AttemptId};
+use crate::node_config::format_engine_id;
 use crate::rows;
 use arrow_flight::flight_service_client::FlightServiceClient;
 use arrow_flight::sql::{
@@ -54,7 +55,7 @@
                 request: id,
                 number: attempt,
             } = attempt;
-            tracing::debug!(id, attempt, engine = %link.engine(), %failure, "attempt failed at its engine");
+            tracing::debug!(id, attempt, engine = %format_engine_id(link.engine()), %failure, "attempt failed at its engine");
             // The engine may go on with a call that failed here alone: its reset was queued as the call was dropped,
             // and a retry elsewhere could begin before the engine has read it.
             if let Some(connection) = used_connection.get()
--- a/src/engines/line_protocol/connection.rs
+++ b/src/engines/line_protocol/connection.rs
@@ -23,6 +23,7 @@
 use crate::engines::connection_slots::ConnectionSlot;
 use crate::engines::context::{AttemptId, EngineContext, EngineMessage};
 use crate::net::{self, Outbox};
+use crate::node_config::format_engine_id;
 use attempt_ends::AttemptReport;
 use bytes::{Bytes, BytesMut};
 use cancellations::Cancellations;
@@ -207,10 +208,10 @@
         let (engine, connection) = (self.engine, self.number);
         match self.serve(&stream, slot).await {
             Ok(reason) => {
-                tracing::debug!(%engine, connection, ?reason, "connection to an engine closed");
+                tracing::debug!(engine = %format_engine_id(engine), connection, ?reason, "connection to an engine closed");
             }
             Err(error) => {
-                tracing::debug!(%engine, connection, %error, "connection to an engine failed");
+                tracing::debug!(engine = %format_engine_id(engine), connection, %error, "connection to an engine failed");
                 self.count_error(&error);
             }
         }
--- a/src/engines/line_protocol/connection/events_log.rs
+++ b/src/engines/line_protocol/connection/events_log.rs
@@ -5,6 +5,7 @@
 use crate::core::{AttemptEvent, AttemptRequest};
 use crate::engines::line_protocol::answer::Answer;
 use crate::log::lossy_text;
+use crate::node_config::format_engine_id;
 use std::io;
 use tokio::net::TcpStream;
 use tokio::time::error::Elapsed;
@@ -31,14 +32,14 @@
         let (engine, connection) = (self.engine, self.number);
         match connected {
             Ok(Ok(stream)) => {
-                tracing::debug!(%engine, connection, "connection to an engine opened");
+                tracing::debug!(engine = %format_engine_id(engine), connection, "connection to an engine opened");
                 return Some(stream);
             }
             Ok(Err(error)) => {
-                tracing::debug!(%engine, connection, %error, "no connection to an engine");
+                tracing::debug!(engine = %format_engine_id(engine), connection, %error, "no connection to an engine");
             }
             Err(error) => {
-                tracing::debug!(%engine, connection, %error, "no connection to an engine");
+                tracing::debug!(engine = %format_engine_id(engine), connection, %error, "no connection to an engine");
             }
         }
         None
@@ -48,7 +49,7 @@
         tracing::debug!(
             id = request.id,
             attempt = request.attempt,
-            engine = %self.engine,
+            engine = %format_engine_id(self.engine),
             connection = self.number,
             r#ref = %lossy_text(&request.client_reference),
             "attempt handed to its connection"
@@ -64,7 +65,7 @@
         tracing::debug!(
             id = request.id,
             attempt = request.attempt,
-            engine = %self.engine,
+            engine = %format_engine_id(self.engine),
             connection = self.number,
             ?outcome,
             ?cancelled,
@@ -77,7 +78,7 @@
         tracing::debug!(
             id = sent.request.id,
             attempt = sent.request.attempt,
-            engine = %self.engine,
+            engine = %format_engine_id(self.engine),
             connection = self.number,
             status = ?answer.status,
             has_pages = sent.pages.is_some(),
@@ -87,7 +88,7 @@
 
     pub(super) fn log_ignored_answer(&self, answer: &Answer, reason: IgnoredAnswer) {
         tracing::debug!(
-            engine = %self.engine,
+            engine = %format_engine_id(self.engine),
             connection = self.number,
             r#ref = %lossy_text(&answer.reference),
             status = ?answer.status,
@@ -102,7 +103,7 @@
             return;
         }
         tracing::debug!(
-            engine = %self.engine,
+            engine = %format_engine_id(self.engine),
             connection = self.number,
             written = self.sent.len(),
             unsent = self.queued.len(),
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -42,8 +42,9 @@
     for id in back {
         actions.extend(bench.ended(id, 1, engine(0), Outcome::NoConnection));
     }
-    let down = |a: &&Action| matches!(a, Action::Log { line } if line.starts_with("engine down "));
-    assert!(actions.iter().filter(down).count() <= 1);
+    let down = actions.iter().filter_map(health_change);
+    let down = down.filter(|(_, change)| change.event() == "engine down");
+    assert!(down.count() <= 1);
     for id in 10..20 {
         assert_ne!(sent(&bench.request(id, 0, 0), id), Some(engine(0)));
     }
@@ -118,7 +119,8 @@
     let down = bench.ended(1, 0, engine(0), Outcome::NoConnection);
     assert!(
         down.iter()
-            .any(|a| matches!(a, Action::Log { line } if line.starts_with("engine down ")))
+            .filter_map(health_change)
+            .any(|(_, change)| change.event() == "engine down")
     );
 }
 
@@ -253,9 +255,9 @@
 
 /// Each line names the event, then the engine and the reason.
 #[test]
-fn log_lines_name_event_engine_and_reason() {
+fn log_changes_name_event_engine_and_reason() {
     let mut bench = TestBench::new(settings(vec![class(1, 1000.0, 1.0)]), 1);
-    let mut lines = Vec::new();
+    let mut changes = Vec::new();
     for outcome in [
         Outcome::NoConnection,
         Outcome::NoConnection,
@@ -269,16 +271,30 @@
             elapsed_ms: 1.0,
             load_report: report,
         }) {
-            if let Action::Log { line } = a {
-                lines.push(line);
-            }
+            changes.extend(health_change(&a));
         }
     }
     let expected = [
-        "engine down engine=10.0.0.0:8000 reason=health_check",
-        "engine recovered engine=10.0.0.0:8000 reason=answered",
+        (engine(0), EngineHealthChange::HealthCheckFailed),
+        (engine(0), EngineHealthChange::Recovered),
     ];
-    assert_eq!(lines, expected);
+    assert_eq!(changes, expected);
+    let texts = expected.map(|(_, change)| (change.event(), change.reason()));
+    assert_eq!(
+        texts,
+        [
+            ("engine down", "health_check"),
+            ("engine recovered", "answered")
+        ]
+    );
+}
+
+/// The change of an engine's health that an action reports.
+fn health_change(action: &Action) -> Option<(EngineId, EngineHealthChange)> {
+    match action {
+        Action::EngineHealthChanged { engine, change } => Some((*engine, *change)),
+        _ => None,
+    }
 }
 
 fn two_engines(report_0: LoadReport, report_1: LoadReport) -> Vec<EngineId> {
