Keep a Flight SQL connection's request to leave past the time for its first call

Cause: clients/flight/listener.rs began a second wait when the time for the first call was over, and dropped the first one, which may have taken the only notification. The connection kept its slot until its client closed it.

Change: one wait for both times.

--- a/src/clients/flight/listener.rs
+++ b/src/clients/flight/listener.rs
@@ -1,7 +1,7 @@
 //! Accepts connections and runs the gRPC server on them.
 
 use super::service::FlightFrontend;
-use super::tracked_connection::{CloseSignal, TrackedConnection};
+use super::tracked_connection::TrackedConnection;
 use crate::clients::connection_slots::{ConnectionSlot, ConnectionSlots};
 use crate::clients::{ACCEPT_RETRY_DELAY, Frontend, is_out_of_resources};
 use crate::limits::Limits;
@@ -9,6 +9,7 @@
 use arrow_flight::flight_service_server::FlightServiceServer;
 use futures::stream;
 use std::io;
+use std::pin::pin;
 use std::sync::Arc;
 use tokio::net::TcpListener;
 use tokio::time::sleep;
@@ -65,8 +66,8 @@
                 let _ = stream.set_nodelay(true);
                 let slot = Arc::new(self.slots.take());
                 tracing::debug!(connection = slot.number(), "client connection accepted");
-                let close_signal = self.close_signal(slot.clone());
-                Ok(TrackedConnection::new(stream, slot, close_signal))
+                let signal = close_signal(slot.clone(), self.limits.clone(), self.metrics.clone());
+                Ok(TrackedConnection::new(stream, slot, Box::pin(signal)))
             }
             Err(error) => {
                 tracing::debug!(%error, "client not accepted");
@@ -78,24 +79,25 @@
             }
         }
     }
+}
 
-    /// Resolves once a connection is to be closed: it was asked to leave and is quiet, or it brought no call in time.
-    fn close_signal(&self, slot: Arc<ConnectionSlot>) -> CloseSignal {
-        let quiet = self.limits.linger;
-        let first_call_timeout = self.limits.client_read_timeout;
-        let metrics = self.metrics.clone();
-        Box::pin(async move {
-            tokio::select! {
-                () = slot.quiet_after_leave_request(quiet) => {}
-                () = sleep(first_call_timeout) => {
-                    if slot.has_called() {
-                        slot.quiet_after_leave_request(quiet).await;
-                    } else {
-                        tracing::debug!(connection = slot.number(), "client connection brought no call in time");
-                        metrics.client_read_timeouts.increment();
-                    }
-                }
-            }
-        })
+/// Resolves once a connection is to be closed: it was asked to leave and is quiet, or it brought no call in time.
+async fn close_signal(slot: Arc<ConnectionSlot>, limits: Arc<Limits>, metrics: Arc<Metrics>) {
+    // One wait for both times: a second one would miss a request to leave that the first one has taken.
+    let mut quiet_after_leave_request = pin!(slot.quiet_after_leave_request(limits.linger));
+    tokio::select! {
+        () = &mut quiet_after_leave_request => return,
+        () = sleep(limits.client_read_timeout) => {}
     }
+    if slot.has_called() {
+        return quiet_after_leave_request.await;
+    }
+    tracing::debug!(
+        connection = slot.number(),
+        "client connection brought no call in time"
+    );
+    metrics.client_read_timeouts.increment();
 }
+
+#[cfg(test)]
+mod tests;
