--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -2,8 +2,7 @@
 //! events to the core.
 //!
 //! [`frame`] decodes the feed's wire form, [`session`] reads one connection, and [`start_times`] sees to wall clocks that
-//! are stepped. The actor here owns the connection and
-//! reconnects with a backoff whenever it fails. `node` starts it with the address and the number of the last event that
+//! are stepped. The actor here owns the connection and reconnects with a backoff whenever it fails. `node` starts it with the address and the number of the last event that
 //! the configuration knows; the core is the only receiver of its events.
 
 mod frame;
--- a/src/engines/flight/cancellation.rs
+++ b/src/engines/flight/cancellation.rs
@@ -39,8 +39,8 @@
         .unwrap_or(AttemptEnd::NeverSent)
 }
 
-/// Waits for the proof that an attempt on this connection is over, whose calls have been dropped. The wait is bounded: a connection that takes no more
-/// is closed, and the other attempts on it end as on any connection that failed.
+/// Waits for the proof that an attempt on this connection is over, whose calls have been dropped. The wait is bounded: a
+/// connection that takes no more is closed, and the other attempts on it end as on any connection that failed.
 pub(super) async fn confirm_reset(
     link: &EngineLink,
     mut connection: Http2Connection,
