--- a/review/stand-ins/src/lib.rs
+++ b/review/stand-ins/src/lib.rs
@@ -2,6 +2,7 @@
 //! They use the standard library alone, loopback addresses and free ports.
 
 pub mod feed;
+pub mod flight_client;
 pub mod flight_engine;
 mod flight_rows;
 pub mod line_engine;
--- a/review/stand-ins/src/line_engine.rs
+++ b/review/stand-ins/src/line_engine.rs
@@ -44,6 +44,17 @@
     address
 }
 
+/// The rows of a result: one, or about 5.5 kB if the statement asks for a wide result. The last one
+/// holds the request's reference.
+fn rows_of(statement: &str, reference: &str) -> String {
+    let filler = if statement.contains("wide") {
+        "north\tseats in use over the hour\t000000000042\n".repeat(120)
+    } else {
+        String::new()
+    };
+    format!("{filler}a\tb\t{reference}\n")
+}
+
 fn serve(
     engine: usize,
     stream: TcpStream,
@@ -86,13 +97,14 @@
                 };
                 let wait = run_time(&statement);
                 let (reference, open) = (reference.to_owned(), open.clone());
+                let statement = statement.clone();
                 let (writer, record, runs) = (writer.clone(), record.clone(), runs.clone());
                 thread::spawn(move || {
                     thread::sleep(wait);
                     if !open.lock().expect("lock").remove(&reference) {
                         return;
                     }
-                    let rows = format!("a\tb\t{reference}\n");
+                    let rows = rows_of(&statement, &reference);
                     let answer = format!(
                         "{reference} served batches=1,cpu={},used=10 {}\r\n{rows}\r\n",
                         wait.as_millis().max(1),
