--- a/review/stand-ins/src/bin/flight_cut_off.rs
+++ b/review/stand-ins/src/bin/flight_cut_off.rs
@@ -13,7 +13,7 @@
 /// Open calls of the client: half of what one connection may carry.
 const CALLS: usize = 16;
 /// How long each report runs.
-const RUN_TIME: Duration = Duration::from_millis(300);
+const RUN_TIME: Duration = Duration::from_millis(260);
 /// When the platform sends SIGTERM, from the last call on.
 const TERM_AT: Duration = Duration::from_millis(100);
 /// When the client begins to stand still, and for how long.
