Review case 1: bad clients that take requests back keep every other client out

Answers that the full channel of a connection drops leave requests open for good. A hundred such connections hold every slot, and sound clients are accepted by the machine and never answered.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -15,7 +15,7 @@
 }
 trap clean_up EXIT
 trap 'exit 2' INT TERM
-driver=$ROOT/review/stand-ins/target/release/flight_second_run
+driver=$ROOT/review/stand-ins/target/release/blocked_by_bad_clients
 [ -x "$driver" ] && [ -x "$ROOT/target/release/workload-manager" ] || exit 2
 timeout 110 "$driver"
 code=$?
