--- a/review/stand-ins/src/flight_client.rs
+++ b/review/stand-ins/src/flight_client.rs
@@ -164,7 +164,11 @@
     pub fn read_for(&mut self, wait: Duration, done: impl Fn(&BTreeMap<u32, Call>) -> bool) {
         let until = Instant::now() + wait;
         let mut input = Vec::new();
-        while !self.closed && !(input.is_empty() && done(&self.calls)) {
+        loop {
+            // A frame that has arrived in part is read to its end.
+            if self.closed || input.is_empty() && done(&self.calls) {
+                return;
+            }
             let left = until.saturating_duration_since(Instant::now());
             if left.is_zero() {
                 return;
