--- a/review/stand-ins/src/bin/flight_cut_off.rs
+++ b/review/stand-ins/src/bin/flight_cut_off.rs
@@ -81,8 +81,9 @@
     let left = (TERM_AT + KILL_AFTER).saturating_sub(sent.elapsed());
     client.read_for(left, |calls| calls.values().all(|call| call.ended));
     record.line(format!(
-        "client: connection closed by the workload manager: {}; the process has ended: {:?}",
+        "client: connection closed by the workload manager: {}; GOAWAY: {:?}; the process has ended: {:?}",
         client.closed,
+        client.goaway,
         manager.ended()
     ));
     let served = runs
--- a/review/stand-ins/src/flight_client.rs
+++ b/review/stand-ins/src/flight_client.rs
@@ -11,6 +11,7 @@
 const RST_STREAM: u8 = 3;
 const SETTINGS: u8 = 4;
 const PING: u8 = 6;
+const GOAWAY: u8 = 7;
 const WINDOW_UPDATE: u8 = 8;
 const ACK: u8 = 1;
 const END_STREAM: u8 = 1;
@@ -81,7 +82,11 @@
 pub struct FlightClient {
     stream: TcpStream,
     next_stream: u32,
+    /// Bytes of a frame that has not arrived whole.
+    input: Vec<u8>,
     pub calls: BTreeMap<u32, Call>,
+    /// The last stream that a GOAWAY of the workload manager names, if one came.
+    pub goaway: Option<u32>,
     /// Whether the connection was closed by the workload manager.
     pub closed: bool,
 }
@@ -99,7 +104,9 @@
         FlightClient {
             stream,
             next_stream: 1,
+            input: Vec::new(),
             calls: BTreeMap::new(),
+            goaway: None,
             closed: false,
         }
     }
@@ -163,10 +170,8 @@
     /// Reads, and opens the windows for what it has read, until `done` or until the time is over.
     pub fn read_for(&mut self, wait: Duration, done: impl Fn(&BTreeMap<u32, Call>) -> bool) {
         let until = Instant::now() + wait;
-        let mut input = Vec::new();
         loop {
-            // A frame that has arrived in part is read to its end.
-            if self.closed || input.is_empty() && done(&self.calls) {
+            if self.closed || done(&self.calls) {
                 return;
             }
             let left = until.saturating_duration_since(Instant::now());
@@ -177,18 +182,19 @@
             let mut bytes = [0; 16384];
             match self.stream.read(&mut bytes) {
                 Ok(0) => self.closed = true,
-                Ok(count) => input.extend_from_slice(&bytes[..count]),
+                Ok(count) => self.input.extend_from_slice(&bytes[..count]),
                 Err(error) if error.kind() == std::io::ErrorKind::ConnectionReset => {
                     self.closed = true;
                 }
                 Err(_) => {}
             }
-            while input.len() >= 9 {
-                let length = u32::from_be_bytes([0, input[0], input[1], input[2]]) as usize;
-                if input.len() < 9 + length {
+            while self.input.len() >= 9 {
+                let head = &self.input[..3];
+                let length = u32::from_be_bytes([0, head[0], head[1], head[2]]) as usize;
+                if self.input.len() < 9 + length {
                     break;
                 }
-                let whole: Vec<u8> = input.drain(..9 + length).collect();
+                let whole: Vec<u8> = self.input.drain(..9 + length).collect();
                 self.handle(&whole);
             }
         }
@@ -202,6 +208,10 @@
         match kind {
             SETTINGS if flags & ACK == 0 => out = frame(SETTINGS, ACK, 0, &[]),
             PING if flags & ACK == 0 => out = frame(PING, ACK, 0, payload),
+            GOAWAY if payload.len() >= 4 => {
+                let last = u32::from_be_bytes([payload[0], payload[1], payload[2], payload[3]]);
+                self.goaway = Some(last);
+            }
             DATA if !payload.is_empty() => {
                 let size = (payload.len() as u32).to_be_bytes();
                 out = frame(WINDOW_UPDATE, 0, 0, &size);
