--- a/review/stand-ins/src/bin/blocked_by_bad_clients.rs
+++ b/review/stand-ins/src/bin/blocked_by_bad_clients.rs
@@ -168,6 +168,19 @@
         record.line(format!("n1 has ended: {status}"));
         return Verdict::Broken;
     }
+    // Answers that came later than a bad client read at first, and connections that were closed.
+    let mut closed = 0;
+    for client in &mut bad {
+        while client.read_answer(Duration::from_millis(2)).is_some() {
+            answers += 1;
+        }
+        closed += usize::from(client.closed);
+    }
+    record.line(format!(
+        "bad clients: {answers} answers of {} in all, {closed} of {BAD_CONNECTIONS} connections closed \
+         by the workload manager",
+        BAD_CONNECTIONS * KEPT
+    ));
     record.line("the bad clients close their connections");
     drop(bad);
     thread::sleep(Duration::from_millis(500));
