Keep the answers to open requests when a client cancels many in one burst

Cause: the core delivered answers through a channel of 64 by try_send and ignored its failure (msgpack_rpc/answers.rs). A cancelled request left the count of open requests at once while its answer was in the channel, so answers that nobody needed took the room of answers that were owed.

Change: open_requests.rs holds the open requests of a connection with the answers that have arrived. An answer is stored only while its request is open, so at most 32 are stored and none that is owed can be dropped.

Tests: requests_that_are_not_cancelled_are_answered_amid_a_burst_of_cancelled_ones and draining_closes_a_connection_after_a_burst_of_cancelled_requests failed before with "only 0 of 8 answers"; both pass.

--- a/src/clients/msgpack_rpc/answers.rs
+++ b/src/clients/msgpack_rpc/answers.rs
@@ -2,8 +2,8 @@
 
 use crate::clients::Frontend;
 use crate::clients::msgpack;
-use crate::core::{Answer, ClientPort, FailureReason, ResultBody};
-use crate::decision::{Millis, RequestId};
+use crate::core::{FailureReason, ResultBody};
+use crate::decision::Millis;
 use crate::limits::{Limits, MemoryReservation};
 use crate::metrics::Metrics;
 use crate::net::Outbox;
@@ -12,7 +12,6 @@
 use std::io;
 use std::sync::Arc;
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
 use tokio::time::Instant;
 
 /// Limit of the unread answers of one client, in results of the largest size. Above it, no more
@@ -26,27 +25,6 @@
 /// Shortest Retry-After that is sent, in ms. A shorter one could be printed as 0.
 const MIN_RETRY_AFTER_MS: Millis = 1.0;
 
-/// Carries answers from the core to a connection's actor.
-pub(super) struct AnswerChannel(mpsc::Sender<(RequestId, Answer)>);
-
-impl AnswerChannel {
-    /// Creates a channel with room for `capacity` answers.
-    pub(super) fn new(
-        capacity: usize,
-    ) -> (Arc<AnswerChannel>, mpsc::Receiver<(RequestId, Answer)>) {
-        let (sender, answers) = mpsc::channel(capacity);
-        (Arc::new(AnswerChannel(sender)), answers)
-    }
-}
-
-impl ClientPort for AnswerChannel {
-    fn answer(&self, id: RequestId, answer: Answer) {
-        // The channel has room for an answer to each request that may be open, so it is never full.
-        // It is closed if the client has disconnected; then the answer is not needed.
-        let _ = self.0.try_send((id, answer));
-    }
-}
-
 /// The errors of the protocol.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ErrorName {
--- a/src/clients/msgpack_rpc/connection.rs
+++ b/src/clients/msgpack_rpc/connection.rs
@@ -3,36 +3,28 @@
 
 mod calls;
 
-use super::answers::{AnswerChannel, AnswerQueue};
+use super::answers::AnswerQueue;
 use super::errors::{CloseReason, ConnectionError};
 use super::input::Input;
+use super::open_requests::{OpenRequest, OpenRequests};
 use super::silence_limits::SilenceLimits;
 use crate::clients::connection_slots::ConnectionSlot;
 use crate::clients::pending::PendingGuard;
 use crate::clients::{Frontend, outcome_counter};
 use crate::core::{Answer, CoreMessage};
-use crate::decision::RequestId;
-use crate::metrics::ClassOutcomes;
 use crate::net;
-use std::collections::HashMap;
 use std::sync::Arc;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep_until};
 
-/// Capacity of the channel from the core, in answers for each request that may be open.
-const CHANNEL_CAPACITY_PER_REQUEST: usize = 2;
-
 /// A client connection with all of its state.
 pub(super) struct Connection {
     stream: TcpStream,
     frontend: Frontend,
-    answer_channel: Arc<AnswerChannel>,
-    answers: mpsc::Receiver<(RequestId, Answer)>,
     input: Input,
     answer_queue: AnswerQueue,
-    open_requests: HashMap<RequestId, OpenRequest>,
+    open_requests: Arc<OpenRequests>,
     /// Message id of the latest call; 0 before the first.
     last_message_id: u64,
     /// When the latest call arrived or the latest request was answered.
@@ -48,25 +40,14 @@
     evicted: bool,
 }
 
-/// A request that the core has not answered yet.
-struct OpenRequest {
-    message_id: u64,
-    outcomes: Arc<ClassOutcomes>,
-}
-
 impl Connection {
     pub(super) fn new(stream: TcpStream, slot: ConnectionSlot, frontend: Frontend) -> Connection {
-        let channel_capacity =
-            frontend.limits.open_requests_per_client * CHANNEL_CAPACITY_PER_REQUEST;
-        let (answer_channel, answers) = AnswerChannel::new(channel_capacity);
         let _ = stream.set_nodelay(true);
         Connection {
             stream,
-            answer_channel,
-            answers,
             input: Input::new(&frontend),
             answer_queue: AnswerQueue::new(&frontend),
-            open_requests: HashMap::new(),
+            open_requests: Arc::default(),
             last_message_id: 0,
             idle_since: Instant::now(),
             slot,
@@ -95,9 +76,8 @@
                 );
             }
         }
-        self.answers.close();
         self.set_pending(false);
-        for id in std::mem::take(&mut self.open_requests).into_keys() {
+        for id in self.open_requests.cancel_all() {
             let message = CoreMessage::ClientDisconnected(id);
             self.frontend.core.send(message).await;
         }
@@ -137,7 +117,7 @@
             let write_deadline = self.answer_queue.write_deadline();
             tokio::select! {
                 biased;
-                Some((id, answer)) = self.answers.recv() => self.handle_answer(id, &answer),
+                (request, answer) = self.open_requests.next_answer() => self.handle_answer(&request, &answer),
                 ready = self.stream.writable(), if !self.answer_queue.is_empty() => ready?,
                 ready = self.stream.readable(), if !self.answer_queue.is_full() => {
                     ready?;
@@ -276,11 +256,8 @@
         Ok(())
     }
 
-    /// Queues the core's answer to a request, unless the client has cancelled the request.
-    fn handle_answer(&mut self, id: RequestId, answer: &Answer) {
-        let Some(request) = self.open_requests.remove(&id) else {
-            return;
-        };
+    /// Queues the core's answer to a request.
+    fn handle_answer(&mut self, request: &OpenRequest, answer: &Answer) {
         self.idle_since = Instant::now();
         let outcomes = &request.outcomes;
         let counter = if self.queue_answer(request.message_id, answer) {
--- a/src/clients/msgpack_rpc/connection/calls.rs
+++ b/src/clients/msgpack_rpc/connection/calls.rs
@@ -1,10 +1,11 @@
 //! Handles the calls of a client: requests go to the core, all other calls are answered at once.
 
-use super::{Connection, OpenRequest};
+use super::Connection;
 use crate::clients::msgpack::{Call, Message};
 use crate::clients::msgpack_rpc::answers::ErrorName;
 use crate::clients::msgpack_rpc::call::parse_request;
 use crate::clients::msgpack_rpc::errors::ProtocolError;
+use crate::clients::msgpack_rpc::open_requests::OpenRequest;
 use crate::core::{AcceptedRequest, CoreMessage};
 use crate::decision::Millis;
 use crate::log::lossy_text;
@@ -49,7 +50,7 @@
             return Ok(());
         }
         let outcomes = self.frontend.class_outcomes(&call.method);
-        let client = self.answer_channel.clone();
+        let client = self.open_requests.clone();
         match parse_request(&self.frontend, now_ms, call, client) {
             Ok(request) if self.has_request_capacity() => {
                 let outcomes = outcomes.unwrap_or_default();
@@ -137,13 +138,7 @@
 
     /// Cancels the request of a call if it is still open. The client gets no answer then.
     async fn cancel(&mut self, message_id: u64) {
-        let id = self
-            .open_requests
-            .iter()
-            .find(|(_, request)| request.message_id == message_id)
-            .map(|(id, _)| *id);
-        if let Some(id) = id {
-            self.open_requests.remove(&id);
+        if let Some(id) = self.open_requests.cancel(message_id) {
             let message = CoreMessage::ClientDisconnected(id);
             self.frontend.core.send(message).await;
         }
--- a/src/clients/msgpack_rpc/tests.rs
+++ b/src/clients/msgpack_rpc/tests.rs
@@ -2,40 +2,220 @@
 
 use super::listen;
 use crate::clients::Frontend;
-use crate::core::{Clock, Handle};
+use crate::core::{Answer, Clock, CoreMessage, Handle, Mailbox};
 use crate::engines::EngineContext;
 use crate::lifecycle::Lifecycle;
 use crate::limits::Limits;
 use crate::metrics::Metrics;
+use rmp::{decode, encode};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::io::AsyncWriteExt;
-use tokio::net::{TcpListener, TcpSocket};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 use tokio::time::timeout;
 
+/// A test fails if it waits for longer than this for an answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// A front end whose core is the test.
+struct TestFrontend {
+    frontend: Frontend,
+    metrics: Arc<Metrics>,
+    /// What the front end sends to the core.
+    mailbox: Mailbox,
+    listener: TcpListener,
+    address: SocketAddr,
+}
+
+impl TestFrontend {
+    /// Creates a front end that does not accept connections yet. The mailbox of its core has space
+    /// for this number of messages.
+    async fn new(mailbox_messages: usize, change_limits: impl FnOnce(&mut Limits)) -> TestFrontend {
+        let (core, mailbox) = Handle::new(mailbox_messages, Clock::new());
+        let mut limits = Limits::clone(&EngineContext::for_tests(core.clone()).limits);
+        change_limits(&mut limits);
+        let metrics = Arc::<Metrics>::default();
+        let settings = Arc::new(EngineContext::settings_for_tests());
+        let frontend = Frontend {
+            core,
+            settings: watch::channel(settings).1,
+            limits: Arc::new(limits),
+            metrics: metrics.clone(),
+            lifecycle: Arc::new(Lifecycle::new()),
+            buffer_pools: Arc::default(),
+        };
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+        let address = listener.local_addr().expect("address");
+        TestFrontend {
+            frontend,
+            metrics,
+            mailbox,
+            listener,
+            address,
+        }
+    }
+
+    /// Serves a client whose first bytes are a burst of calls, most of which it also cancels. The
+    /// core rejects every request. Checks that the other calls are answered, and returns the
+    /// client.
+    async fn serve_burst(self) -> TcpStream {
+        let mut client = TcpStream::connect(self.address).await.expect("connect");
+        let (burst, kept) = burst_of_cancelled_calls();
+        client.write_all(&burst).await.expect("write");
+        tokio::spawn(reject_all_requests(self.mailbox));
+        tokio::spawn(listen(self.listener, self.frontend));
+        assert_eq!(read_rejections(&mut client, kept.len()).await, kept);
+        client
+    }
+}
+
+/// A core that rejects every request as soon as it takes it from its mailbox.
+async fn reject_all_requests(mut mailbox: Mailbox) {
+    while let Some(message) = mailbox.next_message().await {
+        if let CoreMessage::Request(request) = message {
+            let answer = Answer::Rejected {
+                retry_after_ms: 0.0,
+            };
+            request.client.answer(request.id, answer);
+        }
+    }
+}
+
+/// A call that opens a request.
+fn request_call(message_id: u64) -> Vec<u8> {
+    let reference = format!("{message_id:016x}");
+    let fields = [
+        ("ref", reference.as_str()),
+        ("allow", "5"),
+        ("project", "m"),
+        ("effort", "1"),
+    ];
+    let mut call = vec![0x94, 0];
+    encode::write_uint(&mut call, message_id).expect("id");
+    encode::write_str(&mut call, "a").expect("class");
+    encode::write_array_len(&mut call, 2).expect("length");
+    encode::write_map_len(&mut call, fields.len() as u32).expect("length");
+    for (name, value) in fields {
+        encode::write_str(&mut call, name).expect("name");
+        encode::write_str(&mut call, value).expect("value");
+    }
+    encode::write_bin(&mut call, b"SELECT 1").expect("statement");
+    call
+}
+
+/// The notification that cancels a call.
+fn cancellation(message_id: u64) -> Vec<u8> {
+    let mut notification = vec![0x93, 2];
+    encode::write_str(&mut notification, "cancel").expect("method");
+    encode::write_array_len(&mut notification, 1).expect("length");
+    encode::write_uint(&mut notification, message_id).expect("id");
+    notification
+}
+
+/// Reads the answers to this number of rejected calls and returns their message ids in order.
+async fn read_rejections(client: &mut TcpStream, count: usize) -> Vec<u64> {
+    let mut received = Vec::new();
+    let mut ids = Vec::new();
+    while ids.len() < count {
+        let bytes = timeout(ANSWER_TIMEOUT, client.read_buf(&mut received)).await;
+        let bytes = bytes.unwrap_or_else(|_| panic!("only {} of {count} answers", ids.len()));
+        assert!(
+            bytes.expect("read") > 0,
+            "closed after {} answers",
+            ids.len()
+        );
+        while let Some((id, length)) = parse_rejection(&received) {
+            ids.push(id);
+            received.drain(..length);
+        }
+    }
+    ids.sort_unstable();
+    ids
+}
+
+/// The message id of the first answer and its length in bytes; `None` if it is incomplete.
+fn parse_rejection(bytes: &[u8]) -> Option<(u64, usize)> {
+    let mut rest = bytes;
+    decode::read_array_len(&mut rest).ok()?;
+    decode::read_int::<u8, _>(&mut rest).ok()?;
+    let id = decode::read_int(&mut rest).ok()?;
+    decode::read_array_len(&mut rest).ok()?;
+    let name_length = decode::read_str_len(&mut rest).ok()? as usize;
+    rest = rest.get(name_length..)?;
+    decode::read_map_len(&mut rest).ok()?;
+    decode::read_nil(&mut rest).ok()?;
+    Some((id, bytes.len() - rest.len()))
+}
+
+/// One burst of calls, most of which it also cancels, and the message ids of those that it does
+/// not cancel.
+fn burst_of_cancelled_calls() -> (Vec<u8>, Vec<u64>) {
+    /// Calls that are cancelled before and after the ones that are not.
+    const CANCELLED: u64 = 120;
+    /// Calls that are not cancelled.
+    const KEPT: u64 = 8;
+    let kept: Vec<u64> = (CANCELLED + 1..=CANCELLED + KEPT).collect();
+    let mut burst = Vec::new();
+    for id in 1..=2 * CANCELLED + KEPT {
+        burst.extend(request_call(id));
+        if !kept.contains(&id) {
+            burst.extend(cancellation(id));
+        }
+    }
+    (burst, kept)
+}
+
+/// Guards against lost answers: a client that cancels many requests in one burst got no answer to
+/// the requests that it did not cancel, and its connection kept its slot for good.
+#[tokio::test]
+async fn requests_that_are_not_cancelled_are_answered_amid_a_burst_of_cancelled_ones() {
+    // The connection waits for the core at each message, so the core answers each request before
+    // the connection has handled the burst.
+    let test = TestFrontend::new(1, |limits| limits.client_connections = 1).await;
+    let (address, metrics) = (test.address, test.metrics.clone());
+    let _client = test.serve_burst().await;
+    // The connection is idle, so it is evicted for another client, which is served.
+    let mut other = TcpStream::connect(address).await.expect("connect");
+    other.write_all(&request_call(1)).await.expect("write");
+    assert_eq!(read_rejections(&mut other, 1).await, [1]);
+    assert_eq!(metrics.client_connections_evicted.get(), 1);
+}
+
+/// Guards against a shutdown that waits in vain: the connection of a client that cancels many
+/// requests in one burst never became idle, so that a drain did not close it.
+#[tokio::test]
+async fn draining_closes_a_connection_after_a_burst_of_cancelled_requests() {
+    let test = TestFrontend::new(1, |_| {}).await;
+    test.frontend
+        .lifecycle
+        .update(|state| state.shutting_down = true);
+    let metrics = test.metrics.clone();
+    let mut client = test.serve_burst().await;
+    let end = timeout(ANSWER_TIMEOUT, client.read(&mut [0])).await;
+    assert_eq!(end.expect("the connection is closed").expect("read"), 0);
+    drop(client);
+    let all_closed = async {
+        while metrics.client_connections_pending.get() > 0 {
+            tokio::task::yield_now().await;
+        }
+    };
+    timeout(ANSWER_TIMEOUT, all_closed)
+        .await
+        .expect("no connection is pending");
+}
+
 /// A client that sends calls and never reads the answers must not keep its slot forever: the
 /// connection is closed when no answer could be written for the idle timeout.
 #[tokio::test]
 async fn connection_is_closed_when_client_reads_no_answers() {
-    let (core, _inputs) = Handle::new(64, Clock::new());
-    let mut limits = Limits::clone(&EngineContext::for_tests(core.clone()).limits);
-    limits.client_idle_timeout = Duration::from_millis(50);
-    let (metrics, lifecycle) = (Arc::<Metrics>::default(), Arc::new(Lifecycle::new()));
-    let (_settings_sender, settings) =
-        watch::channel(Arc::new(EngineContext::settings_for_tests()));
-    let limits = Arc::new(limits);
-    let frontend = Frontend {
-        core,
-        settings,
-        limits,
-        metrics: metrics.clone(),
-        lifecycle,
-        buffer_pools: Arc::default(),
-    };
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
-    let address = listener.local_addr().expect("address");
-    tokio::spawn(listen(listener, frontend));
+    let test = TestFrontend::new(64, |limits| {
+        limits.client_idle_timeout = Duration::from_millis(50);
+    })
+    .await;
+    let (metrics, address) = (test.metrics, test.address);
+    tokio::spawn(listen(test.listener, test.frontend));
     let socket = TcpSocket::new_v4().expect("socket");
     socket
         .set_recv_buffer_size(2048)
