Do not retry a statement whose engine refuses a later part of a begun attempt

Cause: an attempt on a Flight engine is several calls, and its outcome was that of the call which failed (engines/flight/attempt_failure.rs). A refused DoGet (GOAWAY, REFUSED_STREAM, RESOURCE_EXHAUSTED) was reported as "never ran", although GetFlightInfo had been answered, so the core's guard allowed a retry.

Evidence: the debug log of the case has streams 1 and 3 answered, GOAWAY with last stream 3, no stream 5, then failure=CallNotAccepted, outcome=NoConnection and the second attempt.

Change: attempt_calls.rs records whether the engine has begun to respond to any call of the attempt; from then on outcome_after_start turns "never ran" into reset or error. The core does the same after progress that only a running attempt reports, for line engines.

Tests: 11 of 15 cases of refusal_of_a_later_call_does_not_prove_that_the_attempt_never_ran, refusal_after_the_result_of_an_update_does_not_prove_that_it_never_ran and refusal_of_the_first_call_gives_its_own_outcome failed before ("left: NoConnection", "left: Rejected"), as did the scenario a_refusal_after_progress_does_not_prove_that_a_bulk_load_never_ran; all pass.

--- a/src/attempt/tests.rs
+++ b/src/attempt/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the attempt's state and of a request's attempt history.
 
 use super::*;
+use crate::decision::EngineId;
 
 /// An attempt that is being written and ends at mark 10.
 fn writing() -> AttemptState {
--- a/src/core/attempt_events.rs
+++ b/src/core/attempt_events.rs
@@ -3,7 +3,7 @@
 
 use super::attempt_end::{AttemptCompletion, ResourceUse};
 use super::{AttemptEvent, Core, EnginePort, Event, Millis, Outcome, RequestId, ResultBody};
-use crate::attempt::{AttemptEnd, Cancellation, never_ran};
+use crate::attempt::{Cancellation, never_ran, outcome_after_start};
 use crate::decision::{EngineId, LoadReport, Progress};
 
 /// The attempt that an event belongs to.
@@ -37,6 +37,8 @@
             return;
         };
         in_flight.last_report_ms = now;
+        in_flight.has_started |= shows_start(&event);
+        let has_started = in_flight.has_started;
         let pending_cancellation = in_flight.cancellation;
         match event {
             AttemptEvent::Progress(progress) if pending_cancellation.is_none() => {
@@ -51,6 +53,11 @@
                 measured_memory_mb,
                 body,
             } => {
+                let outcome = if has_started {
+                    outcome_after_start(outcome)
+                } else {
+                    outcome
+                };
                 let completion = AttemptCompletion {
                     outcome,
                     may_have_run: !never_ran(outcome),
@@ -67,7 +74,8 @@
                     since_ms: now,
                     outcome: Outcome::Cancelled,
                 });
-                self.cancellation_confirmed(now, source, cancellation, end, load_report);
+                let may_have_run = has_started || end.may_have_run();
+                self.cancellation_confirmed(now, source, cancellation, may_have_run, load_report);
             }
         }
     }
@@ -111,7 +119,7 @@
         now: Millis,
         source: AttemptRef,
         cancellation: Cancellation,
-        end: AttemptEnd,
+        may_have_run: bool,
         load_report: LoadReport,
     ) {
         self.metrics.cancellations_confirmed.increment();
@@ -120,10 +128,23 @@
             .record(now - cancellation.since_ms);
         let completion = AttemptCompletion {
             outcome: cancellation.outcome,
-            may_have_run: end.may_have_run(),
+            may_have_run,
             load_report,
             measured: ResourceUse::default(),
         };
         self.attempt_ended(now, source.id, source.attempt, completion);
     }
 }
+
+/// Whether an event shows that the engine has begun to run the attempt. An attempt that waits for
+/// memory or for a bulk load has not begun.
+fn shows_start(event: &AttemptEvent) -> bool {
+    match event {
+        AttemptEvent::Progress(Some(Progress::ShareDone(share))) => *share > 0.0,
+        AttemptEvent::Progress(Some(Progress::SpillingMb(_)))
+        | AttemptEvent::ResultStreaming(_) => true,
+        AttemptEvent::Progress(_) | AttemptEvent::Cancelled(_) | AttemptEvent::Ended { .. } => {
+            false
+        }
+    }
+}
--- a/src/engines/flight/attempt.rs
+++ b/src/engines/flight/attempt.rs
@@ -1,6 +1,7 @@
 //! The task of one attempt. It sends the statement to the engine, collects the result and reports
 //! how the attempt ended.
 
+use super::attempt_calls::AttemptCalls;
 use super::attempt_failure::AttemptFailure;
 use super::cancellation::confirm_reset;
 use super::engine_link::EngineLink;
@@ -44,22 +45,29 @@
     }
     let mut measurements = MetadataMap::new();
     let result = match connected {
-        Ok(_) if link.is_admission_closed() => Err(AttemptFailure::AdmissionClosed),
+        Ok(_) if link.is_admission_closed() => {
+            Err(FailedAttempt::before_calls(AttemptFailure::AdmissionClosed))
+        }
         Ok(connected) => {
             let _ = used_connection.set(connected.connection.clone());
+            let calls = AttemptCalls::new(connected.connection.clone());
             let mut statement = StatementExecution::new(&link, &request, &mut measurements);
-            statement.execute(connected.connection).await
+            let executed = statement.execute(calls.clone()).await;
+            executed.map_err(|failure| FailedAttempt {
+                outcome: calls.outcome_of(&failure),
+                failure,
+            })
         }
-        Err(failure) => Err(failure),
+        Err(failure) => Err(FailedAttempt::before_calls(failure)),
     };
     let (outcome, body) = match result {
         Ok(body) => (Outcome::Ok, body),
-        Err(failure) => {
+        Err(FailedAttempt { failure, outcome }) => {
             let AttemptId {
                 request: id,
                 number: attempt,
             } = attempt;
-            tracing::debug!(id, attempt, engine = %format_engine_id(link.engine()), %failure, "attempt failed; its outcome is reported to the core");
+            tracing::debug!(id, attempt, engine = %format_engine_id(link.engine()), %failure, ?outcome, "attempt failed; its outcome is reported to the core");
             // A call that failed only on this side may still run on the engine. Its reset was
             // queued when the call was dropped. Without this wait, a retry on another engine could
             // start before the first engine has read the reset.
@@ -69,7 +77,7 @@
                 let after_cancellation = AfterCancellation::RetryMayFollow;
                 confirm_reset(&link, connection.clone(), after_cancellation).await;
             }
-            (failure.outcome(), None)
+            (outcome, None)
         }
     };
     if matches!(outcome, Outcome::Reset | Outcome::NoConnection) {
@@ -79,6 +87,22 @@
     report_end(&link, attempt, outcome, &measurements, body).await;
 }
 
+/// A failed attempt, with the outcome that is reported to the core.
+struct FailedAttempt {
+    failure: AttemptFailure,
+    outcome: Outcome,
+}
+
+impl FailedAttempt {
+    /// An attempt that failed before its first call.
+    fn before_calls(failure: AttemptFailure) -> FailedAttempt {
+        FailedAttempt {
+            outcome: failure.outcome(),
+            failure,
+        }
+    }
+}
+
 /// Reports the end of an attempt to the core, with the measurements that the engine reported.
 async fn report_end(
     link: &EngineLink,
@@ -121,15 +145,12 @@
         }
     }
 
-    /// Executes the statement on this connection. Returns the complete result, or `None` if the
+    /// Executes the statement with these calls. Returns the complete result, or `None` if the
     /// result was streamed to the client.
-    async fn execute(
-        &mut self,
-        connection: Http2Connection,
-    ) -> Result<Option<ResultBody>, AttemptFailure> {
+    async fn execute(&mut self, calls: AttemptCalls) -> Result<Option<ResultBody>, AttemptFailure> {
         let context = self.link.context();
         let origin = format!("http://{}", self.link.address()).parse()?;
-        let client = FlightServiceClient::with_origin(connection, origin)
+        let client = FlightServiceClient::with_origin(calls, origin)
             .max_decoding_message_size(context.limits.flight_message_bytes);
         // Counted before the call, because it is not observable when the last byte of a stream was
         // sent.
@@ -149,7 +170,7 @@
     /// Executes an update. Returns a body with the number of rows that it changed.
     async fn execute_update(
         &mut self,
-        mut client: FlightServiceClient<Http2Connection>,
+        mut client: FlightServiceClient<AttemptCalls>,
         query: String,
     ) -> Result<ResultBody, AttemptFailure> {
         let command = CommandStatementUpdate {
@@ -174,7 +195,7 @@
     /// rows were streamed to the client.
     async fn execute_query(
         &mut self,
-        mut client: FlightServiceClient<Http2Connection>,
+        mut client: FlightServiceClient<AttemptCalls>,
         query: String,
     ) -> Result<Option<ResultBody>, AttemptFailure> {
         let command = CommandStatementQuery {
@@ -200,7 +221,7 @@
     /// Collects the messages of one endpoint, except for the first `messages_to_skip`.
     async fn collect_endpoint(
         &mut self,
-        client: &mut FlightServiceClient<Http2Connection>,
+        client: &mut FlightServiceClient<AttemptCalls>,
         ticket: Ticket,
         mut messages_to_skip: usize,
         collector: &mut ResultCollector<'_>,
--- a/src/engines/flight/attempt_failure.rs
+++ b/src/engines/flight/attempt_failure.rs
@@ -53,7 +53,8 @@
         }
     }
 
-    /// The outcome that is reported to the core.
+    /// The outcome of an attempt whose first call has ended with this failure; see
+    /// [`AttemptCalls::outcome_of`](super::attempt_calls::AttemptCalls::outcome_of).
     pub(super) fn outcome(&self) -> Outcome {
         match self {
             AttemptFailure::AdmissionClosed
@@ -101,5 +102,8 @@
     if error.is_remote() && error.reason() == Some(h2::Reason::REFUSED_STREAM) {
         return Some(Outcome::NoConnection);
     }
-    (error.is_io() || error.is_go_away()).then_some(Outcome::Reset)
+    // The engine may have run a call before it reset the stream. The code must not be read as a
+    // gRPC status: it would map to RESOURCE_EXHAUSTED, which is an engine's own refusal.
+    let is_limited = error.reason() == Some(h2::Reason::ENHANCE_YOUR_CALM);
+    (error.is_io() || error.is_go_away() || is_limited).then_some(Outcome::Reset)
 }
--- a/src/engines/flight/call.rs
+++ b/src/engines/flight/call.rs
@@ -8,9 +8,13 @@
 use std::future::poll_fn;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll, ready};
 use thiserror::Error;
 
+/// Why a call failed: [`CallNotAccepted`], or the error of the connection or of the request's body.
+pub(super) type CallError = Box<dyn std::error::Error + Send + Sync>;
+
 /// The connection did not accept a call. No part of the call was sent.
 #[derive(Debug, Error)]
 #[error("the connection did not accept the call: {0}")]
@@ -63,7 +67,8 @@
     }
 }
 
-/// Sends a call and waits for the headers of its response.
+/// Sends a call and waits for the headers of its response. Sets `response_begun` if more than a
+/// status follows them.
 ///
 /// # Errors
 /// [`CallNotAccepted`] if no part of the call was sent. Otherwise the error of the connection or
@@ -71,8 +76,9 @@
 pub(super) async fn send_call(
     request_sender: SendRequest<Bytes>,
     signals: Arc<ConnectionSignals>,
+    response_begun: &AtomicBool,
     request: http::Request<tonic::body::Body>,
-) -> Result<http::Response<ResponseBody>, Box<dyn std::error::Error + Send + Sync>> {
+) -> Result<http::Response<ResponseBody>, CallError> {
     let (head, mut body) = request.into_parts();
     let head = http::Request::from_parts(head, ());
     let mut request_sender = request_sender.ready().await.map_err(CallNotAccepted)?;
@@ -92,6 +98,10 @@
     }
     call.stream.send_data(Bytes::new(), true)?;
     let (head, stream) = response.await?.into_parts();
+    if !stream.is_end_stream() {
+        // Relaxed ordering: the flag publishes no other data.
+        response_begun.store(true, Ordering::Relaxed);
+    }
     let body = ResponseBody {
         stream,
         call,
--- a/src/engines/flight/http2_connection.rs
+++ b/src/engines/flight/http2_connection.rs
@@ -3,7 +3,7 @@
 //! A call that is dropped queues the reset of its stream at once. After the next flush of the
 //! connection, the reset has been sent (RFC 9113, sections 5.4.2 and 6.4).
 
-use super::call::{ResponseBody, send_call};
+use super::call::{CallError, ResponseBody, send_call};
 use super::connection_driver::{ConnectionDriver, KeepAlive};
 use super::connection_signals::ConnectionSignals;
 use super::flush_tracking_socket::FlushTrackingSocket;
@@ -11,17 +11,14 @@
 use crate::limits::Limits;
 use bytes::Bytes;
 use h2::client::SendRequest;
-use std::future::Future;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::sync::Arc;
-use std::task::{Context, Poll};
+use std::sync::atomic::AtomicBool;
 use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::time::error::Elapsed;
 use tokio::time::timeout;
-use tower_service::Service;
 
 /// Flow-control window of one call, in bytes: how much of its result may be in transit.
 const CALL_WINDOW_BYTES: u32 = 256 << 10;
@@ -135,6 +132,17 @@
         answered.is_ok()
     }
 
+    /// Sends a call and waits for the headers of its response; see [`send_call`].
+    pub(super) async fn send_call(
+        &self,
+        response_begun: &AtomicBool,
+        request: http::Request<tonic::body::Body>,
+    ) -> Result<http::Response<ResponseBody>, CallError> {
+        let request_sender = self.request_sender.clone();
+        let signals = self.signals.clone();
+        send_call(request_sender, signals, response_begun, request).await
+    }
+
     /// Closes the connection. Output that the peer has not received is discarded.
     pub(super) fn close(&self) {
         self.signals.request_close();
@@ -146,20 +154,3 @@
         self.wait_for_flush(u64::MAX).await;
     }
 }
-
-impl Service<http::Request<tonic::body::Body>> for Http2Connection {
-    type Response = http::Response<ResponseBody>;
-    type Error = Box<dyn std::error::Error + Send + Sync>;
-    type Future = Pin<Box<dyn Future<Output = Result<Self::Response, Self::Error>> + Send>>;
-
-    /// Always ready: each call waits by itself until it may open a stream.
-    fn poll_ready(&mut self, _: &mut Context<'_>) -> Poll<Result<(), Self::Error>> {
-        Poll::Ready(Ok(()))
-    }
-
-    fn call(&mut self, request: http::Request<tonic::body::Body>) -> Self::Future {
-        let request_sender = self.request_sender.clone();
-        let signals = self.signals.clone();
-        Box::pin(send_call(request_sender, signals, request))
-    }
-}
--- a/src/engines/flight/tests.rs
+++ b/src/engines/flight/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the actor of a Flight SQL engine against a peer that speaks HTTP/2 only.
 
 use crate::attempt::AttemptEnd;
+use crate::core::{AttemptEvent, AttemptRequest, StatementKind};
 use crate::decision::Outcome;
 use crate::engines::context::AfterCancellation;
 use crate::engines::tests::test_bench::{
@@ -8,12 +9,22 @@
     is_cancelled, is_ended, run_test, start_message,
 };
 use crate::node_config::EngineProtocol;
+use arrow_flight::{FlightData, FlightEndpoint, FlightInfo, PutResult, Ticket};
 use bytes::Bytes;
+use h2::Reason;
+use h2::server::SendResponse;
+use http::{HeaderMap, HeaderValue};
+use prost::Message;
+use rstest::rstest;
 use std::future::poll_fn;
 use tokio::net::TcpStream;
+use tonic::Code;
+
+/// The server side of a connection from an engine's actor.
+type Peer = h2::server::Connection<TcpStream, Bytes>;
 
 /// Accepts a connection as a peer whose flow-control windows are too large to block the sender.
-async fn accept_peer(bench: &EngineTestBench) -> h2::server::Connection<TcpStream, Bytes> {
+async fn accept_peer(bench: &EngineTestBench) -> Peer {
     let stream = bench.accept().await;
     let mut builder = h2::server::Builder::new();
     builder
@@ -171,3 +182,167 @@
         );
     });
 }
+
+/// How a peer refuses a call.
+#[derive(Clone, Copy, Debug)]
+enum Refusal {
+    /// It takes no further calls, as a server does before it ends.
+    GoAway,
+    /// It resets the call's stream with this reason.
+    Reset(Reason),
+    /// It ends the call with this status and no response message.
+    Status(Code),
+}
+
+impl Refusal {
+    /// Refuses the next call on the connection.
+    async fn refuse_next_call(self, peer: &mut Peer) {
+        if let Refusal::GoAway = self {
+            peer.graceful_shutdown();
+            return;
+        }
+        let (_request, mut response) = next_call(peer).await;
+        match self {
+            Refusal::GoAway => {}
+            Refusal::Reset(reason) => response.send_reset(reason),
+            Refusal::Status(code) => {
+                let mut head = response_head();
+                head.headers_mut().extend(status(code));
+                response.send_response(head, true).expect("a response");
+            }
+        }
+    }
+}
+
+async fn next_call(peer: &mut Peer) -> (http::Request<h2::RecvStream>, SendResponse<Bytes>) {
+    peer.accept().await.expect("a call").expect("a call")
+}
+
+fn response_head() -> http::Response<()> {
+    let head = http::Response::builder().header("content-type", "application/grpc");
+    head.body(()).expect("a head")
+}
+
+/// The header fields of a status.
+fn status(code: Code) -> HeaderMap {
+    HeaderMap::from_iter([(
+        http::HeaderName::from_static("grpc-status"),
+        HeaderValue::from(code as i32),
+    )])
+}
+
+/// Answers a call with one message and this status.
+fn answer(mut response: SendResponse<Bytes>, message: &impl Message, code: Code) {
+    let mut body = response
+        .send_response(response_head(), false)
+        .expect("a response");
+    let encoded = message.encode_to_vec();
+    let mut frame = vec![0];
+    frame.extend((encoded.len() as u32).to_be_bytes());
+    frame.extend(encoded);
+    body.send_data(frame.into(), false).expect("data");
+    body.send_trailers(status(code)).expect("trailers");
+}
+
+/// A plan of a query whose result has two endpoints.
+fn flight_info() -> FlightInfo {
+    let endpoint = || FlightEndpoint::new().with_ticket(Ticket::new("rows"));
+    FlightInfo::new()
+        .with_endpoint(endpoint())
+        .with_endpoint(endpoint())
+}
+
+/// The outcome of an attempt, while the peer works on its connection.
+async fn outcome_of_attempt(bench: &mut EngineTestBench, peer: &mut Peer) -> Outcome {
+    let keep_connection_going = async {
+        while let Some(call) = peer.accept().await {
+            let (_request, mut response) = call.expect("a call");
+            response.send_reset(Reason::INTERNAL_ERROR);
+        }
+        std::future::pending::<()>().await;
+    };
+    let event = tokio::select! {
+        (_, event) = bench.next_event() => event,
+        () = keep_connection_going => unreachable!(),
+    };
+    match event {
+        AttemptEvent::Ended { outcome, .. } => outcome,
+        other => panic!("expected an end: {other:?}"),
+    }
+}
+
+/// Starts an attempt and accepts its connection.
+async fn start(bench: &EngineTestBench, attempt: AttemptRequest) -> Peer {
+    bench.send(start_message(attempt)).await;
+    accept_peer(bench).await
+}
+
+/// Guards against a second run of a statement that an engine has run: the engine answers
+/// GetFlightInfo, perhaps a DoGet too, and refuses the next call of the attempt. The refusal was
+/// taken as proof that the attempt had never run, so that a non-idempotent statement was retried.
+#[rstest]
+#[case::connection_takes_no_calls(Refusal::GoAway, Outcome::Reset)]
+#[case::stream_refused(Refusal::Reset(Reason::REFUSED_STREAM), Outcome::Reset)]
+#[case::stream_limited(Refusal::Reset(Reason::ENHANCE_YOUR_CALM), Outcome::Reset)]
+#[case::resource_exhausted(Refusal::Status(Code::ResourceExhausted), Outcome::Error)]
+fn refusal_of_a_later_call_does_not_prove_that_the_attempt_never_ran(
+    #[case] refusal: Refusal,
+    #[case] expected: Outcome,
+    #[values(0, 1)] answered_endpoints: usize,
+) {
+    run_test(async {
+        let mut bench = EngineTestBench::new(EngineProtocol::Flight).await;
+        let mut peer = start(&bench, attempt(1)).await;
+        let (_request, response) = next_call(&mut peer).await;
+        answer(response, &flight_info(), Code::Ok);
+        for _ in 0..answered_endpoints {
+            let (_request, response) = next_call(&mut peer).await;
+            answer(response, &FlightData::new(), Code::Ok);
+        }
+        refusal.refuse_next_call(&mut peer).await;
+        assert_eq!(outcome_of_attempt(&mut bench, &mut peer).await, expected);
+    });
+}
+
+/// The refusal of the first call proves that the attempt never ran, so it may be retried whatever
+/// its class. A reset for another reason than a refusal proves nothing.
+#[rstest]
+#[case(Refusal::Reset(Reason::REFUSED_STREAM), Outcome::NoConnection)]
+#[case(Refusal::Status(Code::ResourceExhausted), Outcome::Rejected)]
+#[case(Refusal::Reset(Reason::ENHANCE_YOUR_CALM), Outcome::Reset)]
+fn refusal_of_the_first_call_gives_its_own_outcome(
+    #[case] refusal: Refusal,
+    #[case] expected: Outcome,
+    #[values(StatementKind::Query, StatementKind::Update)] statement_kind: StatementKind,
+) {
+    run_test(async {
+        let mut bench = EngineTestBench::new(EngineProtocol::Flight).await;
+        let request = AttemptRequest {
+            statement_kind,
+            ..attempt(1)
+        };
+        let mut peer = start(&bench, request).await;
+        refusal.refuse_next_call(&mut peer).await;
+        assert_eq!(outcome_of_attempt(&mut bench, &mut peer).await, expected);
+    });
+}
+
+/// Guards against a second run of an update: a refusal that follows the update's result does not
+/// prove that it never ran.
+#[test]
+fn refusal_after_the_result_of_an_update_does_not_prove_that_it_never_ran() {
+    run_test(async {
+        let mut bench = EngineTestBench::new(EngineProtocol::Flight).await;
+        let request = AttemptRequest {
+            statement_kind: StatementKind::Update,
+            ..attempt(1)
+        };
+        let mut peer = start(&bench, request).await;
+        let (_request, response) = next_call(&mut peer).await;
+        answer(response, &PutResult::default(), Code::ResourceExhausted);
+        assert_eq!(
+            outcome_of_attempt(&mut bench, &mut peer).await,
+            Outcome::Error
+        );
+    });
+}
--- a/tests/scenarios/attempts.rs
+++ b/tests/scenarios/attempts.rs
@@ -42,6 +42,29 @@
     e expect none ASK c1.1
 "
 )]
+#[case::a_refusal_after_progress_does_not_prove_that_a_bulk_load_never_ran(
+    "
+    c1 send 1 log-load
+    e expect ASK c1.1
+    e send c1.1 update n=pct,num=0.5
+    e send c1.1 overload
+    c1 expect 1 Internal
+    e expect none ASK c1.1
+    c1 send 2 log-load
+    e expect ASK c1.2
+    e send c1.2 update n=overflow,num=3
+    e send c1.2 nobody
+    c1 expect 2 Internal
+    e expect none ASK c1.2
+    c1 send 3 log-load
+    e expect ASK c1.3
+    e send c1.3 update n=queued,num=1
+    e send c1.3 overload
+    e expect ASK c1.3
+    e send c1.3 served batches=1 done\\n
+    c1 expect 3 served done\\n
+"
+)]
 #[case::an_idempotency_key_is_forwarded_unchanged(
     "
     n send settings effect=\"by_key\"
