Keep a Flight SQL connection open until its client has read its answers

Cause: a call counted as open until its result was handed to the gRPC server (flight/pending_response.rs), which takes a whole answer before flow control lets it write it. From then on a drain or an eviction closed the connection, and a shutdown did not wait.

Change: client_connection.rs follows the frames on the socket, and a connection is busy until its answers are written. connection.rs closes it gracefully: GOAWAY, then a ping that shows that the client has read all. Bounds: 30 s for a client that takes nothing, 2 s (0.25 s if evicted) for the confirmation, the memory for unread answers, and the end of the process 0.1 s after the core has answered all. Tests: draining_connection_stays_open_until_its_client_has_read_the_answers failed before with "stream closed because of a broken pipe", connection_is_aborted_when_its_client_reads_no_answer and result_above_the_memory_for_unread_answers_fails as well; all pass.

--- a/src/clients/connection_slots.rs
+++ b/src/clients/connection_slots.rs
@@ -7,6 +7,7 @@
 //! every connection of one front end, and each connection updates its own state through its
 //! [`ConnectionSlot`]. Both the MessagePack-RPC and the Flight SQL front end use this module.
 
+use super::pending::PendingGuard;
 use crate::lifecycle::Lifecycle;
 use crate::limits::Limits;
 use crate::metrics::Metrics;
@@ -52,18 +53,23 @@
     /// When this state was last updated.
     last_change: Instant,
     asked_to_close: bool,
+    /// Makes a graceful shutdown wait for the close of a connection that was asked to close.
+    pending_close: Option<PendingGuard>,
+    metrics: Arc<Metrics>,
     /// Notified when the connection is asked to close.
     close_request: Arc<Notify>,
 }
 
 impl ConnectionState {
-    fn new(close_request: Arc<Notify>) -> ConnectionState {
+    fn new(close_request: Arc<Notify>, metrics: Arc<Metrics>) -> ConnectionState {
         ConnectionState {
             was_served: false,
             has_called: false,
             open_requests: 0,
             last_change: Instant::now(),
             asked_to_close: false,
+            pending_close: None,
+            metrics,
             close_request,
         }
     }
@@ -76,6 +82,7 @@
 
     fn ask_to_close(&mut self) {
         self.asked_to_close = true;
+        self.pending_close = Some(PendingGuard::new(&self.metrics));
         self.close_request.notify_one();
     }
 
@@ -218,9 +225,10 @@
         let id = registry.next_id;
         let close_request = Arc::new(Notify::new());
         registry.next_id += 1;
-        registry
-            .connections
-            .insert(id, ConnectionState::new(close_request.clone()));
+        registry.connections.insert(
+            id,
+            ConnectionState::new(close_request.clone(), self.metrics.clone()),
+        );
         ConnectionSlot {
             slots: self.clone(),
             id,
@@ -309,9 +317,8 @@
     /// for `quiet`. If a request is open, the request to close is withdrawn and the wait starts
     /// again.
     ///
-    /// Used for connections whose answers are written by another task. When a request on such a
-    /// connection ends, its answer may not be written completely yet, and the client may not have
-    /// fetched the result of a planned statement yet.
+    /// Used for connections whose clients may still have to fetch the result of a planned statement
+    /// when no request is open.
     pub(crate) async fn quiet_after_close_request(&self, quiet: Duration) {
         loop {
             self.asked_to_close().await;
@@ -327,6 +334,24 @@
         }
     }
 
+    /// Resolves once no request has been open, and the connection's state has stayed unchanged, for
+    /// `quiet`.
+    pub(crate) async fn unchanged_while_idle(&self, quiet: Duration) {
+        loop {
+            let before = self.activity();
+            sleep(quiet).await;
+            let has_open_request = matches!(before, Some((1.., _)));
+            if !has_open_request && before == self.activity() {
+                return;
+            }
+        }
+    }
+
+    /// Whether the front end is draining its connections.
+    pub(crate) fn is_draining(&self) -> bool {
+        self.slots.registry().draining
+    }
+
     /// The number of open requests and the time of the last change; `None` for an unknown
     /// connection.
     fn activity(&self) -> Option<(u32, Instant)> {
@@ -336,7 +361,10 @@
     /// Withdraws the request to close because the client has become active again. The connection
     /// may be asked again later.
     pub(crate) fn withdraw_close_request(&self) {
-        self.update(|connection| connection.asked_to_close = false);
+        self.update(|connection| {
+            connection.asked_to_close = false;
+            connection.pending_close = None;
+        });
         // Wakes a new connection that waits for this slot, so that another connection is evicted
         // for it.
         self.slots.slot_freed.notify_one();
--- a/src/clients/flight/pending_response.rs
+++ b/src/clients/flight/pending_response.rs
@@ -1,11 +1,11 @@
 //! Passes a request to the core and waits for its answer.
 
+use super::client_connection::ClientConnection;
+use super::open_call::OpenCall;
 use super::statement_call::StatementCall;
 use super::{grpc_timeout, status};
-use crate::clients::connection_slots::ConnectionSlot;
-use crate::clients::pending::PendingGuard;
 use crate::clients::{Frontend, outcome_counter};
-use crate::core::{Answer, ClientPort, CoreMessage, ResultBody, StatementKind};
+use crate::core::{Answer, ClientPort, CoreMessage, FailureReason, ResultBody, StatementKind};
 use crate::decision::RequestId;
 use std::sync::{Arc, Mutex, PoisonError};
 use tokio::sync::oneshot;
@@ -32,7 +32,7 @@
     }
 }
 
-/// A request whose client has not received the complete answer yet.
+/// A request that the core has not finished yet.
 ///
 /// If it is dropped before it is completed, it notifies the core that the client has disconnected.
 /// The drop is the only sign of a cancelled call or a closed connection.
@@ -40,21 +40,14 @@
     frontend: Frontend,
     id: RequestId,
     completed: bool,
-    slot: Option<Arc<ConnectionSlot>>,
-    pending: Option<PendingGuard>,
 }
 
 impl PendingResponse {
-    fn new(frontend: &Frontend, id: RequestId, slot: Option<Arc<ConnectionSlot>>) -> Self {
-        if let Some(slot) = &slot {
-            slot.request_opened();
-        }
+    fn new(frontend: &Frontend, id: RequestId) -> Self {
         PendingResponse {
             frontend: frontend.clone(),
             id,
             completed: false,
-            slot,
-            pending: Some(PendingGuard::new(&frontend.metrics)),
         }
     }
 
@@ -71,10 +64,6 @@
 
 impl Drop for PendingResponse {
     fn drop(&mut self) {
-        self.pending = None;
-        if let Some(slot) = &self.slot {
-            slot.request_closed();
-        }
         if self.completed {
             return;
         }
@@ -95,19 +84,28 @@
     }
 }
 
-/// Passes a request to the core and waits for its one final answer. If the result is streamed, the
-/// returned response stays pending until the remaining chunks have arrived.
+/// A served request: its result, and what is still open of it.
+pub(super) struct ServedCall {
+    pub(super) body: ResultBody,
+    /// Stays pending until the remaining chunks of a streamed result have arrived.
+    pub(super) response: PendingResponse,
+    /// Stays open until the client has received the answer.
+    pub(super) open_call: OpenCall,
+}
+
+/// Passes a request to the core and waits for its one final answer.
 ///
 /// # Errors
 ///
-/// If the call's timeout cannot be parsed, or if the request was rejected or has failed.
+/// If the call's timeout cannot be parsed, if the request was rejected or has failed, or if its
+/// result exceeds the memory for unread answers.
 pub(super) async fn serve(
     frontend: &Frontend,
     call: StatementCall,
     statement_kind: StatementKind,
     metadata: &MetadataMap,
-    slot: Option<Arc<ConnectionSlot>>,
-) -> Result<(ResultBody, PendingResponse), Status> {
+    connection: Option<Arc<ClientConnection>>,
+) -> Result<ServedCall, Status> {
     let now_ms = frontend.core.now();
     let class_timeout_ms = call.class.class.client_timeout_ms;
     let requested_timeout_ms = grpc_timeout::timeout_ms(metadata)?.unwrap_or(class_timeout_ms);
@@ -115,7 +113,8 @@
     let outcomes = frontend.metrics.outcomes_of_class(&call.class.name);
     let id = frontend.core.next_id();
     let (channel, answer) = AnswerChannel::new();
-    let mut response = PendingResponse::new(frontend, id, slot);
+    let mut open_call = OpenCall::new(frontend, connection);
+    let mut response = PendingResponse::new(frontend, id);
     let request = call.into_request(id, deadline_ms, statement_kind, channel);
     frontend.core.send(CoreMessage::Request(request)).await;
     let answer = answer.await;
@@ -124,16 +123,41 @@
         outcomes.failed.increment();
         return Err(status::core_ended());
     };
-    outcome_counter(&outcomes, &answer).increment();
-    match answer {
-        Answer::Served(body) => {
+    let body = match answer {
+        Answer::Served(ref body) if !open_call.reserve(buffered_bytes(body), frontend) => {
+            outcomes.failed.increment();
+            frontend.metrics.client_over_limit.increment();
             response.set_completed(body.remaining_chunks.is_none());
-            if let Some(slot) = &response.slot {
-                slot.mark_served();
-            }
-            Ok((body, response))
+            return Err(status::failed(FailureReason::AttemptFailed));
+        }
+        answer => {
+            outcome_counter(&outcomes, &answer).increment();
+            served_body(answer)?
         }
+    };
+    response.set_completed(body.remaining_chunks.is_none());
+    open_call.mark_served();
+    Ok(ServedCall {
+        body,
+        response,
+        open_call,
+    })
+}
+
+/// The result in an answer.
+///
+/// # Errors
+///
+/// If the request was rejected or has failed.
+fn served_body(answer: Answer) -> Result<ResultBody, Status> {
+    match answer {
+        Answer::Served(body) => Ok(body),
         Answer::Rejected { retry_after_ms } => Err(status::rejected(retry_after_ms)),
         Answer::Failed(reason) => Err(status::failed(reason)),
     }
 }
+
+/// The size of the buffered chunks of a result.
+fn buffered_bytes(body: &ResultBody) -> usize {
+    body.chunks.iter().map(bytes::Bytes::len).sum()
+}
--- a/src/clients/flight/service.rs
+++ b/src/clients/flight/service.rs
@@ -1,13 +1,14 @@
 //! The gRPC service: plans queries, runs planned queries and runs updates.
 
+use super::client_connection::ClientConnection;
 use super::command;
-use super::pending_response::serve;
+use super::open_call::OpenCall;
+use super::pending_response::{ServedCall, serve};
 use super::result_stream::{FlightDataStream, result_stream};
 use super::statement_call::{StatementCall, new_reference};
 use super::status::{self, CallError};
 use super::tickets::TicketStore;
 use crate::clients::Frontend;
-use crate::clients::connection_slots::ConnectionSlot;
 use crate::core::StatementKind;
 use crate::decision::Idempotency;
 use crate::rows;
@@ -64,10 +65,11 @@
     }
 
     /// Checks a query and returns a ticket for it. Nothing is sent to an engine.
-    fn plan_query(&self, request: Request<FlightDescriptor>) -> Result<FlightInfo, CallError> {
-        if let Some(slot) = connection_slot(&request) {
-            slot.record_call();
-        }
+    fn plan_query(
+        &self,
+        request: Request<FlightDescriptor>,
+    ) -> Result<Response<FlightInfo>, CallError> {
+        let open_call = OpenCall::new(&self.frontend, client_connection(&request));
         let (metadata, _, descriptor) = request.into_parts();
         let statement = command::query_statement(&descriptor.cmd)?;
         let call = StatementCall::parse(&self.frontend, &metadata, statement)?;
@@ -79,9 +81,10 @@
         let ticket = Ticket {
             ticket: ticket.as_any().encode_to_vec().into(),
         };
-        Ok(FlightInfo::new()
+        let info = FlightInfo::new()
             .with_descriptor(descriptor)
-            .with_endpoint(FlightEndpoint::new().with_ticket(ticket)))
+            .with_endpoint(FlightEndpoint::new().with_ticket(ticket));
+        Ok(response_of_call(info, open_call))
     }
 
     /// Returns a ticket's handle and its planned call.
@@ -100,27 +103,36 @@
     }
 
     /// Runs a planned query and streams its result.
-    async fn run_query(&self, request: Request<Ticket>) -> Result<FlightDataStream, Status> {
-        let slot = connection_slot(&request);
+    async fn run_query(
+        &self,
+        request: Request<Ticket>,
+    ) -> Result<Response<FlightDataStream>, Status> {
+        let connection = client_connection(&request);
         let (metadata, _, ticket) = request.into_parts();
         let (handle, call) = self.redeem(&ticket)?;
         let kind = StatementKind::Query;
-        let served = serve(&self.frontend, call.clone(), kind, &metadata, slot).await;
-        let (body, response) = served.inspect_err(|error| {
+        let served = serve(&self.frontend, call.clone(), kind, &metadata, connection).await;
+        let served = served.inspect_err(|error| {
             // A rejected query did not run, so its ticket becomes valid again.
             if status::is_rejection(error) {
                 self.store_ticket(handle, call);
             }
         })?;
-        result_stream(body, response)
+        let ServedCall {
+            body,
+            response,
+            open_call,
+        } = served;
+        let messages = result_stream(body, response)?;
+        Ok(response_of_call(messages, open_call))
     }
 
     /// Runs an update and returns the number of changed rows.
     async fn run_update(
         &self,
         request: Request<Streaming<FlightData>>,
-    ) -> Result<PutResult, Status> {
-        let slot = connection_slot(&request);
+    ) -> Result<Response<<Self as FlightService>::DoPutStream>, Status> {
+        let connection = client_connection(&request);
         let (metadata, _, mut input) = request.into_parts();
         // Without this timeout, a call that sends no command would stay open forever.
         let first_message = timeout(self.frontend.limits.client_read_timeout, input.message())
@@ -133,19 +145,28 @@
         let statement = command::update_statement(&descriptor.cmd)?;
         let call = StatementCall::parse(&self.frontend, &metadata, statement)?;
         let kind = StatementKind::Update;
-        let (body, _response) = serve(&self.frontend, call, kind, &metadata, slot).await?;
+        let served = serve(&self.frontend, call, kind, &metadata, connection).await?;
         let result = DoPutUpdateResult {
-            record_count: rows::changed_row_count(&body),
+            record_count: rows::changed_row_count(&served.body),
         };
-        Ok(PutResult {
+        let result = PutResult {
             app_metadata: result.encode_to_vec().into(),
-        })
+        };
+        let results = stream::iter([Ok(result)]).boxed();
+        Ok(response_of_call(results, served.open_call))
     }
 }
 
-/// Returns the slot of the connection on which a call arrived.
-fn connection_slot<T>(request: &Request<T>) -> Option<Arc<ConnectionSlot>> {
-    request.extensions().get::<Arc<ConnectionSlot>>().cloned()
+/// Returns the connection on which a call arrived.
+fn client_connection<T>(request: &Request<T>) -> Option<Arc<ClientConnection>> {
+    request.extensions().get::<Arc<ClientConnection>>().cloned()
+}
+
+/// Creates the response of a call that stays open until the client has received the response.
+fn response_of_call<T>(message: T, open_call: OpenCall) -> Response<T> {
+    let mut response = Response::new(message);
+    response.extensions_mut().insert(Arc::new(open_call));
+    response
 }
 
 #[tonic::async_trait]
@@ -163,7 +184,6 @@
         request: Request<FlightDescriptor>,
     ) -> Result<Response<FlightInfo>, Status> {
         self.count_call(self.plan_query(request).map_err(Status::from))
-            .map(Response::new)
     }
 
     async fn do_get(
@@ -171,7 +191,7 @@
         request: Request<Ticket>,
     ) -> Result<Response<Self::DoGetStream>, Status> {
         let result = self.run_query(request).await;
-        self.count_call(result).map(Response::new)
+        self.count_call(result)
     }
 
     async fn do_put(
@@ -180,7 +200,6 @@
     ) -> Result<Response<Self::DoPutStream>, Status> {
         let result = self.run_update(request).await;
         self.count_call(result)
-            .map(|result| Response::new(stream::iter([Ok(result)]).boxed()))
     }
 
     async fn handshake(
--- a/src/clients/msgpack_rpc/tests.rs
+++ b/src/clients/msgpack_rpc/tests.rs
@@ -1,76 +1,14 @@
 //! Tests of client connections on real sockets.
 
 use super::listen;
-use crate::clients::Frontend;
-use crate::core::{Answer, Clock, CoreMessage, Handle, Mailbox};
-use crate::engines::EngineContext;
-use crate::lifecycle::Lifecycle;
-use crate::limits::Limits;
-use crate::metrics::Metrics;
+use crate::clients::tests::test_frontend::{ANSWER_TIMEOUT, TestFrontend, no_connection_pending};
+use crate::core::{Answer, CoreMessage, Mailbox};
 use rmp::{decode, encode};
-use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::sync::watch;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::timeout;
 
-/// A test fails if it waits for longer than this for an answer.
-const ANSWER_TIMEOUT: Duration = Duration::from_secs(10);
-
-/// A front end whose core is the test.
-struct TestFrontend {
-    frontend: Frontend,
-    metrics: Arc<Metrics>,
-    /// What the front end sends to the core.
-    mailbox: Mailbox,
-    listener: TcpListener,
-    address: SocketAddr,
-}
-
-impl TestFrontend {
-    /// Creates a front end that does not accept connections yet. The mailbox of its core has space
-    /// for this number of messages.
-    async fn new(mailbox_messages: usize, change_limits: impl FnOnce(&mut Limits)) -> TestFrontend {
-        let (core, mailbox) = Handle::new(mailbox_messages, Clock::new());
-        let mut limits = Limits::clone(&EngineContext::for_tests(core.clone()).limits);
-        change_limits(&mut limits);
-        let metrics = Arc::<Metrics>::default();
-        let settings = Arc::new(EngineContext::settings_for_tests());
-        let frontend = Frontend {
-            core,
-            settings: watch::channel(settings).1,
-            limits: Arc::new(limits),
-            metrics: metrics.clone(),
-            lifecycle: Arc::new(Lifecycle::new()),
-            buffer_pools: Arc::default(),
-        };
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
-        let address = listener.local_addr().expect("address");
-        TestFrontend {
-            frontend,
-            metrics,
-            mailbox,
-            listener,
-            address,
-        }
-    }
-
-    /// Serves a client whose first bytes are a burst of calls, most of which it also cancels. The
-    /// core rejects every request. Checks that the other calls are answered, and returns the
-    /// client.
-    async fn serve_burst(self) -> TcpStream {
-        let mut client = TcpStream::connect(self.address).await.expect("connect");
-        let (burst, kept) = burst_of_cancelled_calls();
-        client.write_all(&burst).await.expect("write");
-        tokio::spawn(reject_all_requests(self.mailbox));
-        tokio::spawn(listen(self.listener, self.frontend));
-        assert_eq!(read_rejections(&mut client, kept.len()).await, kept);
-        client
-    }
-}
-
 /// A core that rejects every request as soon as it takes it from its mailbox.
 async fn reject_all_requests(mut mailbox: Mailbox) {
     while let Some(message) = mailbox.next_message().await {
@@ -167,6 +105,19 @@
     (burst, kept)
 }
 
+/// Serves a client whose first bytes are a burst of calls, most of which it also cancels. The
+/// core rejects every request. Checks that the other calls are answered, and returns the
+/// client.
+async fn serve_burst(test: TestFrontend) -> TcpStream {
+    let mut client = TcpStream::connect(test.address).await.expect("connect");
+    let (burst, kept) = burst_of_cancelled_calls();
+    client.write_all(&burst).await.expect("write");
+    tokio::spawn(reject_all_requests(test.mailbox));
+    tokio::spawn(listen(test.listener, test.frontend));
+    assert_eq!(read_rejections(&mut client, kept.len()).await, kept);
+    client
+}
+
 /// Guards against lost answers: a client that cancels many requests in one burst got no answer to
 /// the requests that it did not cancel, and its connection kept its slot for good.
 #[tokio::test]
@@ -175,7 +126,7 @@
     // the connection has handled the burst.
     let test = TestFrontend::new(1, |limits| limits.client_connections = 1).await;
     let (address, metrics) = (test.address, test.metrics.clone());
-    let _client = test.serve_burst().await;
+    let _client = serve_burst(test).await;
     // The connection is idle, so it is evicted for another client, which is served.
     let mut other = TcpStream::connect(address).await.expect("connect");
     other.write_all(&request_call(1)).await.expect("write");
@@ -192,18 +143,11 @@
         .lifecycle
         .update(|state| state.shutting_down = true);
     let metrics = test.metrics.clone();
-    let mut client = test.serve_burst().await;
+    let mut client = serve_burst(test).await;
     let end = timeout(ANSWER_TIMEOUT, client.read(&mut [0])).await;
     assert_eq!(end.expect("the connection is closed").expect("read"), 0);
     drop(client);
-    let all_closed = async {
-        while metrics.client_connections_pending.get() > 0 {
-            tokio::task::yield_now().await;
-        }
-    };
-    timeout(ANSWER_TIMEOUT, all_closed)
-        .await
-        .expect("no connection is pending");
+    no_connection_pending(&metrics).await;
 }
 
 /// A client that sends calls and never reads the answers must not keep its slot forever: the
--- a/src/clients/tests.rs
+++ b/src/clients/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of the code that the front ends share.
 
+pub(in crate::clients) mod test_frontend;
+
 use super::is_out_of_resources;
 use nix::errno::Errno;
 use rstest::rstest;
--- a/src/limits/table.rs
+++ b/src/limits/table.rs
@@ -73,18 +73,19 @@
     /// Maximum size of the statements of all open requests, in bytes.
     open_statement_bytes: usize = basis.memory_fraction(10);
     /// A client connection is closed after this time without a first call, or without the rest of a
-    /// message.
+    /// message. A Flight SQL client has this time to confirm the close of its connection.
     client_read_timeout: Duration = Duration::from_millis(2000);
     /// The value of `client_read_timeout` for an evicted client connection. It is shorter because
     /// another connection waits for its descriptor.
     evicted_client_read_timeout: Duration = Duration::from_millis(250);
     /// Number of invalid calls on one client connection after which it is closed.
     client_bad_calls: usize = 64;
-    /// An idle client connection is closed after this time. Clients close idle connections earlier.
+    /// An idle client connection, or one whose client reads none of its answers, is closed after
+    /// this time. Clients close idle connections earlier.
     client_idle_timeout: Duration = Duration::from_secs(30);
     /// Maximum time to wait until the peer closes a connection that this side has closed for
-    /// writing. A Flight SQL connection that was asked to close is closed after this time without
-    /// a change on it.
+    /// writing. A Flight SQL connection that was asked to close begins to close after this time
+    /// without a change on it.
     linger_timeout: Duration = Duration::from_millis(100);
     /// The value of `linger_timeout` for an evicted client connection. It is shorter because
     /// another connection waits for its descriptor.
@@ -240,6 +241,9 @@
     /// no more time.
     shutdown_timeout_and_margin: (Duration, Duration) =
         (Duration::from_secs(3), Duration::from_millis(500));
+    /// Maximum time from the end of `shutdown_timeout_and_margin` until the process ends, in which
+    /// clients can read the last answers. It ends before the platform kills the process.
+    shutdown_last_answers_timeout: Duration = Duration::from_millis(100);
     /// Maximum time for which a successor process waits for the first frame of the discovery feed,
     /// an event or a heartbeat.
     first_feed_frame_timeout: Duration = Duration::from_millis(1200);
--- a/src/node/shutdown.rs
+++ b/src/node/shutdown.rs
@@ -8,10 +8,15 @@
 /// Interval at which a shutdown checks for open requests and connections.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+const MILLISECONDS_PER_SECOND: f64 = 1000.0;
+
 /// The state that decides whether a shutdown is complete.
 struct CompletionCheck {
     /// New requests are accepted until this time.
     accept_until: Instant,
+    /// The process ends at this time, even if clients have not read all answers. The platform kills
+    /// it soon after.
+    end_at: Instant,
     /// The time since which no request has been open; `None` while one is open.
     idle_since: Option<Instant>,
     /// How long the node waits for clients to read their last answers.
@@ -33,9 +38,13 @@
     pub async fn shut_down(&self) {
         self.begin_shutdown();
         let handed_over = self.lifecycle.current().listener_handed_over;
-        self.send_deadline_to_core().await;
+        let answer_time = self.time_to_answer_requests();
+        let deadline_ms = self.core.now() + milliseconds(answer_time);
+        self.core.set_shutdown_deadline(deadline_ms).await;
+        let now = Instant::now();
         let mut completion_check = CompletionCheck {
-            accept_until: Instant::now() + self.accept_window(handed_over),
+            accept_until: now + self.accept_window(handed_over),
+            end_at: now + answer_time + self.limits.shutdown_last_answers_timeout,
             idle_since: None,
             read_timeout: self.limits.client_read_timeout,
         };
@@ -52,11 +61,11 @@
         }
     }
 
-    /// Sends the core the time at which the process ends: the longest client timeout of all classes
-    /// plus a margin. The platform kills the process soon after that time, and a request that is
-    /// still open then gets no answer. The maximum of the timeout and the margin are in
+    /// Returns how long the core may take to answer open requests: the longest client timeout of all
+    /// classes plus a margin. The platform kills the process soon after that time, and a request
+    /// that is still open then gets no answer. The maximum of the timeout and the margin are in
     /// [`Limits::shutdown_timeout_and_margin`](crate::limits::Limits::shutdown_timeout_and_margin).
-    async fn send_deadline_to_core(&self) {
+    fn time_to_answer_requests(&self) -> Duration {
         let (max_timeout, margin) = self.limits.shutdown_timeout_and_margin;
         let longest_timeout_ms = self
             .current_settings
@@ -67,8 +76,7 @@
             .map(|class| class.client_timeout_ms)
             .fold(0.0, f64::max);
         let bounded_ms = longest_timeout_ms.min(milliseconds(max_timeout));
-        let deadline_ms = self.core.now() + bounded_ms + milliseconds(margin);
-        self.core.set_shutdown_deadline(deadline_ms).await;
+        Duration::from_secs_f64(bounded_ms / MILLISECONDS_PER_SECOND) + margin
     }
 
     /// Returns how long new requests are accepted after the shutdown has begun.
@@ -82,9 +90,8 @@
 }
 
 impl CompletionCheck {
-    /// Returns true if the shutdown is complete. The node waits no longer than the read timeout for
-    /// a client that does not read its answers, because the platform would otherwise kill the
-    /// process.
+    /// Returns true if the shutdown is complete. The node waits no longer than the read timeout, and
+    /// not beyond the end of the process, for a client that does not read its answers.
     fn is_complete(&mut self, now: Instant, is_idle: bool, all_answered: bool) -> bool {
         self.idle_since = match self.idle_since {
             _ if !is_idle => None,
@@ -94,10 +101,14 @@
         let answers_unread = self
             .idle_since
             .is_some_and(|since| now >= since.max(self.accept_until) + self.read_timeout);
-        now >= self.accept_until && (all_answered || answers_unread)
+        let is_answered = now >= self.accept_until && (all_answered || answers_unread);
+        is_answered || now >= self.end_at
     }
 }
 
 fn milliseconds(duration: Duration) -> f64 {
-    duration.as_secs_f64() * 1000.0
+    duration.as_secs_f64() * MILLISECONDS_PER_SECOND
 }
+
+#[cfg(test)]
+mod tests;
