Add a seeded soak of the Flight SQL front end and engines

tests/flight_soak plays Flight SQL clients that stand still and read slowly, platform clients that cancel most of a burst, engines that refuse, break or go away at any call of an attempt, a drain, a reload and the shutdown. It checks that a non-idempotent statement runs once, that a call that the manager took gets its final status, that results are whole, and that the shutdown ends within 3.7 s. Seeds, parallel runs and the list of engines are shared with the fault soak, which is otherwise unchanged.

--- a/tests/fault_soak/main.rs
+++ b/tests/fault_soak/main.rs
@@ -26,10 +26,10 @@
 use rules::Rules;
 use scene::child_process::{KillOnDrop, program, signal, stderr_of, wait_for_line};
 use scene::configuration;
+use scene::soak::{ready_engines_event, run_seeds};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::Mutex;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -42,9 +42,6 @@
 /// Number of idle connections in the runs that have them: more than the manager's connection slots.
 const IDLE_CONNECTIONS: usize = 40;
 
-/// Number of runs at the same time.
-const PARALLEL_RUNS: usize = 4;
-
 /// Time from the manager's start to SIGTERM.
 const SERVING_TIME: Duration = Duration::from_millis(1500);
 
@@ -66,44 +63,15 @@
 #[test]
 fn no_rule_is_broken_under_faults() {
     let library = build_fault_library();
-    let seeds = Mutex::new(chosen_seeds());
-    let failures = Mutex::new(Vec::new());
-    std::thread::scope(|scope| {
-        for _ in 0..PARALLEL_RUNS {
-            scope.spawn(|| {
-                while let Some(seed) = next_seed(&seeds) {
-                    let result = run_seed(seed, &library);
-                    println!(
-                        "seed {seed}: {} attempts, {} of them retries, violations: {:#?}",
-                        result.attempts, result.retries, result.violations
-                    );
-                    assert!(result.attempts > 0, "seed {seed}: no attempt was made");
-                    let violations = result.violations.into_iter();
-                    let violations =
-                        violations.map(|violation| format!("seed {seed}: {violation}"));
-                    failures.lock().expect("failures").extend(violations);
-                }
-            });
-        }
+    run_seeds("SOAK_SEEDS", "1-12", |seed| {
+        let result = run_seed(seed, &library);
+        println!(
+            "seed {seed}: {} attempts, {} of them retries, violations: {:#?}",
+            result.attempts, result.retries, result.violations
+        );
+        assert!(result.attempts > 0, "seed {seed}: no attempt was made");
+        result.violations
     });
-    let failures = failures.into_inner().expect("failures");
-    assert!(failures.is_empty(), "{failures:#?}");
-}
-
-/// Takes the next seed to run.
-fn next_seed(seeds: &Mutex<Vec<u64>>) -> Option<u64> {
-    seeds.lock().expect("seeds").pop()
-}
-
-/// The seeds of this test in descending order. [`next_seed`] takes the last one, which is the
-/// lowest.
-fn chosen_seeds() -> Vec<u64> {
-    let range = std::env::var("SOAK_SEEDS").unwrap_or_else(|_| "1-12".to_owned());
-    let (first, last) = range
-        .split_once('-')
-        .expect("SOAK_SEEDS has the form FIRST-LAST");
-    let number = |text: &str| text.parse::<u64>().expect("a number");
-    (number(first)..=number(last)).rev().collect()
 }
 
 /// Builds the shared library that injects faults into system calls.
@@ -237,18 +205,7 @@
     engines: &[SocketAddr],
     feed: SocketAddr,
 ) -> (KillOnDrop, SocketAddr) {
-    let list_entry = |(number, address): (usize, &SocketAddr)| {
-        format!(
-            r#"{{"instanceId":"s-{:08x}","hostPort":"{address}","zone":"hall-a","machineType":"std-8c","cell":0,
-            "lifecycle":"active","weight":1,"startedAtMs":0}}"#,
-            number + 1
-        )
-    };
-    let list_entries: Vec<String> = engines.iter().enumerate().map(list_entry).collect();
-    let endpoint_list = format!(
-        r#"{{"n":1,"members":{{"generation":1,"reset":true,"instances":[{}]}}}}"#,
-        list_entries.join(",")
-    );
+    let endpoint_list = ready_engines_event(engines);
     let step_s = ["0", "3600", "-3600", "5"][(seed % 4) as usize];
     let mut child = program(
         &format!("soak-{seed}"),
--- a/tests/scene/flight_engine.rs
+++ b/tests/scene/flight_engine.rs
@@ -130,7 +130,7 @@
 
 /// Encodes rows as Flight data, with the schema if they are the first ones; `x9000` stands for that
 /// many equal rows.
-fn encode_rows(text: &str, first: bool) -> Vec<FlightData> {
+pub(crate) fn encode_rows(text: &str, first: bool) -> Vec<FlightData> {
     let text = match text.strip_prefix('x').and_then(|n| n.parse().ok()) {
         Some(count) => "many\trows\there\n".repeat(count),
         None => text.to_owned(),
--- a/tests/scene/mod.rs
+++ b/tests/scene/mod.rs
@@ -45,13 +45,14 @@
 pub(crate) mod engine_fleet;
 pub(crate) mod engine_listener;
 mod flight_client;
-mod flight_engine;
+pub(crate) mod flight_engine;
 mod line_engine;
 pub(crate) mod list_feed;
 pub(crate) mod manager_process;
 pub(crate) mod msgpack_client;
 mod node_settings;
 mod snmp_manager;
+pub(crate) mod soak;
 
 pub(crate) use node_settings::{apply_changes, configuration};
 
--- a/tests/scene/msgpack_client.rs
+++ b/tests/scene/msgpack_client.rs
@@ -83,6 +83,25 @@
         let _ = self.stream.write_all(&message).await;
     }
 
+    /// Sends statements of a class with one changed field, and cancels some of them, all in one
+    /// write. Each call is its id and whether it is cancelled. Does nothing if the connection is
+    /// broken.
+    pub(crate) async fn try_send_burst(
+        &mut self,
+        calls: impl IntoIterator<Item = (u64, bool)>,
+        class: &str,
+        change: &str,
+    ) {
+        let mut burst = Vec::new();
+        for (id, is_cancelled) in calls {
+            burst.extend(self.statement_call(id, class, &[change]));
+            if is_cancelled {
+                burst.extend(cancellation(id));
+            }
+        }
+        let _ = self.stream.write_all(&burst).await;
+    }
+
     async fn send_health(&mut self, id: &str) {
         let message = self.call(id.parse().expect("id"), "health", &[("deep", "0")], None);
         self.write(&message).await;
