Wait in a drain until platform clients have read their written answers

Cause: the connection was closed over what the client had not read from its socket, and the client's next call reset it. A connection that was idle as the drain began was taken for an evicted one, because serve (msgpack_rpc/connection.rs) read the state before it waited, so the close waited for 10 ms where 100 ms are meant.

Change: the state is read when the request to close arrives, and the close waits for up to 1 s for the client's end if an answer was written within that time. A client that closes its side ends the wait at once; an evicted connection still waits for 10 ms, and the end of the process bounds all.

--- a/src/clients/msgpack_rpc/answers.rs
+++ b/src/clients/msgpack_rpc/answers.rs
@@ -11,6 +11,7 @@
 use bytes::Bytes;
 use std::io;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
@@ -79,6 +80,8 @@
     reservation: MemoryReservation,
     /// When the socket last accepted bytes, or the queue was last empty.
     last_progress: Instant,
+    /// When the socket last accepted bytes; `None` before the first.
+    last_write: Option<Instant>,
     limits: Arc<Limits>,
     metrics: Arc<Metrics>,
 }
@@ -89,6 +92,7 @@
             outbox: Outbox::default(),
             reservation: MemoryReservation::new(&frontend.buffer_pools.output),
             last_progress: Instant::now(),
+            last_write: None,
             limits: frontend.limits.clone(),
             metrics: frontend.metrics.clone(),
         }
@@ -102,12 +106,22 @@
     pub(super) fn flush(&mut self, stream: &TcpStream) -> io::Result<()> {
         let written_before = self.outbox.written_bytes();
         self.outbox.flush(stream)?;
-        if self.outbox.is_empty() || self.outbox.written_bytes() > written_before {
+        let has_written = self.outbox.written_bytes() > written_before;
+        if has_written {
+            self.last_write = Some(Instant::now());
+        }
+        if self.outbox.is_empty() || has_written {
             self.last_progress = Instant::now();
         }
         Ok(())
     }
 
+    /// Whether the socket has accepted part of an answer less than `time` ago.
+    pub(super) fn was_written_within(&self, time: Duration) -> bool {
+        self.last_write
+            .is_some_and(|written_at| written_at.elapsed() < time)
+    }
+
     pub(super) fn is_empty(&self) -> bool {
         self.outbox.is_empty()
     }
--- a/src/clients/msgpack_rpc/connection.rs
+++ b/src/clients/msgpack_rpc/connection.rs
@@ -14,6 +14,7 @@
 use crate::core::{Answer, CoreMessage};
 use crate::net;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep_until};
@@ -92,7 +93,18 @@
         // A client sends a call again if the connection is closed while the call is on its way.
         // Without lingering, such a call would reset the connection, and answers on their way would
         // be lost.
-        net::linger(&self.stream, self.silence_limits().linger).await;
+        net::linger(&self.stream, self.linger_timeout()).await;
+    }
+
+    /// How long to wait until the client closes its side too. An evicted connection waits for a
+    /// short time only, because another one needs its slot.
+    fn linger_timeout(&self) -> Duration {
+        let unread_timeout = self.frontend.limits.unread_answer_linger_timeout;
+        if !self.evicted && self.answer_queue.was_written_within(unread_timeout) {
+            unread_timeout
+        } else {
+            self.silence_limits().linger
+        }
     }
 
     /// Serves the connection until it can be closed with no request open and no answer unread.
@@ -135,6 +147,8 @@
                 // While draining, the rest of an incomplete message is awaited up to the idle
                 // deadline.
                 () = self.slot.asked_to_close(), if idle && (self.input.is_empty() || !draining) => {
+                    // The drain may have begun during the wait.
+                    let draining = self.is_draining();
                     if self.handle_close_request(draining).await? {
                         return Ok(if draining { CloseReason::Draining } else { CloseReason::Evicted });
                     }
--- a/src/clients/msgpack_rpc/tests.rs
+++ b/src/clients/msgpack_rpc/tests.rs
@@ -2,12 +2,13 @@
 
 use super::listen;
 use crate::clients::tests::test_frontend::{ANSWER_TIMEOUT, TestFrontend, no_connection_pending};
-use crate::core::{Answer, CoreMessage, Mailbox};
+use crate::core::{Answer, CoreMessage, Mailbox, ResultBody, ResultFormat};
+use bytes::Bytes;
 use rmp::{decode, encode};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 /// A core that rejects every request as soon as it takes it from its mailbox.
 async fn reject_all_requests(mut mailbox: Mailbox) {
@@ -183,3 +184,67 @@
         .expect("the connection is closed in time");
     assert_eq!(metrics.client_read_timeouts.get(), 1);
 }
+
+/// A core that serves every request with a result of the largest size.
+async fn serve_all_requests(mut mailbox: Mailbox, result_bytes: usize) {
+    let result = Bytes::from(vec![b'x'; result_bytes]);
+    while let Some(message) = mailbox.next_message().await {
+        if let CoreMessage::Request(request) = message {
+            let body = ResultBody::complete(ResultFormat::Text, vec![result.clone()]);
+            request.client.answer(request.id, Answer::Served(body));
+        }
+    }
+}
+
+/// Guards against answers that are lost at a planned restart although they are written: the client
+/// stands still and has not read them from its socket. If the connection is closed then, the next
+/// call of the client makes the system discard them.
+#[tokio::test]
+async fn written_answers_survive_a_call_that_crosses_the_close_in_a_drain() {
+    /// How long the client stands still after the drain has begun.
+    const STANDSTILL: Duration = Duration::from_millis(370);
+    let test = TestFrontend::new(8, |_| {}).await;
+    let (lifecycle, metrics) = (test.frontend.lifecycle.clone(), test.metrics.clone());
+    let result_bytes = test.frontend.limits.result_bytes;
+    tokio::spawn(serve_all_requests(test.mailbox, result_bytes));
+    tokio::spawn(listen(test.listener, test.frontend));
+    let socket = TcpSocket::new_v4().expect("socket");
+    socket
+        .set_recv_buffer_size(16_384)
+        .expect("set the size of the receive buffer");
+    let mut client = socket.connect(test.address).await.expect("connect");
+    client.write_all(&request_call(1)).await.expect("write");
+    let mut head = [0];
+    let begun = timeout(ANSWER_TIMEOUT, client.read_exact(&mut head)).await;
+    begun.expect("in time").expect("an answer");
+    no_connection_pending(&metrics).await;
+    tokio::time::pause();
+    lifecycle.update(|state| state.drained = true);
+    sleep(STANDSTILL).await;
+    tokio::time::resume();
+    client.write_all(&request_call(2)).await.expect("write");
+    let mut received = Vec::new();
+    let end = timeout(ANSWER_TIMEOUT, client.read_to_end(&mut received)).await;
+    end.expect("in time").expect("an orderly close");
+    assert!(received.len() > result_bytes, "{} bytes", received.len());
+    drop(client);
+    no_connection_pending(&metrics).await;
+}
+
+/// A client that does not close its side after an answer holds its slot for a limited time only.
+#[tokio::test]
+async fn lingering_connection_does_not_keep_another_client_out() {
+    let test = TestFrontend::new(8, |limits| limits.client_connections = 1).await;
+    let address = test.address;
+    tokio::spawn(reject_all_requests(test.mailbox));
+    tokio::spawn(listen(test.listener, test.frontend));
+    let mut idle_client = TcpStream::connect(address).await.expect("connect");
+    idle_client
+        .write_all(&request_call(1))
+        .await
+        .expect("write");
+    assert_eq!(read_rejections(&mut idle_client, 1).await, [1]);
+    let mut other = TcpStream::connect(address).await.expect("connect");
+    other.write_all(&request_call(1)).await.expect("write");
+    assert_eq!(read_rejections(&mut other, 1).await, [1]);
+}
--- a/src/limits/table.rs
+++ b/src/limits/table.rs
@@ -87,6 +87,10 @@
     /// writing. A Flight SQL connection that was asked to close begins to close after this time
     /// without a change on it.
     linger_timeout: Duration = Duration::from_millis(100);
+    /// The value of `linger_timeout` for a client connection on which an answer was written less than
+    /// this time ago, unless it was evicted. The client may stand still, or read slowly, and not
+    /// have read the answer yet.
+    unread_answer_linger_timeout: Duration = Duration::from_millis(1000);
     /// The value of `linger_timeout` for an evicted client connection. It is shorter because
     /// another connection waits for its descriptor.
     evicted_linger_timeout: Duration = Duration::from_millis(10);
