--- a/review/stand-ins-2/src/manager.rs
+++ b/review/stand-ins-2/src/manager.rs
@@ -93,6 +93,7 @@
             .env("NODE_CONFIG", start.config)
             .env("NODE_OPS", start.admin.to_string())
             .env("TMPDIR", start.folder.shared_folder()?)
+            .env("RUST_BACKTRACE", "0")
             .env_remove("NODE_LISTEN")
             .env_remove("NODE_LISTEN_FD")
             .env("MAGPIECHUTE_FRONTS", start.folder.path().join("none.toml"))
@@ -196,12 +197,25 @@
         let text = fs::read_to_string(&self.log).unwrap_or_default();
         let lines: Vec<&str> = text.lines().collect();
         for line in &lines[lines.len().saturating_sub(12)..] {
-            let line: String = line.chars().take(300).collect();
+            let line: String = without_folders(line).chars().take(300).collect();
             self.record.line(format!("{} log: {line}", self.name));
         }
     }
 }
 
+/// The line with the last two parts of each absolute path alone.
+fn without_folders(line: &str) -> String {
+    let shorten = |word: &str| match word.strip_prefix('/') {
+        Some(path) => {
+            let parts: Vec<&str> = path.split('/').collect();
+            parts[parts.len().saturating_sub(2)..].join("/")
+        }
+        None => word.to_owned(),
+    };
+    let words: Vec<String> = line.split(' ').map(shorten).collect();
+    words.join(" ")
+}
+
 impl Drop for Manager {
     fn drop(&mut self) {
         let _ = self.child.kill();
