--- a/review/stand-ins-2/src/cases/mod.rs
+++ b/review/stand-ins-2/src/cases/mod.rs
@@ -2,10 +2,12 @@
 
 mod burst_memory;
 mod crowded_input;
+mod evicted_reader;
 mod flight_memory;
 mod flight_rush;
 mod reload_ticket;
 mod setup;
+mod silent_streams;
 mod spoilt_result;
 mod upgrade_eject;
 mod upgrade_rush;
@@ -24,6 +26,8 @@
         "flight-memory" => flight_memory::play(run).await,
         "upgrade-rush" => upgrade_rush::play(run).await,
         "vanished-class" => vanished_class::play(run).await,
+        "evicted-reader" => evicted_reader::play(run).await,
+        "silent-streams" => silent_streams::play(run).await,
         "flight-rush" => flight_rush::play(run).await,
         "upgrade-eject" => upgrade_eject::play(run).await,
         _ => Err(format!("no such case: {case}").into()),
--- a/review/stand-ins-2/src/flight_engine.rs
+++ b/review/stand-ins-2/src/flight_engine.rs
@@ -104,7 +104,13 @@
         .body(())?;
     let mut stream = respond.send_response(head, false)?;
     for message in messages {
-        stream.send_data(frame(&message), false)?;
+        let mut data = frame(&message);
+        while !data.is_empty() {
+            stream.reserve_capacity(data.len());
+            let capacity = std::future::poll_fn(|context| stream.poll_capacity(context)).await;
+            let capacity = capacity.ok_or("the call has ended")??;
+            stream.send_data(data.split_to(capacity.min(data.len())), false)?;
+        }
     }
     let mut trailers = http::HeaderMap::new();
     trailers.insert("grpc-status", "0".parse()?);
@@ -114,6 +120,15 @@
 
 /// The messages of a result with one row: its schema and one batch.
 fn result(end: &End) -> Result<Vec<Vec<u8>>, Box<dyn Error + Send + Sync>> {
+    if let End::ServeLarge(count, bytes) = end {
+        let cell: ArrayRef = Arc::new(StringArray::from(vec!["x".repeat(*bytes)]));
+        let batch = RecordBatch::try_from_iter([("a", cell)])?;
+        let cell: ArrayRef = Arc::new(StringArray::from(vec!["x".repeat(70_000)]));
+        let mut batches = vec![RecordBatch::try_from_iter([("a", cell)])?];
+        batches.extend(vec![batch.clone(); *count]);
+        let messages = batches_to_flight_data(&batch.schema(), &batches)?;
+        return Ok(messages.iter().map(Message::encode_to_vec).collect());
+    }
     let text = match end {
         End::Serve(text) => text.trim_end(),
         _ => "a\tb\tc",
--- a/review/stand-ins-2/src/grpc.rs
+++ b/review/stand-ins-2/src/grpc.rs
@@ -128,3 +128,25 @@
         Ok(())
     }
 }
+
+impl Connection {
+    /// Sends a call and reads nothing of its answer for some seconds.
+    pub async fn call_and_go_silent(
+        &self,
+        method: &str,
+        message: &[u8],
+    ) -> Result<(), Box<dyn Error>> {
+        let request = http::Request::builder()
+            .method("POST")
+            .uri(format!("http://{}{SERVICE}/{method}", self.address))
+            .header("content-type", "application/grpc")
+            .header("te", "trailers");
+        let mut sender = self.sender.clone().ready().await?;
+        let (response, mut stream) = sender.send_request(request.body(())?, false)?;
+        stream.send_data(frame(message), true)?;
+        let response = response.await?;
+        tokio::time::sleep(std::time::Duration::from_secs(5)).await;
+        drop(response);
+        Ok(())
+    }
+}
--- a/review/stand-ins-2/src/line_engine.rs
+++ b/review/stand-ins-2/src/line_engine.rs
@@ -127,7 +127,7 @@
             );
             answer(&writer, &format!("{head}\r\n{rows}\r\n")).await;
         }
-        End::Reset | End::SpoiltLength => {
+        End::Reset | End::SpoiltLength | End::ServeLarge(..) => {
             plans.note(format!(
                 "engine {number}: resets the connection under {label}"
             ));
--- a/review/stand-ins-2/src/plan.rs
+++ b/review/stand-ins-2/src/plan.rs
@@ -15,6 +15,8 @@
     /// The attempt is served, but the answer arrives spoilt: a length in it does not fit. Flight
     /// SQL engines only.
     SpoiltLength,
+    /// The attempt is served with this many batches of this many bytes. Flight SQL engines only.
+    ServeLarge(usize, usize),
 }
 
 /// What an engine does with one attempt.
--- a/review/stand-ins-2/src/platform_client.rs
+++ b/review/stand-ins-2/src/platform_client.rs
@@ -188,7 +188,7 @@
 }
 
 /// The id, text and length in bytes of the first answer; `None` while it is incomplete.
-fn parse_answer(bytes: &[u8]) -> Option<(u64, String, usize)> {
+pub fn parse_answer(bytes: &[u8]) -> Option<(u64, String, usize)> {
     fn text(cursor: &mut Cursor<&[u8]>, length: u32) -> Option<String> {
         let mut text = vec![0; length as usize];
         Read::read_exact(cursor, &mut text).ok()?;
