--- a/src/clients/flight/answer_body.rs
+++ b/src/clients/flight/answer_body.rs
@@ -1,8 +1,10 @@
-//! The bodies of answers, which keep their calls open until the gRPC server has taken them.
+//! The bodies of calls and of their answers. The body of an answer keeps its call open until the gRPC
+//! server has taken it.
 //!
 //! A method of the service puts its [`OpenCall`] into the extensions of its response. The service
 //! wrapper [`AnswerTracking`] moves it into the body, which the server drops after the last frame.
 
+use super::call_input::track_input;
 use super::open_call::OpenCall;
 use bytes::Bytes;
 use http_body::{Body as HttpBody, Frame, SizeHint};
@@ -103,8 +105,15 @@
     }
 
     fn call(&mut self, request: http::Request<Body>) -> Self::Future {
+        let (request, metadata_memory) = match track_input(request) {
+            Ok(tracked) => tracked,
+            Err(status) => return Box::pin(async move { Ok(status.into_http()) }),
+        };
         let response = self.0.call(request);
-        Box::pin(async move { response.await.map(track_answer) })
+        Box::pin(async move {
+            let _metadata_memory = metadata_memory;
+            response.await.map(track_answer)
+        })
     }
 }
 
--- a/src/clients/flight/client_connection.rs
+++ b/src/clients/flight/client_connection.rs
@@ -10,7 +10,7 @@
 use crate::clients::Frontend;
 use crate::clients::connection_slots::ConnectionSlot;
 use crate::clients::pending::PendingGuard;
-use crate::limits::{Limits, MemoryReservation};
+use crate::limits::{MemoryOwner, MemoryReservation};
 use crate::metrics::Metrics;
 use std::collections::{HashSet, VecDeque};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -24,8 +24,11 @@
 /// A client connection.
 pub(super) struct ClientConnection {
     pub(super) slot: ConnectionSlot,
+    /// The owner of what the client has sent.
+    pub(super) request_memory: Arc<MemoryOwner>,
+    /// The owner of the answers that the client has not read.
+    pub(super) answer_memory: Arc<MemoryOwner>,
     answers: Mutex<UnwrittenAnswers>,
-    limits: Arc<Limits>,
     metrics: Arc<Metrics>,
 }
 
@@ -94,20 +97,22 @@
 
 impl ClientConnection {
     pub(super) fn new(slot: ConnectionSlot, frontend: &Frontend) -> Arc<ClientConnection> {
+        let answer_memory = frontend.client_memory.answers.add_owner();
         let answers = UnwrittenAnswers {
             streams: HashSet::new(),
             reset_streams: VecDeque::new(),
             waiting_for_engine: 0,
             write_blocked: false,
             unwritten_bytes: 0,
-            reservation: MemoryReservation::new(&frontend.buffer_pools.output),
+            reservation: MemoryReservation::new(&answer_memory),
             last_progress: Instant::now(),
             pending: None,
         };
         Arc::new(ClientConnection {
             slot,
+            request_memory: frontend.client_memory.requests.add_owner(),
+            answer_memory,
             answers: Mutex::new(answers),
-            limits: frontend.limits.clone(),
             metrics: frontend.metrics.clone(),
         })
     }
@@ -134,9 +139,8 @@
             answers.pending = None;
         }
         let bytes = answers.unwritten_bytes;
-        let limit = self.limits.share(self.limits.output_bytes);
         // The memory was reserved within the limit when the answer arrived.
-        answers.reservation.set(bytes, limit);
+        answers.reservation.set(bytes);
     }
 
     /// Records that a frame was written to the socket.
--- a/src/clients/flight/connection.rs
+++ b/src/clients/flight/connection.rs
@@ -37,6 +37,9 @@
         let (ping_interval, ping_timeout) = limits.flight_keep_alive;
         let server = Server::builder()
             .max_concurrent_streams(limits.open_requests_per_client as u32)
+            .initial_connection_window_size(limits.flight_window_bytes)
+            .initial_stream_window_size(limits.flight_window_bytes)
+            .http2_max_header_list_size(limits.flight_metadata_bytes)
             .http2_keepalive_interval(Some(ping_interval))
             .http2_keepalive_timeout(Some(ping_timeout));
         let service = FlightServiceServer::new(FlightFrontend::new(frontend.clone()))
--- a/src/clients/flight/connection/tests.rs
+++ b/src/clients/flight/connection/tests.rs
@@ -174,7 +174,7 @@
 /// answered with an error, and the memory is free again once the client has read an answer.
 #[tokio::test]
 async fn result_above_the_memory_for_unread_answers_fails() {
-    let test = TestFrontend::new(8, |limits| limits.output_bytes = 2000).await;
+    let test = TestFrontend::new(8, |limits| limits.client_answer_bytes = 10_000).await;
     let metrics = test.metrics.clone();
     tokio::spawn(serve_all_requests(test.mailbox));
     tokio::spawn(listen(test.listener, test.frontend));
--- a/src/clients/flight/mod.rs
+++ b/src/clients/flight/mod.rs
@@ -12,6 +12,7 @@
 //! - [`statement_call`] checks a call's metadata, [`command`] decodes its command, and
 //!   [`grpc_timeout`] parses its timeout.
 //! - [`tickets`] stores planned queries until their results are fetched.
+//! - [`call_input`] counts the memory of a call's metadata and body.
 //! - [`open_call`] keeps a call open until the gRPC server has taken its answer; [`answer_body`] is
 //!   the body of that answer.
 //! - [`pending_response`] passes a request to the core and waits for its answer; [`result_stream`]
@@ -19,6 +20,7 @@
 //! - [`status`] maps errors and answers to gRPC statuses.
 
 mod answer_body;
+mod call_input;
 mod client_connection;
 mod command;
 mod connection;
--- a/src/clients/flight/open_call.rs
+++ b/src/clients/flight/open_call.rs
@@ -22,19 +22,21 @@
         if let Some(connection) = &connection {
             connection.slot.request_opened();
         }
+        let owner = match &connection {
+            Some(connection) => connection.answer_memory.clone(),
+            None => frontend.client_memory.answers.add_owner(),
+        };
         OpenCall {
             connection,
-            reservation: MemoryReservation::new(&frontend.buffer_pools.output),
+            reservation: MemoryReservation::new(&owner),
             _pending: PendingGuard::new(&frontend.metrics),
         }
     }
 
-    /// Reserves memory for an answer of this size. Returns false if the unwritten answers of all
-    /// clients together exceed their limit.
-    pub(super) fn reserve(&mut self, bytes: usize, frontend: &Frontend) -> bool {
-        let limits = &frontend.limits;
-        self.reservation
-            .set(bytes, limits.share(limits.output_bytes))
+    /// Reserves memory for an answer of this size. Returns false if the client's unwritten answers
+    /// then exceed its share.
+    pub(super) fn reserve(&mut self, bytes: usize) -> bool {
+        self.reservation.set(bytes)
     }
 
     /// Records that the request of this call was served.
--- a/src/clients/flight/pending_response.rs
+++ b/src/clients/flight/pending_response.rs
@@ -124,7 +124,7 @@
         return Err(status::core_ended());
     };
     let body = match answer {
-        Answer::Served(ref body) if !open_call.reserve(buffered_bytes(body), frontend) => {
+        Answer::Served(ref body) if !open_call.reserve(buffered_bytes(body)) => {
             outcomes.failed.increment();
             frontend.metrics.client_over_limit.increment();
             response.set_completed(body.remaining_chunks.is_none());
--- a/src/clients/flight/service.rs
+++ b/src/clients/flight/service.rs
@@ -69,10 +69,12 @@
         &self,
         request: Request<FlightDescriptor>,
     ) -> Result<Response<FlightInfo>, CallError> {
-        let open_call = OpenCall::new(&self.frontend, client_connection(&request));
+        let connection = client_connection(&request);
+        let open_call = OpenCall::new(&self.frontend, connection.clone());
         let (metadata, _, descriptor) = request.into_parts();
         let statement = command::query_statement(&descriptor.cmd)?;
-        let call = StatementCall::parse(&self.frontend, &metadata, statement)?;
+        let connection = connection.as_deref();
+        let call = StatementCall::parse(&self.frontend, connection, &metadata, statement)?;
         let handle = call.reference.clone();
         self.store_ticket(handle.clone(), call);
         let ticket = TicketStatementQuery {
@@ -111,7 +113,13 @@
         let (metadata, _, ticket) = request.into_parts();
         let (handle, call) = self.redeem(&ticket)?;
         let kind = StatementKind::Query;
-        let served = serve(&self.frontend, call.clone(), kind, &metadata, connection).await;
+        let served = match call
+            .clone()
+            .reserve_for(&self.frontend, connection.as_deref())
+        {
+            Ok(call) => serve(&self.frontend, call, kind, &metadata, connection).await,
+            Err(error) => Err(error.into()),
+        };
         let served = served.inspect_err(|error| {
             // A rejected query did not run, so its ticket becomes valid again.
             if status::is_rejection(error) {
@@ -139,11 +147,15 @@
             .await
             .map_err(|_| CallError::CommandTimeout)??
             .ok_or(CallError::MissingCommand)?;
+        // Nothing more of the input is needed, so what follows is not kept.
+        drop(input);
         let descriptor = first_message
             .flight_descriptor
             .ok_or(CallError::MissingDescriptor)?;
         let statement = command::update_statement(&descriptor.cmd)?;
-        let call = StatementCall::parse(&self.frontend, &metadata, statement)?;
+        drop(descriptor);
+        let client = connection.as_deref();
+        let call = StatementCall::parse(&self.frontend, client, &metadata, statement)?;
         let kind = StatementKind::Update;
         let served = serve(&self.frontend, call, kind, &metadata, connection).await?;
         let result = DoPutUpdateResult {
--- a/src/clients/flight/statement_call.rs
+++ b/src/clients/flight/statement_call.rs
@@ -1,5 +1,6 @@
 //! Checks a call: its statement, and the class, tenant and estimates in its metadata.
 
+use super::client_connection::ClientConnection;
 use super::metadata_keys::{CLASS, EFFORT, NEED_MB, TENANT};
 use super::status::CallError;
 use crate::clients::Frontend;
@@ -29,9 +30,11 @@
     ///
     /// # Errors
     ///
-    /// If the class is missing or one of these is invalid. The estimates are optional.
+    /// If the class is missing or one of these is invalid, or if the client's share of the memory is
+    /// too small for the statement. The estimates are optional.
     pub(super) fn parse(
         frontend: &Frontend,
+        connection: Option<&ClientConnection>,
         metadata: &MetadataMap,
         statement: String,
     ) -> Result<StatementCall, CallError> {
@@ -47,10 +50,24 @@
             tenant: Bytes::copy_from_slice(tenant),
             estimated_work_ms: read_estimate(frontend, metadata, EFFORT)?,
             estimated_memory_mb: read_estimate(frontend, metadata, NEED_MB)?,
-            statement: statement.into(),
+            statement: reserve_statement(frontend, connection, statement.into_bytes())?,
         })
     }
 
+    /// Moves the statement to memory of the client that runs the call.
+    ///
+    /// # Errors
+    ///
+    /// If the client's share of the memory is too small for the statement.
+    pub(super) fn reserve_for(
+        mut self,
+        frontend: &Frontend,
+        connection: Option<&ClientConnection>,
+    ) -> Result<StatementCall, CallError> {
+        self.statement = reserve_statement(frontend, connection, self.statement.to_vec())?;
+        Ok(self)
+    }
+
     /// Converts the call to a request for the core.
     pub(super) fn into_request(
         self,
@@ -112,6 +129,23 @@
     Ok(())
 }
 
+/// Reserves memory for a statement. It is held until nothing uses the statement any longer.
+fn reserve_statement(
+    frontend: &Frontend,
+    connection: Option<&ClientConnection>,
+    statement: Vec<u8>,
+) -> Result<Bytes, CallError> {
+    let owner = match connection {
+        Some(connection) => connection.request_memory.clone(),
+        None => frontend.client_memory.requests.add_owner(),
+    };
+    let Some(reservation) = owner.reserve(statement.len()) else {
+        frontend.metrics.client_over_limit.increment();
+        return Err(CallError::OverMemoryShare);
+    };
+    Ok(reservation.attach_to(statement))
+}
+
 fn read_estimate(
     frontend: &Frontend,
     metadata: &MetadataMap,
--- a/src/clients/flight/status.rs
+++ b/src/clients/flight/status.rs
@@ -52,10 +52,16 @@
     MissingCommand,
     #[error("no descriptor")]
     MissingDescriptor,
+    /// The connection's share of the memory for requests is too small.
+    #[error("the client's requests exceed its share of the memory")]
+    OverMemoryShare,
 }
 
 impl From<CallError> for Status {
     fn from(error: CallError) -> Status {
+        if matches!(error, CallError::OverMemoryShare) {
+            return rejected(0.0);
+        }
         let code = match error {
             CallError::Unsupported(_) | CallError::TransactionsUnsupported => Code::Unimplemented,
             _ => Code::InvalidArgument,
--- a/src/clients/flight/tickets.rs
+++ b/src/clients/flight/tickets.rs
@@ -16,7 +16,10 @@
 impl TicketStore {
     /// Stores a ticket. Drops the oldest tickets while there are more than `limits.flight_tickets`
     /// or their statements have more than `limits.flight_ticket_bytes` in total.
-    pub(super) fn insert(&mut self, handle: Bytes, call: StatementCall, limits: &Limits) {
+    pub(super) fn insert(&mut self, handle: Bytes, mut call: StatementCall, limits: &Limits) {
+        // A copy, because the ticket's memory is not that of the client that plans the query: the
+        // ticket outlasts its connection.
+        call.statement = Bytes::copy_from_slice(&call.statement);
         if self.calls.insert(handle.clone(), call).is_none() {
             self.handles_oldest_first.push_back(handle);
         }
--- a/src/clients/mod.rs
+++ b/src/clients/mod.rs
@@ -16,7 +16,7 @@
 use crate::core::{Answer, Handle};
 use crate::decision::Millis;
 use crate::lifecycle::Lifecycle;
-use crate::limits::{Limits, MemoryPool};
+use crate::limits::{AccountSize, Limits, MemoryAccount};
 use crate::metrics::{ClassOutcomes, Counter, Metrics};
 use crate::settings_json::{NamedClass, PlatformSettings};
 use nix::errno::Errno;
@@ -51,16 +51,33 @@
     pub(crate) metrics: Arc<Metrics>,
     /// Whether this process accepts clients, and whether its client connections are drained.
     pub(crate) lifecycle: Arc<Lifecycle>,
-    pub(crate) buffer_pools: Arc<BufferPools>,
+    pub(crate) client_memory: ClientMemory,
 }
 
-/// Memory pools that the buffers of all connections share.
-#[derive(Default)]
-pub(crate) struct BufferPools {
-    /// Bytes of incomplete messages.
-    pub(crate) input: Arc<MemoryPool>,
-    /// Bytes of answers that the clients have not read yet.
-    pub(crate) output: Arc<MemoryPool>,
+/// The accounts of the memory that clients use. Each client connection is an owner.
+#[derive(Clone)]
+pub(crate) struct ClientMemory {
+    /// What clients have sent, from its first byte until nothing of it is used any longer.
+    pub(crate) requests: Arc<MemoryAccount>,
+    /// Answers that the clients have not read yet.
+    pub(crate) answers: Arc<MemoryAccount>,
+}
+
+impl ClientMemory {
+    pub(crate) fn new(limits: &Arc<Limits>) -> ClientMemory {
+        let account = |limit_bytes| {
+            let owners = limits.client_connections + limits.flight_connections;
+            let size = AccountSize {
+                limit_bytes,
+                owners,
+            };
+            MemoryAccount::new(limits, size)
+        };
+        ClientMemory {
+            requests: account(limits.client_request_bytes),
+            answers: account(limits.client_answer_bytes),
+        }
+    }
 }
 
 impl Frontend {
--- a/src/clients/msgpack/mod.rs
+++ b/src/clients/msgpack/mod.rs
@@ -1,13 +1,15 @@
 //! The wire format of MessagePack-RPC: parses the messages of clients and encodes the answers.
 //!
-//! Parsing copies nothing: the strings and the body of a message are slices of the buffer that the
-//! socket was read into. The reader and the writer do no I/O. The connection actors of
-//! [`msgpack_rpc`](super::msgpack_rpc) call them.
+//! Parsing copies nothing: the strings and the body of a message are slices of its bytes. The reader
+//! and the writer do no I/O. The connection actors of [`msgpack_rpc`](super::msgpack_rpc) call them.
 
+mod message_parts;
+mod parser;
 mod reader;
 mod writer;
 
-pub(crate) use reader::take_message;
+pub(crate) use message_parts::CallHead;
+pub(crate) use parser::{CompleteMessage, IncompleteMessage, Parsed, parse_message};
 pub(crate) use writer::{END_OF_ANSWER, error_answer, health_answer, result_head};
 
 use bytes::Bytes;
--- a/src/clients/msgpack/reader.rs
+++ b/src/clients/msgpack/reader.rs
@@ -1,8 +1,8 @@
 //! Parses clients' messages from the bytes received so far.
 
-use super::{Call, Fields, Message, MessageError};
+use super::MessageError;
+use super::message_parts::{CallHead, FieldRanges, MessageParts, ParameterRanges};
 use crate::limits::Limits;
-use bytes::{Bytes, BytesMut};
 use rmp::Marker;
 use rmp::decode::{self, NumValueReadError, RmpRead, ValueReadError};
 use std::io::Cursor;
@@ -21,40 +21,8 @@
 /// Largest number of parameters of a call: fields and body.
 const MAX_PARAMETERS: u32 = 2;
 
-/// Removes the first message from the buffer and returns it. Returns `None` if the buffer does not
-/// hold a complete message.
-///
-/// # Errors
-///
-/// If the bytes cannot become a valid message whatever follows them, or if the message exceeds a
-/// limit. The buffer is unchanged then.
-pub(crate) fn take_message(
-    buffer: &mut BytesMut,
-    limits: &Limits,
-) -> Result<Option<Message>, MessageError> {
-    let mut reader = Reader {
-        input: Cursor::new(&buffer[..]),
-        limits,
-    };
-    match reader.message() {
-        Ok(parts) => {
-            let length = reader.position();
-            let bytes = buffer.split_to(length).freeze();
-            Ok(Some(parts.slice(&bytes)))
-        }
-        Err(ParseError::Invalid(error)) => Err(error),
-        Err(ParseError::Incomplete) if buffer.len() > limits.message_bytes => {
-            Err(MessageError::TooLong {
-                bytes: buffer.len(),
-                limit: limits.message_bytes,
-            })
-        }
-        Err(ParseError::Incomplete) => Ok(None),
-    }
-}
-
 /// Why parsing stopped.
-enum ParseError {
+pub(super) enum ParseError {
     /// The rest of the message has not arrived yet.
     Incomplete,
     Invalid(MessageError),
@@ -95,67 +63,29 @@
     }
 }
 
-type ParseResult<T> = Result<T, ParseError>;
-
-/// The positions of the names and values of a call's fields.
-type FieldRanges = Vec<(Range<usize>, Range<usize>)>;
-
-/// The positions of a message's parts within its bytes.
-enum MessageParts {
-    Call {
-        id: u64,
-        method: Range<usize>,
-        parameters: ParameterRanges,
-    },
-    Cancel {
-        id: u64,
-    },
-    UnknownNotification,
-}
-
-/// The positions of a call's parameters; `None` for a parameter that is missing or has another
-/// type.
-#[derive(Default)]
-struct ParameterRanges {
-    fields: Option<FieldRanges>,
-    body: Option<Range<usize>>,
-}
-
-impl MessageParts {
-    /// Builds the message from slices of its bytes.
-    fn slice(self, bytes: &Bytes) -> Message {
-        match self {
-            MessageParts::Call {
-                id,
-                method,
-                parameters,
-            } => Message::Call(Call {
-                id,
-                method: bytes.slice(method),
-                fields: parameters.fields.map(|ranges| slice_fields(ranges, bytes)),
-                body: parameters.body.map(|range| bytes.slice(range)),
-            }),
-            MessageParts::Cancel { id } => Message::Cancel { id },
-            MessageParts::UnknownNotification => Message::UnknownNotification,
-        }
-    }
-}
-
-fn slice_fields(ranges: FieldRanges, bytes: &Bytes) -> Fields {
-    let slices = ranges
-        .into_iter()
-        .map(|(name, value)| (bytes.slice(name), bytes.slice(value)));
-    Fields(slices.collect())
-}
+pub(super) type ParseResult<T> = Result<T, ParseError>;
 
 /// Parses one message at the start of the received bytes.
-struct Reader<'a> {
+pub(super) struct Reader<'a> {
     input: Cursor<&'a [u8]>,
     limits: &'a Limits,
+    /// The head of the call, once it was read.
+    pub(super) call: Option<CallHead>,
+    /// Length of the whole message, once everything before its body was read.
+    pub(super) expected_length: Option<usize>,
 }
 
-impl Reader<'_> {
-    fn position(&self) -> usize {
+impl<'a> Reader<'a> {
+    pub(super) fn new(input: &'a [u8], limits: &'a Limits) -> Reader<'a> {
+        Reader {
+            input: Cursor::new(input),
+            limits,
+            call: None,
+            expected_length: None,
+        }
+    }
+
+    pub(super) fn position(&self) -> usize {
         self.input.position() as usize
     }
 
@@ -202,7 +132,7 @@
         Ok(decode::read_array_len(&mut self.input)?)
     }
 
-    fn message(&mut self) -> ParseResult<MessageParts> {
+    pub(super) fn message(&mut self) -> ParseResult<MessageParts> {
         let elements = self.array_length()?;
         let message_type: u64 = decode::read_int(&mut self.input)?;
         match (message_type, elements) {
@@ -215,6 +145,10 @@
     fn call(&mut self) -> ParseResult<MessageParts> {
         let id = decode::read_int(&mut self.input)?;
         let method = self.string()?;
+        self.call = Some(CallHead {
+            id,
+            method: method.clone(),
+        });
         let parameters = self.parameters()?;
         Ok(MessageParts::Call {
             id,
@@ -260,7 +194,11 @@
 
     fn body(&mut self) -> ParseResult<Option<Range<usize>>> {
         if is_binary(self.peek_marker()?) {
-            return self.binary().map(Some);
+            let length = decode::read_bin_len(&mut self.input)?;
+            self.check_length(length as usize)?;
+            // The body is the last part of a message.
+            self.expected_length = Some(self.position() + length as usize);
+            return self.bytes(length).map(Some);
         }
         self.skip_value()?;
         Ok(None)
--- a/src/clients/msgpack_rpc/answers.rs
+++ b/src/clients/msgpack_rpc/answers.rs
@@ -70,7 +70,7 @@
     UnsupportedFormat,
     #[error("the result has {bytes} bytes; {limit} are allowed")]
     TooLarge { bytes: usize, limit: usize },
-    #[error("the unread answers of all clients have used up the memory limit for them")]
+    #[error("the client's unread answers exceed its share of the memory for them")]
     BuffersFull,
 }
 
@@ -90,7 +90,7 @@
     pub(super) fn new(frontend: &Frontend) -> AnswerQueue {
         AnswerQueue {
             outbox: Outbox::default(),
-            reservation: MemoryReservation::new(&frontend.buffer_pools.output),
+            reservation: MemoryReservation::new(&frontend.client_memory.answers.add_owner()),
             last_progress: Instant::now(),
             last_write: None,
             limits: frontend.limits.clone(),
@@ -140,17 +140,10 @@
     /// bytes.
     pub(super) fn update_reservation(&mut self) -> usize {
         let queued_bytes = self.outbox.unwritten_bytes() as usize;
-        self.reserve(queued_bytes);
+        self.reservation.set(queued_bytes);
         queued_bytes
     }
 
-    /// Sets the reserved memory to `bytes`. Returns whether all connections together stay within
-    /// the limit.
-    fn reserve(&mut self, bytes: usize) -> bool {
-        let limit = self.limits.share(self.limits.output_bytes);
-        self.reservation.set(bytes, limit)
-    }
-
     pub(super) fn push_health(&mut self, message_id: u64, accepts_requests: bool) {
         self.outbox
             .push(msgpack::health_answer(message_id, accepts_requests));
@@ -204,7 +197,8 @@
             return Err(UndeliverableResult::TooLarge { bytes, limit });
         }
         // The unread answers of all clients together must not exhaust the memory.
-        if !self.reserve(self.outbox.unwritten_bytes() as usize + bytes) {
+        let queued_bytes = self.outbox.unwritten_bytes() as usize + bytes;
+        if !self.reservation.set(queued_bytes) {
             self.metrics.client_over_limit.increment();
             return Err(UndeliverableResult::BuffersFull);
         }
--- a/src/clients/msgpack_rpc/connection.rs
+++ b/src/clients/msgpack_rpc/connection.rs
@@ -4,8 +4,9 @@
 mod calls;
 
 use super::answers::AnswerQueue;
-use super::errors::{CloseReason, ConnectionError};
+use super::errors::{CloseReason, ConnectionError, ProtocolError};
 use super::input::Input;
+use super::input_buffer::ReadEnd;
 use super::open_requests::{OpenRequest, OpenRequests};
 use super::silence_limits::SilenceLimits;
 use crate::clients::connection_slots::ConnectionSlot;
@@ -19,6 +20,10 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep_until};
 
+/// Maximum number of times that the buffer of a connection is filled before other connections are
+/// served.
+const MAX_READS_PER_TURN: usize = 4;
+
 /// A client connection with all of its state.
 pub(super) struct Connection {
     stream: TcpStream,
@@ -33,6 +38,8 @@
     slot: ConnectionSlot,
     /// Number of calls that were refused with an error at once, and of unknown notifications.
     bad_calls: usize,
+    /// When the socket may be read again.
+    next_read: Instant,
     /// Present while a graceful shutdown has to wait for this connection.
     pending: Option<PendingGuard>,
     /// Whether the connection was evicted for another one. It is closed at once, or, if a message
@@ -53,6 +60,7 @@
             idle_since: Instant::now(),
             slot,
             bad_calls: 0,
+            next_read: Instant::now(),
             pending: None,
             evicted: false,
             frontend,
@@ -125,16 +133,22 @@
             if idle && self.evicted && self.input.is_empty() {
                 return Ok(CloseReason::Evicted);
             }
+            if idle && self.has_too_many_bad_calls() {
+                return Ok(CloseReason::TooManyBadCalls);
+            }
             let idle_deadline = self.idle_deadline();
+            let read_is_due = self.next_read <= Instant::now();
+            let next_read = self.next_read;
             let write_deadline = self.answer_queue.write_deadline();
             tokio::select! {
                 biased;
                 (request, answer) = self.open_requests.next_answer() => self.handle_answer(&request, &answer),
                 ready = self.stream.writable(), if !self.answer_queue.is_empty() => ready?,
-                ready = self.stream.readable(), if !self.answer_queue.is_full() => {
+                ready = self.stream.readable(), if read_is_due && !self.answer_queue.is_full() => {
                     ready?;
                     self.receive().await?;
                 }
+                () = sleep_until(next_read), if !read_is_due => {}
                 () = sleep_until(idle_deadline), if idle => {
                     if self.is_still_silent().await? {
                         return Ok(CloseReason::Silent);
@@ -238,7 +252,8 @@
         self.receive().await
     }
 
-    /// Reads the bytes that have arrived and handles the complete messages in them.
+    /// Reads the bytes that have arrived, up to [`MAX_READS_PER_TURN`] times, and handles the complete
+    /// messages in them.
     ///
     /// # Errors
     ///
@@ -246,28 +261,49 @@
     /// close cannot be distinguished from a half close, and after a full close nobody would read an
     /// answer.
     async fn receive(&mut self) -> Result<(), ConnectionError> {
-        if !self.input.receive(&self.stream)? {
+        if self.has_too_many_bad_calls() {
+            self.next_read = Instant::now() + self.frontend.limits.bad_client_read_interval;
+            return self.receive_buffer().await.map(|_| ());
+        }
+        for _ in 0..MAX_READS_PER_TURN {
+            if self.receive_buffer().await? == ReadEnd::AllRead {
+                return Ok(());
+            }
+        }
+        // More has arrived. The other connections are served first.
+        tokio::task::yield_now().await;
+        Ok(())
+    }
+
+    /// Reads once into the buffer, and handles the complete messages in it. Returns whether more
+    /// bytes may have arrived.
+    async fn receive_buffer(&mut self) -> Result<ReadEnd, ConnectionError> {
+        if net::is_closed_by_peer(&self.stream) {
             return Err(ConnectionError::ClosedByClient);
         }
-        if self.input.is_discarding() {
-            return self.input.discard();
+        let read_end = self.input.receive(&self.stream)?;
+        if read_end == ReadEnd::EndOfStream {
+            return Err(ConnectionError::ClosedByClient);
         }
-        let handled = self.handle_messages().await;
-        let within_memory = self.input.update_reservation();
-        if handled.is_err() || !within_memory {
-            let (connection, error) = (self.slot.connection_id(), handled.err());
-            tracing::debug!(
-                connection,
-                ?error,
-                within_memory,
-                "reading from the client connection stopped; open requests are still answered"
-            );
-            // Earlier calls are answered before the close. An immediate close with unread bytes
-            // would reset the connection, and answers on their way would be lost.
-            self.frontend.metrics.client_malformed.increment();
-            self.input.start_discarding();
+        if self.input.is_discarding() {
+            self.input.discard()?;
+        } else if let Err(error) = self.handle_messages().await {
+            self.stop_reading(&error);
         }
-        Ok(())
+        Ok(read_end)
+    }
+
+    /// Reads no more messages. Earlier calls are answered before the close. An immediate close with
+    /// unread bytes would reset the connection, and answers on their way would be lost.
+    fn stop_reading(&mut self, error: &ProtocolError) {
+        let connection = self.slot.connection_id();
+        tracing::debug!(
+            connection,
+            %error,
+            "reading from the client connection stopped; open requests are still answered"
+        );
+        self.frontend.metrics.client_malformed.increment();
+        self.input.start_discarding();
     }
 
     /// Queues the core's answer to a request.
--- a/src/clients/msgpack_rpc/connection/calls.rs
+++ b/src/clients/msgpack_rpc/connection/calls.rs
@@ -5,6 +5,7 @@
 use crate::clients::msgpack_rpc::answers::ErrorName;
 use crate::clients::msgpack_rpc::call::parse_request;
 use crate::clients::msgpack_rpc::errors::ProtocolError;
+use crate::clients::msgpack_rpc::input::{ReceivedMessage, RefusedCall};
 use crate::clients::msgpack_rpc::open_requests::OpenRequest;
 use crate::core::{AcceptedRequest, CoreMessage};
 use crate::decision::Millis;
@@ -26,12 +27,8 @@
         let now_ms = self.frontend.core.now();
         while let Some(message) = self.input.next_message()? {
             match message {
-                Message::Call(call) => self.handle_call(now_ms, call).await?,
-                Message::Cancel { id } => self.cancel(id).await,
-                Message::UnknownNotification => {
-                    self.frontend.metrics.client_bad_calls.increment();
-                    self.count_bad_call()?;
-                }
+                ReceivedMessage::Message(message) => self.handle_message(now_ms, message).await?,
+                ReceivedMessage::Refused(call) => self.handle_refused_call(&call)?,
             }
         }
         self.input
@@ -39,14 +36,60 @@
         Ok(())
     }
 
+    async fn handle_message(
+        &mut self,
+        now_ms: Millis,
+        message: Message,
+    ) -> Result<(), ProtocolError> {
+        match message {
+            Message::Call(call) => self.handle_call(now_ms, call).await?,
+            Message::Cancel { id } => self.cancel(id).await,
+            Message::UnknownNotification => {
+                self.frontend.metrics.client_bad_calls.increment();
+                self.count_bad_call();
+            }
+        }
+        Ok(())
+    }
+
+    /// Answers a call for which the connection's share of the memory is too small. The request has
+    /// not run, so it is rejected. A health check needs no memory.
+    fn handle_refused_call(&mut self, call: &RefusedCall) -> Result<(), ProtocolError> {
+        self.record_call(call.id)?;
+        if call.method.as_ref() == HEALTH_METHOD {
+            self.answer_health_check(call.id);
+            return Ok(());
+        }
+        self.log_refused_call(
+            call.id,
+            &"the client's requests exceed its share of the memory",
+        );
+        self.reject_over_limit(call.id, self.frontend.class_outcomes(&call.method));
+        Ok(())
+    }
+
+    fn answer_health_check(&mut self, message_id: u64) {
+        self.slot.mark_served();
+        let accepts_requests = !self.is_draining();
+        self.answer_queue.push_health(message_id, accepts_requests);
+    }
+
+    /// Rejects a call that exceeds a limit of the connection.
+    fn reject_over_limit(&mut self, message_id: u64, outcomes: Option<Arc<ClassOutcomes>>) {
+        self.frontend.metrics.client_over_limit.increment();
+        if let Some(class) = outcomes {
+            class.rejected.increment();
+        }
+        self.answer_queue
+            .push_error(message_id, ErrorName::Overloaded);
+    }
+
     /// Passes a request to the core, or answers the call at once.
     async fn handle_call(&mut self, now_ms: Millis, call: Call) -> Result<(), ProtocolError> {
         let message_id = call.id;
         self.record_call(message_id)?;
         if call.method.as_ref() == HEALTH_METHOD {
-            self.slot.mark_served();
-            let accepts_requests = !self.is_draining();
-            self.answer_queue.push_health(message_id, accepts_requests);
+            self.answer_health_check(message_id);
             return Ok(());
         }
         let outcomes = self.frontend.class_outcomes(&call.method);
@@ -55,17 +98,11 @@
             Ok(request) if self.has_request_capacity() => {
                 let outcomes = outcomes.unwrap_or_default();
                 self.submit(request, message_id, outcomes).await;
-                Ok(())
             }
             Ok(_) => {
                 self.log_refused_call(message_id, &"the connection has too many open requests");
-                self.frontend.metrics.client_over_limit.increment();
-                if let Some(class) = outcomes {
-                    class.rejected.increment();
-                }
-                self.answer_queue
-                    .push_error(message_id, ErrorName::Overloaded);
-                self.count_bad_call()
+                self.reject_over_limit(message_id, outcomes);
+                self.count_bad_call();
             }
             Err(error) => {
                 self.log_refused_call(message_id, &error);
@@ -74,9 +111,10 @@
                     class.failed.increment();
                 }
                 self.answer_queue.push_error(message_id, (&error).into());
-                self.count_bad_call()
+                self.count_bad_call();
             }
         }
+        Ok(())
     }
 
     fn log_refused_call(&self, message_id: u64, reason: &dyn std::fmt::Display) {
@@ -144,14 +182,15 @@
         }
     }
 
-    /// Counts a call that was refused, or an unknown notification. Their number is limited, because
-    /// a client that sends them as fast as they are answered would keep the process busy.
-    fn count_bad_call(&mut self) -> Result<(), ProtocolError> {
-        self.bad_calls += 1;
-        let limit = self.frontend.limits.client_bad_calls;
-        if self.bad_calls > limit {
-            return Err(ProtocolError::TooManyBadCalls { limit });
-        }
-        Ok(())
+    /// Counts a call that was refused, or an unknown notification. Above the limit, the connection is
+    /// read slowly and closed as soon as it is idle, because a client that sends such calls as fast
+    /// as they are answered would keep the process busy. All calls that were read are answered.
+    fn count_bad_call(&mut self) {
+        self.bad_calls = self.bad_calls.saturating_add(1);
+    }
+
+    /// Whether the client has sent too many calls that were refused, or unknown notifications.
+    pub(super) fn has_too_many_bad_calls(&self) -> bool {
+        self.bad_calls > self.frontend.limits.client_bad_calls
     }
 }
--- a/src/clients/msgpack_rpc/errors.rs
+++ b/src/clients/msgpack_rpc/errors.rs
@@ -13,6 +13,9 @@
     Silent,
     /// The front end is draining its connections.
     Draining,
+    /// The client sent too many calls that were refused, or unknown notifications. All calls have
+    /// been answered.
+    TooManyBadCalls,
 }
 
 /// Why a connection is dropped without an orderly close.
@@ -35,6 +38,6 @@
     Message(#[from] MessageError),
     #[error("message id {id} is not greater than the previous message id {previous}")]
     MessageIdNotIncreasing { id: u64, previous: u64 },
-    #[error("more than {limit} refused calls and unknown notifications")]
-    TooManyBadCalls { limit: usize },
+    #[error("there is no memory for a message whose length is not known")]
+    NoMemoryForMessage,
 }
--- a/src/clients/msgpack_rpc/input.rs
+++ b/src/clients/msgpack_rpc/input.rs
@@ -1,23 +1,26 @@
 //! Buffers the bytes that a client sent and parses messages from them.
+//!
+//! A connection has a small buffer of its own. What a message needs beyond it, and every complete
+//! call, is reserved from the memory that all clients share, with the connection as its owner. A call
+//! for which the connection's share is too small is refused: its bytes are skipped as they arrive,
+//! and the messages after it are read as usual.
 
-use super::errors::ConnectionError;
+use super::errors::{ConnectionError, ProtocolError};
+use super::input_buffer::{InputBuffer, ReadEnd};
 use crate::clients::Frontend;
-use crate::clients::msgpack::{self, Message, MessageError};
-use crate::limits::{Limits, MemoryReservation};
-use crate::net;
-use bytes::BytesMut;
+use crate::clients::msgpack::{
+    self, CallHead, CompleteMessage, IncompleteMessage, Message, Parsed,
+};
+use crate::limits::Limits;
+use bytes::Bytes;
 use std::io;
 use std::sync::Arc;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
-/// Initial capacity of a connection's input buffer.
-const INITIAL_BUFFER_BYTES: usize = 4096;
-
 /// The bytes that a client sent and that have not been handled yet.
 pub(super) struct Input {
-    buffer: BytesMut,
-    reservation: MemoryReservation,
+    buffer: InputBuffer,
     state: InputState,
     limits: Arc<Limits>,
 }
@@ -28,6 +31,15 @@
         /// Since when the buffer has held part of a message. A new connection is expected to start
         /// with a call, so before the first call this is the time when the connection was accepted.
         incomplete_since: Option<Instant>,
+        /// The buffer is parsed once it holds this number of bytes.
+        parse_at_length: usize,
+    },
+    /// The rest of a refused call is dropped as it arrives.
+    Skipping {
+        call: RefusedCall,
+        /// Bytes of the call that have not been dropped yet.
+        remaining_bytes: usize,
+        incomplete_since: Instant,
     },
     /// No more messages are parsed. The stream is read only to detect its end.
     Discarding {
@@ -36,21 +48,35 @@
     },
 }
 
+/// What the client has sent next.
+#[derive(Debug)]
+pub(super) enum ReceivedMessage {
+    Message(Message),
+    /// A call for which there was not enough memory. It was not kept.
+    Refused(RefusedCall),
+}
+
+/// A call that was refused for lack of memory.
+#[derive(Clone, Debug)]
+pub(super) struct RefusedCall {
+    /// Its message id.
+    pub(super) id: u64,
+    /// The name of its method.
+    pub(super) method: Bytes,
+}
+
 impl Input {
     pub(super) fn new(frontend: &Frontend) -> Input {
         Input {
-            buffer: BytesMut::with_capacity(INITIAL_BUFFER_BYTES),
-            reservation: MemoryReservation::new(&frontend.buffer_pools.input),
-            state: InputState::Reading {
-                incomplete_since: Some(Instant::now()),
-            },
+            buffer: InputBuffer::new(frontend),
+            state: InputState::reading(Some(Instant::now())),
             limits: frontend.limits.clone(),
         }
     }
 
-    /// Whether the buffer is empty.
+    /// Whether no part of a message is held or awaited.
     pub(super) fn is_empty(&self) -> bool {
-        self.buffer.is_empty()
+        self.buffer.unread().is_empty() && !matches!(self.state, InputState::Skipping { .. })
     }
 
     pub(super) fn is_discarding(&self) -> bool {
@@ -60,28 +86,129 @@
     /// Since when the rest of a message, or the first call, has been awaited.
     pub(super) fn incomplete_since(&self) -> Option<Instant> {
         match self.state {
-            InputState::Reading { incomplete_since } => incomplete_since,
+            InputState::Reading {
+                incomplete_since, ..
+            } => incomplete_since,
+            InputState::Skipping {
+                incomplete_since, ..
+            } => Some(incomplete_since),
             InputState::Discarding { .. } => None,
         }
     }
 
-    /// Reads the bytes that have arrived, up to about one message of the largest size. Returns
-    /// false at the end of the stream.
+    /// Reads the bytes that have arrived, up to about one message of the largest size. The end of the
+    /// stream is found before the messages ahead of it are handled, if the connection's share of
+    /// the memory is large enough for them.
     ///
     /// # Errors
     ///
     /// Errors of the socket.
-    pub(super) fn receive(&mut self, stream: &TcpStream) -> io::Result<bool> {
-        net::read_available(stream, &mut self.buffer, self.limits.message_bytes)
+    pub(super) fn receive(&mut self, stream: &TcpStream) -> io::Result<ReadEnd> {
+        loop {
+            let read_end = self.buffer.receive(stream)?;
+            let may_read_ahead = self.parse_at_length() == 0 && !self.is_discarding();
+            if read_end != ReadEnd::BufferFull || !may_read_ahead || !self.buffer.grow() {
+                return Ok(read_end);
+            }
+        }
     }
 
-    /// Removes the next complete message from the buffer and returns it.
+    /// Removes the next message from the buffer and returns it. Returns `None` once the buffer holds
+    /// no complete message; it then has space for more bytes.
     ///
     /// # Errors
     ///
-    /// If the message is invalid, so that nothing after it can be parsed.
-    pub(super) fn next_message(&mut self) -> Result<Option<Message>, MessageError> {
-        msgpack::take_message(&mut self.buffer, &self.limits)
+    /// If nothing after this point can be parsed: the message is invalid, or it needs memory that
+    /// the connection may not have, and its length is not known.
+    pub(super) fn next_message(&mut self) -> Result<Option<ReceivedMessage>, ProtocolError> {
+        if let InputState::Skipping { .. } = self.state {
+            return Ok(self.skip().map(ReceivedMessage::Refused));
+        }
+        let unread = self.buffer.unread();
+        if unread.is_empty() || unread.len() < self.parse_at_length() {
+            return Ok(None);
+        }
+        match msgpack::parse_message(unread, &self.limits)? {
+            Parsed::Complete(message) => Ok(Some(self.take_message(message))),
+            Parsed::Incomplete(message) => self.await_rest(&message),
+        }
+    }
+
+    /// Removes a complete message from the buffer. A call moves to memory of its own, so that what is
+    /// kept of it does not keep other messages of the buffer.
+    fn take_message(&mut self, message: CompleteMessage) -> ReceivedMessage {
+        self.set_parse_at_length(0);
+        let Some(call) = message.call.clone() else {
+            let bytes = Bytes::copy_from_slice(&self.buffer.unread()[..message.length]);
+            self.buffer.consume(message.length);
+            return ReceivedMessage::Message(message.slice(&bytes));
+        };
+        match self.buffer.take(message.length) {
+            Some(bytes) => ReceivedMessage::Message(message.slice(&bytes)),
+            None => {
+                let refused = self.refused_call(&call);
+                self.buffer.consume(message.length);
+                ReceivedMessage::Refused(refused)
+            }
+        }
+    }
+
+    /// Makes space for the rest of a message, or refuses the call if there is no memory for it.
+    fn await_rest(
+        &mut self,
+        message: &IncompleteMessage,
+    ) -> Result<Option<ReceivedMessage>, ProtocolError> {
+        if self.buffer.make_room(message.expected_length) {
+            self.set_parse_at_length(message.expected_length.unwrap_or(0));
+            return Ok(None);
+        }
+        let (Some(call), Some(length)) = (&message.call, message.expected_length) else {
+            return Err(ProtocolError::NoMemoryForMessage);
+        };
+        self.state = InputState::Skipping {
+            call: self.refused_call(call),
+            remaining_bytes: length,
+            incomplete_since: self.incomplete_since().unwrap_or_else(Instant::now),
+        };
+        Ok(self.skip().map(ReceivedMessage::Refused))
+    }
+
+    fn refused_call(&self, call: &CallHead) -> RefusedCall {
+        RefusedCall {
+            id: call.id,
+            method: Bytes::copy_from_slice(&self.buffer.unread()[call.method.clone()]),
+        }
+    }
+
+    /// Drops buffered bytes of a refused call. Returns the call once all of it was dropped.
+    fn skip(&mut self) -> Option<RefusedCall> {
+        let InputState::Skipping {
+            call,
+            remaining_bytes,
+            ..
+        } = &mut self.state
+        else {
+            return None;
+        };
+        let skipped = self.buffer.unread().len().min(*remaining_bytes);
+        self.buffer.consume(skipped);
+        *remaining_bytes -= skipped;
+        if *remaining_bytes > 0 {
+            self.buffer.release_spare_memory();
+            return None;
+        }
+        let call = call.clone();
+        self.state = InputState::reading(None);
+        Some(call)
+    }
+
+    fn parse_at_length(&self) -> usize {
+        match self.state {
+            InputState::Reading {
+                parse_at_length, ..
+            } => parse_at_length,
+            InputState::Skipping { .. } | InputState::Discarding { .. } => 0,
+        }
     }
 
     /// Records that a complete call was read.
@@ -92,32 +219,38 @@
     /// Records that no complete message is left in the buffer. Until the first call, the input
     /// counts as incomplete even after a complete notification.
     pub(super) fn record_all_messages_read(&mut self, has_called: bool) {
-        if !self.buffer.is_empty() {
+        if !self.buffer.unread().is_empty() {
             let since = self.incomplete_since().unwrap_or_else(Instant::now);
             self.set_incomplete_since(Some(since));
-        } else if has_called {
+            return;
+        }
+        self.buffer.release_spare_memory();
+        if has_called {
             self.set_incomplete_since(None);
         }
     }
 
     fn set_incomplete_since(&mut self, since: Option<Instant>) {
-        if let InputState::Reading { incomplete_since } = &mut self.state {
+        if let InputState::Reading {
+            incomplete_since, ..
+        } = &mut self.state
+        {
             *incomplete_since = since;
         }
     }
 
-    /// Reserves memory for the buffered bytes. Returns false if the buffers of all connections
-    /// together exceed their limit. Without this limit, incomplete messages of many clients could
-    /// exhaust the memory.
-    pub(super) fn update_reservation(&mut self) -> bool {
-        let limit = self.limits.share(self.limits.input_bytes);
-        self.reservation.set(self.buffer.len(), limit)
+    fn set_parse_at_length(&mut self, length: usize) {
+        if let InputState::Reading {
+            parse_at_length, ..
+        } = &mut self.state
+        {
+            *parse_at_length = length;
+        }
     }
 
     /// Stops parsing messages for the rest of the connection.
     pub(super) fn start_discarding(&mut self) {
         self.buffer.clear();
-        self.reservation.set(0, usize::MAX);
         self.state = InputState::Discarding { bytes: 0 };
     }
 
@@ -127,7 +260,7 @@
     ///
     /// If more bytes have been discarded in total than one message may have.
     pub(super) fn discard(&mut self) -> Result<(), ConnectionError> {
-        let received = self.buffer.len();
+        let received = self.buffer.unread().len();
         self.buffer.clear();
         if let InputState::Discarding { bytes } = &mut self.state {
             *bytes += received;
@@ -138,3 +271,12 @@
         Ok(())
     }
 }
+
+impl InputState {
+    fn reading(incomplete_since: Option<Instant>) -> InputState {
+        InputState::Reading {
+            incomplete_since,
+            parse_at_length: 0,
+        }
+    }
+}
--- a/src/clients/msgpack_rpc/mod.rs
+++ b/src/clients/msgpack_rpc/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! - [`listener`] accepts connections while slots are available.
 //! - [`connection`] is the actor of one connection, which alone owns the connection's state.
-//! - [`input`] buffers received bytes and parses messages from them.
+//! - [`input`] parses messages from the received bytes, which [`input_buffer`] holds.
 //! - [`call`] converts a call into a request for the core.
 //! - [`open_requests`] holds the requests that are not answered yet, and receives the core's answers.
 //! - [`answers`] encodes answers and queues them until the client reads them.
@@ -14,6 +14,7 @@
 mod connection;
 mod errors;
 mod input;
+mod input_buffer;
 mod listener;
 mod open_requests;
 mod silence_limits;
--- a/src/clients/msgpack_rpc/tests.rs
+++ b/src/clients/msgpack_rpc/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of client connections on real sockets.
 
+mod request_memory;
+
 use super::listen;
 use crate::clients::tests::test_frontend::{ANSWER_TIMEOUT, TestFrontend, no_connection_pending};
 use crate::core::{Answer, CoreMessage, Mailbox, ResultBody, ResultFormat};
@@ -24,6 +26,11 @@
 
 /// A call that opens a request.
 fn request_call(message_id: u64) -> Vec<u8> {
+    request_call_with_statement(message_id, b"SELECT 1")
+}
+
+/// A call that opens a request with this statement.
+fn request_call_with_statement(message_id: u64, statement: &[u8]) -> Vec<u8> {
     let reference = format!("{message_id:016x}");
     let fields = [
         ("ref", reference.as_str()),
@@ -40,7 +47,7 @@
         encode::write_str(&mut call, name).expect("name");
         encode::write_str(&mut call, value).expect("value");
     }
-    encode::write_bin(&mut call, b"SELECT 1").expect("statement");
+    encode::write_bin(&mut call, statement).expect("statement");
     call
 }
 
--- a/src/clients/tests/test_frontend.rs
+++ b/src/clients/tests/test_frontend.rs
@@ -1,6 +1,6 @@
 //! A front end with a listening socket, for tests that play its core and its clients.
 
-use crate::clients::Frontend;
+use crate::clients::{ClientMemory, Frontend};
 use crate::core::{Clock, Handle, Mailbox};
 use crate::engines::EngineContext;
 use crate::lifecycle::Lifecycle;
@@ -36,15 +36,16 @@
         let (core, mailbox) = Handle::new(mailbox_messages, Clock::new());
         let mut limits = Limits::clone(&EngineContext::for_tests(core.clone()).limits);
         change_limits(&mut limits);
+        let limits = Arc::new(limits);
         let metrics = Arc::<Metrics>::default();
         let settings = Arc::new(EngineContext::settings_for_tests());
         let frontend = Frontend {
             core,
             settings: watch::channel(settings).1,
-            limits: Arc::new(limits),
+            limits: limits.clone(),
             metrics: metrics.clone(),
             lifecycle: Arc::new(Lifecycle::new()),
-            buffer_pools: Arc::default(),
+            client_memory: ClientMemory::new(&limits),
         };
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
         let address = listener.local_addr().expect("address");
--- a/src/core/admission.rs
+++ b/src/core/admission.rs
@@ -16,7 +16,7 @@
     ShuttingDown,
     /// The client's reference is in use by another request.
     DuplicateReference,
-    /// The limit on open requests, or on the total size of their statements, is reached.
+    /// The limit on open requests is reached.
     OverLimit,
     /// Its class was removed from the settings after the front end accepted the request.
     UnknownClass,
@@ -49,10 +49,7 @@
         {
             return Err(AdmissionError::DuplicateReference);
         }
-        let statement_bytes = self.requests.statement_bytes() + accepted.statement.len();
-        if self.requests.len() >= self.limits.open_requests
-            || statement_bytes > self.limits.share(self.limits.open_statement_bytes)
-        {
+        if self.requests.len() >= self.limits.open_requests {
             return Err(AdmissionError::OverLimit);
         }
         let class = self
--- a/src/core/requests.rs
+++ b/src/core/requests.rs
@@ -77,7 +77,6 @@
     by_id: HashMap<RequestId, RequestState>,
     /// The clients' references of these requests.
     client_references: HashSet<Bytes>,
-    statement_bytes: usize,
 }
 
 impl RequestTable {
@@ -90,11 +89,6 @@
         self.client_references.len()
     }
 
-    /// Total size of all statements, in bytes.
-    pub(super) fn statement_bytes(&self) -> usize {
-        self.statement_bytes
-    }
-
     /// Whether the table contains a request with this client reference.
     pub(super) fn has_client_reference(&self, reference: &Bytes) -> bool {
         self.client_references.contains(reference)
@@ -126,7 +120,6 @@
     }
 
     pub(super) fn insert(&mut self, request: RequestState) {
-        self.statement_bytes += request.accepted.statement.len();
         self.client_references
             .insert(request.accepted.client_reference.clone());
         self.by_id.insert(request.accepted.id, request);
@@ -136,7 +129,6 @@
         let request = self.by_id.remove(&id)?;
         self.client_references
             .remove(&request.accepted.client_reference);
-        self.statement_bytes -= request.accepted.statement.len();
         Some(request)
     }
 }
--- a/src/engines/context.rs
+++ b/src/engines/context.rs
@@ -3,7 +3,7 @@
 use super::connection_slots::ConnectionSlots;
 use crate::core::{AttemptEvent, AttemptRequest, CoreMessage, Handle};
 use crate::decision::{EngineId, EngineState, LoadReport, RequestId};
-use crate::limits::{Limits, MemoryPool};
+use crate::limits::{AccountSize, Limits, MemoryAccount};
 use crate::metrics::Metrics;
 use crate::node_config::EngineProtocol;
 use std::sync::Arc;
@@ -88,8 +88,8 @@
     pub(crate) metrics: Arc<Metrics>,
     /// The protocol of all engines.
     pub(crate) protocol: EngineProtocol,
-    /// The memory for results that are not complete yet.
-    pub(crate) partial_results: Arc<MemoryPool>,
+    /// The memory for results that are not complete yet. Each result is an owner.
+    pub(crate) partial_results: Arc<MemoryAccount>,
     /// The slots of the connections to all engines.
     pub(crate) slots: Arc<ConnectionSlots>,
 }
@@ -102,12 +102,17 @@
         protocol: EngineProtocol,
     ) -> EngineContext {
         let slots = ConnectionSlots::new(limits.clone(), metrics.clone());
+        let size = AccountSize {
+            limit_bytes: limits.partial_result_bytes,
+            owners: 0,
+        };
+        let partial_results = MemoryAccount::new(&limits, size);
         EngineContext {
             core,
             limits,
             metrics,
             protocol,
-            partial_results: Arc::default(),
+            partial_results,
             slots,
         }
     }
--- a/src/engines/flight/result_collector.rs
+++ b/src/engines/flight/result_collector.rs
@@ -34,7 +34,7 @@
             attempt,
             destination: Destination::Buffer(Vec::new()),
             total_bytes: 0,
-            reservation: MemoryReservation::new(&link.context().partial_results),
+            reservation: MemoryReservation::new(&link.context().partial_results.add_owner()),
         }
     }
 
@@ -54,7 +54,7 @@
             Destination::Buffer(buffer) => buffer,
         };
         buffer.push(chunk);
-        if !self.reserve(self.total_bytes) {
+        if !self.reservation.set(self.total_bytes) {
             return Err(AttemptFailure::ResultMemoryExhausted);
         }
         if self.total_bytes > self.link.context().limits.flight_buffered_bytes {
@@ -63,14 +63,6 @@
         Ok(())
     }
 
-    /// Sets the memory reserved for the buffer to `bytes`. Returns false if all incomplete results
-    /// together would exceed their memory.
-    fn reserve(&mut self, bytes: usize) -> bool {
-        let limits = &self.link.context().limits;
-        self.reservation
-            .set(bytes, limits.share(limits.partial_result_bytes))
-    }
-
     /// Passes the buffered chunks on to the client, which receives the remaining ones as they
     /// arrive.
     async fn switch_to_streaming(&mut self) {
@@ -90,7 +82,7 @@
         self.link
             .send_event_without_report(self.attempt, event)
             .await;
-        self.reserve(0);
+        self.reservation.set(0);
     }
 
     /// Ends the result after its last chunk. Returns the result, or `None` if it was streamed. Only
--- a/src/engines/line_protocol/connection/result_pages.rs
+++ b/src/engines/line_protocol/connection/result_pages.rs
@@ -43,9 +43,9 @@
         let limits = &context.limits;
         let mut pages = vec![None; page_count];
         pages[0] = Some(first_answer.body.clone());
-        let mut reservation = MemoryReservation::new(&context.partial_results);
+        let mut reservation = MemoryReservation::new(&context.partial_results.add_owner());
         // A first page is always accepted, because most results have only one.
-        reservation.set(first_answer.body.len(), partial_result_bytes(limits));
+        reservation.set(first_answer.body.len());
         ResultPages {
             pages,
             measured_work_ms: first_answer.number("cpu"),
@@ -66,9 +66,7 @@
         self.pages[number] = Some(page);
         self.next_page_due = Instant::now() + limits.page_timeout;
         let total_bytes = self.total_bytes();
-        let has_memory = self
-            .reservation
-            .set(total_bytes, partial_result_bytes(limits));
+        let has_memory = self.reservation.set(total_bytes);
         if total_bytes > limits.result_bytes || !has_memory {
             PageInsertion::TooLarge
         } else {
@@ -109,8 +107,3 @@
         (self.load_report, event)
     }
 }
-
-/// Bytes that all incomplete results together may use.
-fn partial_result_bytes(limits: &Limits) -> usize {
-    limits.share(limits.partial_result_bytes)
-}
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -3,17 +3,17 @@
 //! the program may use can be read in one place.
 //!
 //! `table` has each limit with its unit, value and reason. `basis` has the resources of the machine
-//! and the settings from which the values are computed. `memory_pool` has the reservations of
-//! memory that several actors share.
+//! and the settings from which the values are computed. `memory_account` has the accounts of memory
+//! that several owners share.
 
 mod basis;
-mod memory_pool;
+mod memory_account;
 mod table;
 
 #[cfg(test)]
 mod tests;
 
-pub(crate) use memory_pool::{MemoryPool, MemoryReservation};
+pub(crate) use memory_account::{AccountSize, MemoryAccount, MemoryOwner, MemoryReservation};
 pub use table::Limits;
 
 use std::sync::atomic::Ordering;
--- a/src/limits/table.rs
+++ b/src/limits/table.rs
@@ -66,20 +66,25 @@
     client_connections: usize = basis.client_connections();
     /// Maximum number of open requests. The settings may lower it.
     open_requests: usize = basis.platform.max_open_requests.min(4096);
-    /// Maximum size of the incomplete messages of all clients, in bytes.
-    input_bytes: usize = basis.memory_fraction(10);
+    /// Maximum size of what clients have sent and this process still holds, in bytes: incomplete
+    /// messages, and requests wherever they are.
+    client_request_bytes: usize = basis.memory_fraction(9);
+    /// Memory of a client connection for its input that is not counted in `client_request_bytes`,
+    /// in bytes.
+    client_input_buffer_bytes: usize = 4 * KIB;
     /// Maximum size of the answers that all clients have not read yet, in bytes.
-    output_bytes: usize = basis.memory_fraction(10);
-    /// Maximum size of the statements of all open requests, in bytes.
-    open_statement_bytes: usize = basis.memory_fraction(10);
+    client_answer_bytes: usize = basis.memory_fraction(10);
     /// A client connection is closed after this time without a first call, or without the rest of a
     /// message. A Flight SQL client has this time to confirm the close of its connection.
     client_read_timeout: Duration = Duration::from_millis(2000);
     /// The value of `client_read_timeout` for an evicted client connection. It is shorter because
     /// another connection waits for its descriptor.
     evicted_client_read_timeout: Duration = Duration::from_millis(250);
-    /// Number of invalid calls on one client connection after which it is closed.
+    /// Number of invalid calls on one client connection after which it is closed once it is idle.
+    /// Until then, it is read only once in `bad_client_read_interval`.
     client_bad_calls: usize = 64;
+    /// Minimum time between two reads from a connection with more than `client_bad_calls`.
+    bad_client_read_interval: Duration = Duration::from_millis(10);
     /// An idle client connection, or one whose client reads none of its answers, is closed after
     /// this time. Clients close idle connections earlier.
     client_idle_timeout: Duration = Duration::from_secs(30);
@@ -210,7 +215,14 @@
     flight_tickets: usize = 1024;
     /// Maximum size of the statements of all stored tickets, in bytes. Above it, the oldest tickets
     /// are dropped.
-    flight_ticket_bytes: usize = basis.memory_fraction(16);
+    flight_ticket_bytes: usize = basis.memory_fraction(32);
+    /// Flow-control window of a Flight SQL client's connection and of each of its calls, in bytes:
+    /// what a client may send before its calls read it. HTTP/2 allows no smaller one for a
+    /// connection.
+    flight_window_bytes: u32 = 65_535;
+    /// Maximum size of the metadata of one call to the Flight SQL front end, in bytes, as HTTP/2
+    /// counts it: each field with 32 bytes besides its name and value.
+    flight_metadata_bytes: u32 = 8 * KIB as u32;
     /// Maximum size of one Flight message from an engine, in bytes.
     flight_message_bytes: usize = basis.memory_fraction(16).min(4 * MIB);
     /// Maximum size of a Flight result, in bytes, that is buffered so that its answer is complete.
--- a/src/limits/tests.rs
+++ b/src/limits/tests.rs
@@ -28,14 +28,14 @@
         true,
         &settings_json::parse(text.as_bytes()).expect("settings"),
     );
-    let buffered_bytes = limits.input_bytes
-        + limits.output_bytes
+    let buffered_bytes = limits.client_request_bytes
+        + limits.client_answer_bytes
         + limits.partial_result_bytes
-        + limits.open_statement_bytes
         + limits.flight_ticket_bytes;
     let engine_connections = limits.engine_connections + limits.engine_connections_reserved;
     let connection_bytes = engine_connections * engine_connection_bytes(limits.page_bytes)
-        + limits.client_connections * 4096
+        + limits.client_connections * limits.client_input_buffer_bytes
+        + limits.flight_connections * limits.flight_window_bytes as usize
         + limits.feed_frame_bytes;
     // The number of records that wait for an engine slot is at most the number of slots.
     let list_bytes =
--- a/src/net.rs
+++ b/src/net.rs
@@ -9,9 +9,11 @@
 pub(crate) use retrying_stream::RetryingStream;
 
 use bytes::{Buf, Bytes, BytesMut};
+use futures::FutureExt;
 use std::collections::VecDeque;
 use std::io::{self, ErrorKind, IoSlice};
 use std::time::Duration;
+use tokio::io::Interest;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
@@ -123,6 +125,13 @@
     }
 }
 
+/// Whether the peer has closed its side of the connection, as far as the runtime knows, even if bytes
+/// that it sent before have not been read yet.
+pub(crate) fn is_closed_by_peer(stream: &TcpStream) -> bool {
+    let readiness = stream.ready(Interest::READABLE).now_or_never();
+    readiness.is_some_and(|ready| ready.is_ok_and(|ready| ready.is_read_closed()))
+}
+
 /// Waits up to `max_wait` until the peer closes a connection that this side has shut down for
 /// writing. Bytes that still arrive are discarded. If the socket were closed while it has unread
 /// bytes, or if bytes arrived after the close, the connection would be reset, and the last answer
--- a/src/node/startup.rs
+++ b/src/node/startup.rs
@@ -6,7 +6,7 @@
 use super::reload::StartOnlySettings;
 use super::sockets::{BindError, BoundSocket, SnmpSocket, Sockets};
 use crate::admin::{self, AdminServer};
-use crate::clients::{Frontend, flight, msgpack_rpc};
+use crate::clients::{ClientMemory, Frontend, flight, msgpack_rpc};
 use crate::core::{self, Clock, Core, CoreMessage, Handle, OrderLocks};
 use crate::decision::{Settings, SettingsError};
 use crate::discovery::{self, FollowerContext};
@@ -168,7 +168,7 @@
             limits: self.limits.clone(),
             metrics: self.metrics.clone(),
             lifecycle: self.lifecycle.clone(),
-            buffer_pools: Arc::default(),
+            client_memory: ClientMemory::new(&self.limits),
         }
     }
 }
--- a/tests/scene/manager_process.rs
+++ b/tests/scene/manager_process.rs
@@ -29,7 +29,24 @@
     pub(crate) async fn start(config: &Path, folder: &Path) -> ManagerProcess {
         let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
         let address = listener.local_addr().expect("address");
-        let mut child = start_with_listener(&listener, config, folder);
+        let child = start_with_listener(&listener, config, folder);
+        let mut process = ManagerProcess::new(child, address);
+        process.await_line(" serves on ").await;
+        process
+    }
+
+    /// Takes over a process that opens its own listening socket, and waits until it serves clients.
+    pub(crate) async fn from_child(child: Child) -> ManagerProcess {
+        let unknown_address = SocketAddr::from(([127, 0, 0, 1], 0));
+        let mut process = ManagerProcess::new(child, unknown_address);
+        let line = process.await_line(" serves on ").await;
+        let address = line.split(" serves on ").nth(1);
+        let address = address.and_then(|rest| rest.split(',').next());
+        process.address = address.expect("an address").parse().expect("an address");
+        process
+    }
+
+    fn new(mut child: Child, address: SocketAddr) -> ManagerProcess {
         let stderr = stderr_of(&mut child);
         let (line_sender, lines) = unbounded_channel();
         std::thread::spawn(move || {
@@ -38,13 +55,11 @@
                 .map_while(Result::ok)
                 .all(|line| line_sender.send(line).is_ok());
         });
-        let mut process = ManagerProcess {
+        ManagerProcess {
             child,
             address,
             lines,
-        };
-        process.await_line(" serves on ").await;
-        process
+        }
     }
 
     /// Waits for the next line of standard error that contains this text.
--- a/tests/scene/msgpack_client.rs
+++ b/tests/scene/msgpack_client.rs
@@ -9,6 +9,9 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
+/// The name of a change that is not a field: it adds a comment of this length to the statement.
+const PADDING: &str = "padding";
+
 /// A client with one connection, and the answers that it received.
 pub(crate) struct Client {
     name: String,
@@ -102,12 +105,23 @@
         let _ = self.stream.write_all(&burst).await;
     }
 
+    /// The bytes of one call with one changed field.
+    pub(crate) fn call_bytes(&self, id: u64, class: &str, change: &str) -> Vec<u8> {
+        self.statement_call(id, class, &[change])
+    }
+
+    /// Sends bytes, for clients that send a call in parts.
+    pub(crate) async fn send_bytes(&mut self, bytes: &[u8]) {
+        self.write(bytes).await;
+    }
+
     async fn send_health(&mut self, id: &str) {
         let message = self.call(id.parse().expect("id"), "health", &[("deep", "0")], None);
         self.write(&message).await;
     }
 
-    /// Sends a statement of a class. `NAME=VALUE` sets or replaces a field, `NAME=` leaves it out.
+    /// Sends a statement of a class. `NAME=VALUE` sets or replaces a field, `NAME=` leaves it out,
+    /// and `padding=N` makes the statement N bytes longer.
     async fn send_statement(&mut self, id: &str, class: &str, changes: &[&str]) {
         let message = self.statement_call(id.parse().expect("id"), class, changes);
         self.write(&message).await;
@@ -115,7 +129,9 @@
 
     fn statement_call(&self, id: u64, class: &str, changes: &[&str]) -> Vec<u8> {
         let name_bytes = self.name.bytes();
-        let name_hash = name_bytes.fold(0u32, |hash, byte| hash * 31 + u32::from(byte));
+        let name_hash = name_bytes.fold(0u32, |hash, byte| {
+            hash.wrapping_mul(31).wrapping_add(u32::from(byte))
+        });
         let reference = format!("{name_hash:08x}{id:08x}");
         let mut fields: Vec<(&str, &str)> = vec![
             ("ref", &reference),
@@ -123,13 +139,22 @@
             ("project", "member-north"),
             ("effort", "50.0"),
         ];
+        let mut padding_bytes = 0;
         for (name, value) in changes.iter().filter_map(|change| change.split_once('=')) {
+            if name == PADDING {
+                padding_bytes = value.parse().expect("a number");
+                continue;
+            }
             fields.retain(|(field, _)| *field != name);
             if !value.is_empty() {
                 fields.push((name, value));
             }
         }
-        let body = statement(class, &format!("{}.{id}", self.name));
+        let mut body = statement(class, &format!("{}.{id}", self.name));
+        if padding_bytes > 0 {
+            let comment = format!(" /*{}*/ -- ", "x".repeat(padding_bytes));
+            body = body.replacen(" -- ", &comment, 1);
+        }
         self.call(id, class, &fields, Some(body.as_bytes()))
     }
 
--- a/tests/service_guarantees/main.rs
+++ b/tests/service_guarantees/main.rs
@@ -8,6 +8,7 @@
 mod scene;
 
 mod client_disconnect;
+mod client_memory;
 mod descriptor_limit;
 mod fake_engine;
 mod restart_readiness;
