Fail an attempt alone if its Flight SQL result does not fit its own lengths

A Flight SQL client got the spoilt batch.

Cause: rows::to_text gave an engine's messages unchecked to the Arrow decoder, which panics on such lengths, in the task of the client's connection.

Change: engines::flight::result_check checks each message in the attempt that receives it; an unusable one fails that attempt (engine_malformed), for either front end, and a retry follows where the class allows it. A panic of the decoder on other data is an error of its result alone. The drop of a platform connection cancels its requests, also after a panic. Changed calls, statements, answers, frames and results are tested not to panic.

--- a/src/clients/flight/pending_response.rs
+++ b/src/clients/flight/pending_response.rs
@@ -67,20 +67,7 @@
         if self.completed {
             return;
         }
-        let id = self.id;
-        if self
-            .frontend
-            .core
-            .try_send(CoreMessage::ClientDisconnected(id))
-        {
-            return;
-        }
-        // The core's mailbox is full, so a task waits for space in it. If there is no runtime, the
-        // program is ending and the core has already ended.
-        if let Ok(runtime) = tokio::runtime::Handle::try_current() {
-            let core = self.frontend.core.clone();
-            runtime.spawn(async move { core.send(CoreMessage::ClientDisconnected(id)).await });
-        }
+        self.frontend.core.notify_disconnects(vec![self.id]);
     }
 }
 
--- a/src/clients/msgpack/mod.rs
+++ b/src/clients/msgpack/mod.rs
@@ -84,3 +84,6 @@
             .map(|(_, value)| value)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/clients/msgpack_rpc/connection.rs
+++ b/src/clients/msgpack_rpc/connection.rs
@@ -12,7 +12,7 @@
 use crate::clients::connection_slots::ConnectionSlot;
 use crate::clients::pending::PendingGuard;
 use crate::clients::{Frontend, outcome_counter};
-use crate::core::{Answer, CoreMessage};
+use crate::core::Answer;
 use crate::net;
 use std::sync::Arc;
 use std::time::Duration;
@@ -67,7 +67,7 @@
         }
     }
 
-    /// Serves the connection until it ends, then cancels the requests that are still open on it.
+    /// Serves the connection until it ends. Its drop cancels the requests that are still open on it.
     pub(super) async fn run(mut self) {
         let connection = self.slot.connection_id();
         match self.serve().await {
@@ -85,11 +85,6 @@
                 );
             }
         }
-        self.set_pending(false);
-        for id in self.open_requests.cancel_all() {
-            let message = CoreMessage::ClientDisconnected(id);
-            self.frontend.core.send(message).await;
-        }
     }
 
     /// Closes the connection in an orderly way, so that answers on their way still reach the
@@ -333,3 +328,11 @@
         true
     }
 }
+
+impl Drop for Connection {
+    /// Cancels the open requests, also if the task of the connection ends by a panic.
+    fn drop(&mut self) {
+        let open_requests = self.open_requests.cancel_all();
+        self.frontend.core.notify_disconnects(open_requests);
+    }
+}
--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -153,6 +153,26 @@
         self.mailbox.try_send(message).is_ok()
     }
 
+    /// Notifies the core that the clients of these requests have disconnected, for callers that
+    /// cannot wait, as in a drop.
+    pub(crate) fn notify_disconnects(&self, ids: Vec<RequestId>) {
+        let mut ids = ids.into_iter();
+        let Some(unsent) = ids.find(|id| !self.try_send(CoreMessage::ClientDisconnected(*id)))
+        else {
+            return;
+        };
+        // The mailbox is full, so a task waits for space in it. If there is no runtime, the program
+        // is ending and the core has already ended.
+        if let Ok(runtime) = tokio::runtime::Handle::try_current() {
+            let core = self.clone();
+            runtime.spawn(async move {
+                for id in std::iter::once(unsent).chain(ids) {
+                    core.send(CoreMessage::ClientDisconnected(id)).await;
+                }
+            });
+        }
+    }
+
     /// Reserves a slot in the mailbox, for a message that must reach the core at the same time as
     /// it reaches other actors.
     pub async fn reserve(&self) -> Option<mpsc::Permit<'_, CoreMessage>> {
--- a/src/discovery/tests.rs
+++ b/src/discovery/tests.rs
@@ -6,6 +6,8 @@
 use crate::decision::EngineState;
 use crate::engines::EngineContext;
 use crate::node_config::engine_id;
+use proptest::collection::vec;
+use proptest::prelude::{ProptestConfig, any, proptest};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -139,3 +141,24 @@
     let error = decode(&short, &settings).expect_err("cut short");
     assert_eq!(error, FrameError::PartialRecord(RECORD_BYTES - 1));
 }
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(2048))]
+
+    /// Guards against a frame that ends the task of the feed: a changed frame is decoded or refused.
+    #[test]
+    fn changed_frames_are_decoded_without_a_panic(
+        kind in 0..4_u8,
+        changes in vec((any::<usize>(), any::<u8>()), 0..6),
+        cut in 0..60_usize,
+    ) {
+        let mut input = frame(7, kind, 0..3, 0);
+        for (position, value) in changes {
+            let position = position % input.len();
+            input[position] = value;
+        }
+        input.truncate(input.len() - cut.min(input.len()));
+        let content = input.get(4..).unwrap_or_default();
+        let _ = decode(content, &EngineContext::settings_for_tests());
+    }
+}
--- a/src/engines/flight/attempt.rs
+++ b/src/engines/flight/attempt.rs
@@ -9,6 +9,7 @@
 use super::metadata::{
     INFLIGHT, USED_MB, WORK_MS, call_request, copy_measurements, parse_measurement,
 };
+use super::result_check::check_message;
 use super::result_collector::ResultCollector;
 use crate::core::{AttemptEvent, AttemptRequest, ResultBody, StatementKind};
 use crate::decision::{LoadReport, Outcome};
@@ -68,6 +69,9 @@
                 number: attempt,
             } = attempt;
             tracing::debug!(id, attempt, engine = %format_engine_id(link.engine()), %failure, ?outcome, "attempt failed; its outcome is reported to the core");
+            if matches!(failure, AttemptFailure::UnusableResult(_)) {
+                link.context().metrics.engine_malformed.increment();
+            }
             // A call that failed only on this side may still run on the engine. Its reset was
             // queued when the call was dropped. Without this wait, a retry on another engine could
             // start before the first engine has read the reset.
@@ -234,6 +238,7 @@
                 messages_to_skip -= 1;
                 continue;
             }
+            check_message(&message)?;
             let chunk = Bytes::from(message.encode_to_vec());
             collector.push(chunk).await?;
         }
--- a/src/engines/flight/attempt_failure.rs
+++ b/src/engines/flight/attempt_failure.rs
@@ -2,6 +2,7 @@
 
 use super::call::CallNotAccepted;
 use super::http2_connection::ConnectError;
+use super::result_check::UnusableMessage;
 use crate::decision::Outcome;
 use std::error::Error as StdError;
 use thiserror::Error;
@@ -28,6 +29,8 @@
     MissingUpdateResult,
     #[error("the result of the update cannot be decoded: {0}")]
     InvalidUpdateResult(#[from] prost::DecodeError),
+    #[error("the result cannot be used: {0}")]
+    UnusableResult(#[from] UnusableMessage),
     #[error("the memory for incomplete results is exhausted")]
     ResultMemoryExhausted,
     #[error("the client that receives the streamed result has disconnected")]
@@ -41,7 +44,9 @@
     pub(super) fn may_leave_call_open(&self) -> bool {
         match self {
             AttemptFailure::Call(_) => self.outcome() == Outcome::Error,
-            AttemptFailure::InvalidUpdateResult(_) | AttemptFailure::ResultMemoryExhausted => true,
+            AttemptFailure::InvalidUpdateResult(_)
+            | AttemptFailure::UnusableResult(_)
+            | AttemptFailure::ResultMemoryExhausted => true,
             AttemptFailure::AdmissionClosed
             | AttemptFailure::NoConnectionSlot
             | AttemptFailure::Connect(_)
@@ -67,6 +72,7 @@
             AttemptFailure::MissingTicket
             | AttemptFailure::MissingUpdateResult
             | AttemptFailure::InvalidUpdateResult(_)
+            | AttemptFailure::UnusableResult(_)
             | AttemptFailure::ResultMemoryExhausted => Outcome::Error,
             AttemptFailure::ClientDisconnected => Outcome::Cancelled,
         }
--- a/src/engines/flight/mod.rs
+++ b/src/engines/flight/mod.rs
@@ -18,6 +18,7 @@
 mod flush_tracking_socket;
 mod http2_connection;
 mod metadata;
+mod result_check;
 mod result_collector;
 
 pub(crate) use engine::run;
--- a/src/engines/line_protocol/answer.rs
+++ b/src/engines/line_protocol/answer.rs
@@ -246,3 +246,6 @@
         body: bytes.slice(body),
     }))
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/rows.rs
+++ b/src/rows.rs
@@ -12,6 +12,7 @@
 use arrow_schema::{ArrowError, DataType, Field, Schema};
 use bytes::Bytes;
 use prost::Message;
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::sync::Arc;
 
 /// Why a result cannot be converted to another format.
@@ -26,6 +27,9 @@
     /// Rows of text are not UTF-8.
     #[error("rows of text are not UTF-8: {0}")]
     Text(#[from] std::str::Utf8Error),
+    /// The decoder of Arrow data panicked, because the data contradicts itself.
+    #[error("the decoder of Arrow data panicked")]
+    DecoderPanicked,
 }
 
 /// Column names of text rows that are converted to Arrow data. Further cells of a row are kept in
@@ -81,11 +85,25 @@
     if messages.is_empty() {
         return Ok(Vec::new());
     }
+    contain_panic(|| messages_to_text(&messages)).map(|text| vec![text.into()])
+}
+
+/// Calls the decoder. The decoder panics on some data that contradicts itself. That must end this
+/// result alone, and not the task of the connection that needs it.
+fn contain_panic<T>(
+    decode: impl FnOnce() -> Result<T, ConversionError>,
+) -> Result<T, ConversionError> {
+    // The closure only reads the messages and returns what it builds, so no half-changed state is
+    // left after a panic.
+    catch_unwind(AssertUnwindSafe(decode)).unwrap_or(Err(ConversionError::DecoderPanicked))
+}
+
+fn messages_to_text(messages: &[FlightData]) -> Result<String, ConversionError> {
     let mut text = String::new();
-    for batch in flight_data_to_batches(&messages)? {
+    for batch in flight_data_to_batches(messages)? {
         push_rows(&mut text, &batch)?;
     }
-    Ok(vec![text.into()])
+    Ok(text)
 }
 
 fn push_rows(text: &mut String, batch: &RecordBatch) -> Result<(), ConversionError> {
--- a/tests/scenarios/faulty_peers.rs
+++ b/tests/scenarios/faulty_peers.rs
@@ -316,3 +316,66 @@
 fn faulty_peers(#[case] script: &str) {
     run_script(2, EngineProtocol::Lines, script);
 }
+
+/// Guards against requests that are lost with the task of their client's connection: a record batch
+/// of a Flight SQL engine is shorter than its header says. It costs its own attempt alone, on both
+/// front ends, and the request is retried if its class allows that.
+#[test]
+fn spoilt_result_of_a_flight_engine_costs_its_own_attempt_alone() {
+    run_script(
+        3,
+        EngineProtocol::Flight,
+        "
+        c1 send 1 log-load
+        e expect ASK c1.1
+        f1 send 1 log-load
+        e expect ASK f1.1
+        c1 send 2 usage-report
+        e expect ASK c1.2
+        f1 send 2 usage-report
+        e expect ASK f1.2
+        c1 send 3 seat-check
+        e expect ASK c1.3
+        e send c1.3 spoilt a\\tb\\tc\\n
+        e expect ASK c1.3
+        e send c1.3 served a\\tb\\tc\\n
+        c1 expect 3 served a\\tb\\tc\\n
+        f1 send 3 seat-check
+        e expect ASK f1.3
+        e send f1.3 spoilt a\\tb\\tc\\n
+        e expect ASK f1.3
+        e send f1.3 served a\\tb\\tc\\n
+        f1 expect 3 served a\\tb\\tc\\n
+        wait engine_malformed=2
+        e send c1.2 served a\\tb\\tc\\n
+        c1 expect 2 served a\\tb\\tc\\n
+        e send f1.2 served a\\tb\\tc\\n
+        f1 expect 2 served a\\tb\\tc\\n
+        e send c1.1 served 7
+        c1 expect 1 served 7\\t\\t\\n
+        e send f1.1 served 7
+        f1 expect 1 served 7
+        ",
+    );
+}
+
+/// A spoilt message in the middle of a streamed result ends the stream with an error.
+#[test]
+fn spoilt_message_of_a_streamed_result_ends_it_with_an_error() {
+    run_script(
+        2,
+        EngineProtocol::Flight,
+        "
+        f1 send 1 usage-report
+        e expect ASK f1.1
+        e send f1.1 rows x9000
+        e send f1.1 spoilt a\\tb\\tc\\n
+        f1 expect 1 cut DataLoss
+        wait engine_malformed=1
+        f1 send 2 seat-check
+        e expect ASK f1.2
+        e send f1.2 served a\\tb\\tc\\n
+        f1 expect 2 served a\\tb\\tc\\n
+        ",
+    );
+}
--- a/tests/scene/flight_engine.rs
+++ b/tests/scene/flight_engine.rs
@@ -147,6 +147,14 @@
     data.into_iter().skip(usize::from(!first)).collect()
 }
 
+/// Like `encode_rows`, but the body of the record batch is shorter than its header says.
+fn spoilt_rows(text: &str, first: bool) -> Vec<FlightData> {
+    let mut data = encode_rows(text, first);
+    let batch = data.last_mut().expect("a record batch");
+    batch.data_body.truncate(batch.data_body.len() / 2);
+    data
+}
+
 #[tonic::async_trait]
 impl FlightService for Service {
     type HandshakeStream = BoxStream<'static, Result<HandshakeResponse, Status>>;
@@ -190,6 +198,7 @@
                     "rows" => encode_rows(&text, first).into_iter().map(Ok).collect(),
                     "served" if text.is_empty() => Vec::new(),
                     "served" => encode_rows(&text, first).into_iter().map(Ok).collect(),
+                    "spoilt" => spoilt_rows(&text, first).into_iter().map(Ok).collect(),
                     word => vec![Err(failure(word))],
                 };
                 Some((stream::iter(data), (guard, answers, false)))
