Fetch a Flight SQL ticket under the settings of the time at which it is fetched

Cause: a ticket held the class as it was at GetFlightInfo, and the request that DoGet opens was taken under it. A query planned after the reload ran once, which rules out the dispatcher and a slow reload.

Change: DoGet looks up class and tenant anew; the single use of a ticket follows the class of now. A ticket whose class is gone, or now needs an order key, is refused with INVALID_ARGUMENT and stays stored.

--- a/src/clients/flight/service.rs
+++ b/src/clients/flight/service.rs
@@ -89,14 +89,18 @@
         Ok(response_of_call(info, open_call))
     }
 
-    /// Returns a ticket's handle and its planned call.
+    /// Returns a ticket's handle and its planned call, under the settings of now. The ticket of a
+    /// non-idempotent class is removed, so that it can be used only once. This happens before
+    /// anything is sent to an engine.
     fn redeem(&self, ticket: &Ticket) -> Result<(Bytes, StatementCall), CallError> {
         let handle = command::statement_handle(&ticket.ticket)?;
-        let mut call = self
-            .tickets()
-            .redeem(&handle)
-            .ok_or(CallError::UnknownTicket)?;
-        if call.class.class.idempotency != Idempotency::NonIdempotent {
+        let planned = self.tickets().get(&handle);
+        let mut call = planned
+            .ok_or(CallError::UnknownTicket)?
+            .under_current_settings(&self.frontend)?;
+        if call.class.class.idempotency == Idempotency::NonIdempotent {
+            self.tickets().remove(&handle);
+        } else {
             // The client may use this ticket several times. Each use is a separate request to the
             // engines, so it gets its own reference.
             call.reference = new_reference(&self.frontend.core);
--- a/src/clients/flight/statement_call.rs
+++ b/src/clients/flight/statement_call.rs
@@ -38,11 +38,10 @@
         metadata: &MetadataMap,
         statement: String,
     ) -> Result<StatementCall, CallError> {
-        let class = parse_class(frontend, metadata)?;
+        let name = metadata_value(metadata, CLASS).ok_or(CallError::MissingMetadata(CLASS))?;
+        let class = find_class(frontend, name)?;
         let tenant = metadata_value(metadata, TENANT).unwrap_or_default();
-        if !frontend.is_known_tenant(tenant) {
-            return Err(CallError::UnknownMetadataValue(TENANT));
-        }
+        check_tenant(frontend, tenant)?;
         check_statement(frontend, &statement)?;
         Ok(StatementCall {
             reference: new_reference(&frontend.core),
@@ -54,6 +53,22 @@
         })
     }
 
+    /// Returns the call with its class as the settings have it now. A planned query becomes a request
+    /// only when its result is fetched, and the settings of that time apply to the request.
+    ///
+    /// # Errors
+    ///
+    /// If the settings no longer have the class or the tenant, or if calls of the class now need an
+    /// order key.
+    pub(super) fn under_current_settings(
+        mut self,
+        frontend: &Frontend,
+    ) -> Result<StatementCall, CallError> {
+        self.class = find_class(frontend, self.class.name.as_bytes())?;
+        check_tenant(frontend, &self.tenant)?;
+        Ok(self)
+    }
+
     /// Moves the statement to memory of the client that runs the call.
     ///
     /// # Errors
@@ -108,8 +123,7 @@
     metadata.get(key).map(|value| value.as_bytes())
 }
 
-fn parse_class(frontend: &Frontend, metadata: &MetadataMap) -> Result<Arc<NamedClass>, CallError> {
-    let name = metadata_value(metadata, CLASS).ok_or(CallError::MissingMetadata(CLASS))?;
+fn find_class(frontend: &Frontend, name: &[u8]) -> Result<Arc<NamedClass>, CallError> {
     let class = frontend
         .find_class(name)
         .ok_or(CallError::UnknownMetadataValue(CLASS))?;
@@ -119,6 +133,14 @@
     Ok(class)
 }
 
+fn check_tenant(frontend: &Frontend, tenant: &[u8]) -> Result<(), CallError> {
+    if frontend.is_known_tenant(tenant) {
+        Ok(())
+    } else {
+        Err(CallError::UnknownMetadataValue(TENANT))
+    }
+}
+
 fn check_statement(frontend: &Frontend, statement: &str) -> Result<(), CallError> {
     if statement.trim().is_empty() {
         return Err(CallError::EmptyStatement);
--- a/src/clients/flight/tickets.rs
+++ b/src/clients/flight/tickets.rs
@@ -1,7 +1,6 @@
 //! Stores planned queries until clients fetch their results.
 
 use super::statement_call::StatementCall;
-use crate::decision::Idempotency;
 use crate::limits::Limits;
 use bytes::Bytes;
 use std::collections::{HashMap, VecDeque};
@@ -36,15 +35,14 @@
         }
     }
 
-    /// Returns the planned call of a ticket, or `None` if there is no such ticket. If the class is
-    /// non-idempotent, the ticket is removed, so that it can be used only once. This happens before
-    /// anything is sent to an engine.
-    pub(super) fn redeem(&mut self, handle: &Bytes) -> Option<StatementCall> {
-        let call = self.calls.get(handle)?.clone();
-        if call.class.class.idempotency == Idempotency::NonIdempotent {
-            self.calls.remove(handle);
-            self.handles_oldest_first.retain(|other| other != handle);
-        }
-        Some(call)
+    /// Returns the planned call of a ticket, or `None` if there is no such ticket.
+    pub(super) fn get(&self, handle: &Bytes) -> Option<StatementCall> {
+        self.calls.get(handle).cloned()
+    }
+
+    /// Removes a ticket, so that it cannot be used again.
+    pub(super) fn remove(&mut self, handle: &Bytes) {
+        self.calls.remove(handle);
+        self.handles_oldest_first.retain(|other| other != handle);
     }
 }
--- a/tests/scenarios/flight_sql.rs
+++ b/tests/scenarios/flight_sql.rs
@@ -206,3 +206,70 @@
 fn flight_sql(#[case] script: &str) {
     run_script(2, EngineProtocol::Flight, script);
 }
+
+/// Guards against a second run of a bulk load: a ticket kept the class as it was when its query was
+/// planned, so a request that was taken after a reload ran by the old rules. Both a ticket that was
+/// fetched before the reload and one that was not are fetched after it.
+#[rstest]
+fn fetched_ticket_follows_the_settings_of_the_time_at_which_it_is_fetched(
+    #[values(EngineProtocol::Lines, EngineProtocol::Flight)] protocol: EngineProtocol,
+) {
+    let served = match protocol {
+        EngineProtocol::Lines => "batches=1 a\\tb\\tc\\n",
+        EngineProtocol::Flight => "a\\tb\\tc\\n",
+    };
+    run_script(
+        2,
+        protocol,
+        &format!(
+            "
+            c1 send 1 usage-report
+            e expect ASK c1.1
+            f1 send ticket 1 usage-report
+            f1 send get 2 1
+            e expect ASK f1.1
+            e send f1.1 served {served}
+            f1 expect 2 served a\\tb\\tc\\n
+            f1 send ticket 3 usage-report
+            n send settings effect=\"once\"
+            f1 send get 4 1
+            e expect ASK f1.1
+            e close f1.1
+            f1 expect 4 Internal
+            e expect none ASK f1.1
+            f1 send get 5 1
+            f1 expect 5 InvalidArgument
+            f1 send get 6 3
+            e expect ASK f1.3
+            e close f1.3
+            f1 expect 6 Internal
+            e expect none ASK f1.3
+            "
+        ),
+    );
+}
+
+/// A ticket whose class is no longer in the settings, or now needs an order key, is refused. It
+/// works again if a later reload allows that.
+#[test]
+fn ticket_of_a_class_that_cannot_be_used_any_longer_is_refused() {
+    run_script(
+        2,
+        EngineProtocol::Flight,
+        "
+        f1 send ticket 1 usage-report
+        n send settings -usage-report
+        f1 send get 2 1
+        f1 expect 2 InvalidArgument
+        n send settings fifoByKey=true
+        f1 send get 3 1
+        f1 expect 3 InvalidArgument
+        wait requests_accepted=0
+        n send settings
+        f1 send get 4 1
+        e expect ASK f1.1
+        e send f1.1 served a\\tb\\tc\\n
+        f1 expect 4 served a\\tb\\tc\\n
+        ",
+    );
+}
