Answer a non-idempotent request as failed if it comes again under its reference

Cause: the core knew a reference only while its request was in the table (core/requests.rs, client_references).

Change: core::spent_references keeps the last 4,096 references of non-idempotent requests that may have run; such a request is answered as failed, as one whose reference is open is. A request that never ran may come again.

Not covered: the other process of a hot restart, which has its own references.

--- a/src/core/admission.rs
+++ b/src/core/admission.rs
@@ -6,6 +6,7 @@
 use super::{
     AcceptedRequest, Answer, Core, EnginePort, Event, FailureReason, Millis, Outcome, RequestId,
 };
+use crate::decision::Idempotency;
 use crate::metrics::Counter;
 use crate::retry_policy::{AttemptPolicy, RequestAttributes};
 
@@ -14,7 +15,8 @@
 enum AdmissionError {
     /// The shutdown deadline has passed, so the request could not be answered any more.
     ShuttingDown,
-    /// The client's reference is in use by another request.
+    /// The client's reference is in use by another request, or was used by a non-idempotent one
+    /// that may have run.
     DuplicateReference,
     /// The limit on open requests is reached.
     OverLimit,
@@ -43,10 +45,8 @@
         }
         // Engines distinguish attempts by the client's reference, so two open requests must not
         // share one.
-        if self
-            .requests
-            .has_client_reference(&accepted.client_reference)
-        {
+        let reference = &accepted.client_reference;
+        if self.requests.has_client_reference(reference) || self.may_have_run_before(accepted) {
             return Err(AdmissionError::DuplicateReference);
         }
         if self.requests.len() >= self.limits.open_requests {
@@ -65,6 +65,13 @@
         }))
     }
 
+    /// Whether a client that has left comes again with a request that may have run and must not run
+    /// a second time.
+    fn may_have_run_before(&self, accepted: &AcceptedRequest) -> bool {
+        accepted.class.class.idempotency == Idempotency::NonIdempotent
+            && self.spent_references.contains(&accepted.client_reference)
+    }
+
     fn refuse_request(&self, accepted: &AcceptedRequest, error: AdmissionError) {
         tracing::debug!(
             id = accepted.id,
--- a/src/core/attempt_end.rs
+++ b/src/core/attempt_end.rs
@@ -352,6 +352,10 @@
         let Some(request) = self.requests.remove(id) else {
             return;
         };
+        if request.is_non_idempotent() && request.history.may_have_run() {
+            self.spent_references
+                .insert(&request.accepted.client_reference);
+        }
         if let Some(key) = request.accepted.order_key {
             self.remove_from_order_lease(now, key, id);
         }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -22,6 +22,7 @@
 mod requests;
 mod retry;
 mod roster;
+mod spent_references;
 mod timers;
 
 pub use actor::{Clock, Handle, Mailbox, run};
@@ -40,6 +41,7 @@
 use order_leases::OrderLeases;
 use requests::RequestTable;
 use roster::Roster;
+use spent_references::SpentReferences;
 use std::sync::Arc;
 use timers::{Timer, TimerQueue};
 
@@ -50,6 +52,8 @@
     limits: Arc<Limits>,
     metrics: Arc<Metrics>,
     requests: RequestTable,
+    /// References of non-idempotent requests that are over and may have run.
+    spent_references: SpentReferences,
     /// The engines of the endpoint list.
     roster: Roster,
     /// The time at which the process ends, in Unix ms; `None` until a shutdown has started.
@@ -97,6 +101,7 @@
             dispatcher: Dispatcher::new(settings, seed)?,
             engines,
             roster: Roster::new(limits.engines, subset),
+            spent_references: SpentReferences::new(limits.spent_references),
             limits,
             metrics,
             requests: RequestTable::default(),
--- a/src/core/requests.rs
+++ b/src/core/requests.rs
@@ -49,6 +49,11 @@
         }
     }
 
+    /// Whether its class may run once only.
+    pub(super) fn is_non_idempotent(&self) -> bool {
+        self.accepted.class.class.idempotency == Idempotency::NonIdempotent
+    }
+
     /// Whether its class is idempotent, so that it may run any number of times.
     pub(super) fn is_idempotent(&self) -> bool {
         self.accepted.class.class.idempotency == Idempotency::Idempotent
--- a/src/limits/table.rs
+++ b/src/limits/table.rs
@@ -74,6 +74,8 @@
     client_input_buffer_bytes: usize = 4 * KIB;
     /// Maximum size of the answers that all clients have not read yet, in bytes.
     client_answer_bytes: usize = basis.memory_fraction(10);
+    /// Number of client references that are kept of non-idempotent requests that may have run.
+    spent_references: usize = 4096;
     /// A client connection is closed after this time without a first call, or without the rest of a
     /// message. A Flight SQL client has this time to confirm the close of its connection.
     client_read_timeout: Duration = Duration::from_millis(2000);
--- a/tests/scenarios/connections.rs
+++ b/tests/scenarios/connections.rs
@@ -1,6 +1,7 @@
 //! Client connections and engine connections: which are opened, shared, evicted and closed.
 
 use crate::scene::run_script;
+use rstest::rstest;
 use workload_manager::node_config::EngineProtocol;
 
 /// Connections of clients that have sent one request, and connections of clients that have sent
@@ -100,3 +101,32 @@
         &format!("{open}{rejected}c1 send cancel 1\nwait client_disconnects=1\n"),
     );
 }
+
+/// Guards against a second run: the client of a bulk load leaves while it runs, and comes again with
+/// the same reference. A request that never ran may come again.
+#[rstest]
+fn bulk_load_of_a_client_that_left_does_not_run_again_under_its_reference(
+    #[values(EngineProtocol::Lines, EngineProtocol::Flight)] protocol: EngineProtocol,
+) {
+    run_script(
+        2,
+        protocol,
+        "
+        c1 send 1 log-load
+        e expect ASK c1.1
+        c1 close
+        e expect QUIT c1.1
+        wait requests_open=0
+        c2 send 1 log-load ref=0000000000000077
+        e expect ASK c2.1
+        c2 send cancel 1
+        e expect QUIT c2.1
+        c1 send 1 log-load
+        c1 expect 1 Internal
+        c2 send 2 log-load ref=0000000000000077
+        c2 expect 2 Internal
+        wait client_bad_calls=2
+        wait attempts_written=2
+        ",
+    );
+}
