Count the chunks of a streamed Flight SQL result, and read on at its client's pace

Change: a chunk is counted from its arrival until the gRPC server has encoded it, with the result as the owner. Above the result's share, no further chunk is read from its engine until its client has taken some; it waits for its own client alone.

--- a/src/engines/flight/attempt.rs
+++ b/src/engines/flight/attempt.rs
@@ -21,7 +21,6 @@
     CommandStatementQuery, CommandStatementUpdate, DoPutUpdateResult, ProstMessageExt,
 };
 use arrow_flight::{FlightData, FlightDescriptor, Ticket};
-use bytes::Bytes;
 use futures::stream;
 use prost::Message;
 use std::sync::{Arc, OnceLock};
@@ -233,14 +232,17 @@
         let response = client.do_get(self.with_metadata(ticket)).await?;
         copy_measurements(self.measurements, response.metadata());
         let mut data = response.into_inner();
-        while let Some(message) = data.message().await? {
+        loop {
+            collector.ready().await?;
+            let Some(message) = data.message().await? else {
+                break;
+            };
             if messages_to_skip > 0 {
                 messages_to_skip -= 1;
                 continue;
             }
             check_message(&message)?;
-            let chunk = Bytes::from(message.encode_to_vec());
-            collector.push(chunk).await?;
+            collector.push(message.encode_to_vec()).await?;
         }
         if let Some(trailers) = data.trailers().await? {
             copy_measurements(self.measurements, &trailers);
--- a/src/engines/flight/result_collector.rs
+++ b/src/engines/flight/result_collector.rs
@@ -5,8 +5,9 @@
 use super::engine_link::EngineLink;
 use crate::core::{AttemptEvent, ResultBody, ResultChunk, ResultFormat};
 use crate::engines::context::AttemptId;
-use crate::limits::MemoryReservation;
+use crate::limits::{MemoryOwner, MemoryReservation};
 use bytes::Bytes;
+use std::sync::Arc;
 use tokio::sync::mpsc;
 
 /// Where the chunks of a result go.
@@ -24,17 +25,38 @@
     destination: Destination,
     /// Size of all chunks received so far, in bytes.
     total_bytes: usize,
+    /// The result, as the owner of its memory.
+    owner: Arc<MemoryOwner>,
+    /// Memory of the buffered chunks.
     reservation: MemoryReservation,
 }
 
 impl<'a> ResultCollector<'a> {
     pub(super) fn new(link: &'a EngineLink, attempt: AttemptId) -> ResultCollector<'a> {
+        let owner = link.context().partial_results.add_owner();
         ResultCollector {
             link,
             attempt,
             destination: Destination::Buffer(Vec::new()),
             total_bytes: 0,
-            reservation: MemoryReservation::new(&link.context().partial_results.add_owner()),
+            reservation: MemoryReservation::new(&owner),
+            owner,
+        }
+    }
+
+    /// Waits until another chunk may be read from the engine: until the client has taken so many
+    /// chunks of a streamed result that the rest is within the result's share of the memory.
+    ///
+    /// # Errors
+    /// Fails if the client of a streamed result has disconnected.
+    pub(super) async fn ready(&self) -> Result<(), AttemptFailure> {
+        let Destination::Stream(stream) = &self.destination else {
+            return Ok(());
+        };
+        tokio::select! {
+            biased;
+            () = stream.closed() => Err(AttemptFailure::ClientDisconnected),
+            () = self.owner.within_share() => Ok(()),
         }
     }
 
@@ -44,16 +66,20 @@
     /// # Errors
     /// Fails if the client of a streamed result has disconnected, or if the memory for incomplete
     /// results is exhausted.
-    pub(super) async fn push(&mut self, chunk: Bytes) -> Result<(), AttemptFailure> {
+    pub(super) async fn push(&mut self, chunk: Vec<u8>) -> Result<(), AttemptFailure> {
         self.total_bytes += chunk.len();
         let buffer = match &mut self.destination {
             Destination::Stream(stream) => {
+                // Counted even above the share: `ready` then waits before the next chunk.
+                let mut reservation = MemoryReservation::new(&self.owner);
+                reservation.set(chunk.len());
+                let chunk = reservation.attach_to(chunk);
                 let sent = stream.send(ResultChunk::Data(chunk)).await;
                 return sent.map_err(|_| AttemptFailure::ClientDisconnected);
             }
             Destination::Buffer(buffer) => buffer,
         };
-        buffer.push(chunk);
+        buffer.push(chunk.into());
         if !self.reservation.set(self.total_bytes) {
             return Err(AttemptFailure::ResultMemoryExhausted);
         }
--- a/src/engines/flight/tests.rs
+++ b/src/engines/flight/tests.rs
@@ -1,7 +1,7 @@
 //! Tests of the actor of a Flight SQL engine against a peer that speaks HTTP/2 only.
 
 use crate::attempt::AttemptEnd;
-use crate::core::{AttemptEvent, AttemptRequest, StatementKind};
+use crate::core::{AttemptEvent, AttemptRequest, ResultChunk, StatementKind};
 use crate::decision::Outcome;
 use crate::engines::context::AfterCancellation;
 use crate::engines::tests::test_bench::{
@@ -17,6 +17,7 @@
 use prost::Message;
 use rstest::rstest;
 use std::future::poll_fn;
+use std::time::Duration;
 use tokio::net::TcpStream;
 use tonic::Code;
 
@@ -346,3 +347,58 @@
         );
     });
 }
+
+/// Guards against a process that is killed for its memory: the chunks of a streamed result that its
+/// client has not taken were counted by their number alone. They arrive in full once it takes them.
+#[test]
+fn streamed_result_that_its_client_does_not_take_stays_within_its_memory() {
+    const MESSAGES: usize = 12;
+    const MESSAGE_BYTES: usize = 1 << 20;
+    run_test(async {
+        let mut bench = EngineTestBench::new(EngineProtocol::Flight).await;
+        let mut peer = start(&bench, attempt(1)).await;
+        let (_request, response) = next_call(&mut peer).await;
+        let endpoint = FlightEndpoint::new().with_ticket(Ticket::new("rows"));
+        answer(
+            response,
+            &FlightInfo::new().with_endpoint(endpoint),
+            Code::Ok,
+        );
+        let (_request, mut response) = next_call(&mut peer).await;
+        let mut body = response
+            .send_response(response_head(), false)
+            .expect("a response");
+        let message = FlightData::new()
+            .with_data_body(vec![0; MESSAGE_BYTES])
+            .encode_to_vec();
+        for _ in 0..MESSAGES {
+            let mut frame = vec![0];
+            frame.extend((message.len() as u32).to_be_bytes());
+            frame.extend(&message);
+            body.send_data(frame.into(), false).expect("data");
+        }
+        body.send_trailers(status(Code::Ok)).expect("trailers");
+        tokio::spawn(async move { while peer.accept().await.is_some() {} });
+        let (_, event) = bench.next_event().await;
+        let AttemptEvent::ResultStreaming(result) = event else {
+            panic!("expected a streamed result: {event:?}");
+        };
+        let mut chunks = result.remaining_chunks.expect("a stream");
+        // Until no more chunks arrive.
+        let mut waiting = usize::MAX;
+        while waiting != chunks.len() {
+            waiting = chunks.len();
+            tokio::time::sleep(Duration::from_millis(300)).await;
+        }
+        let limit_bytes = bench.context.limits.partial_result_bytes;
+        assert!(
+            waiting * MESSAGE_BYTES <= limit_bytes,
+            "{waiting} chunks of {MESSAGE_BYTES} bytes wait, {limit_bytes} bytes are allowed"
+        );
+        let mut taken = result.chunks.len();
+        while let Some(ResultChunk::Data(_)) = chunks.recv().await {
+            taken += 1;
+        }
+        assert_eq!(taken, MESSAGES);
+    });
+}
--- a/src/limits/memory_account.rs
+++ b/src/limits/memory_account.rs
@@ -13,6 +13,7 @@
 use bytes::Bytes;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use tokio::sync::Notify;
 
 /// The limit of an account is divided by this to get the part for the owners' quotas.
 const QUOTAS_DIVISOR: usize = 2;
@@ -63,6 +64,7 @@
         Arc::new(MemoryOwner {
             account: self.clone(),
             held_bytes: AtomicUsize::new(0),
+            released: Notify::new(),
         })
     }
 
@@ -97,6 +99,8 @@
 pub(crate) struct MemoryOwner {
     account: Arc<MemoryAccount>,
     held_bytes: AtomicUsize,
+    /// Notified when the owner releases memory.
+    released: Notify,
 }
 
 impl MemoryOwner {
@@ -106,6 +110,19 @@
         reservation.set(bytes).then_some(reservation)
     }
 
+    /// Waits until the owner is within its share or holds nothing. So it waits for its own releases
+    /// only, whatever the others hold.
+    pub(crate) async fn within_share(&self) {
+        loop {
+            // `notify_one` stores a permit, so a release between the check and the wait is not missed.
+            let held_bytes = self.held_bytes.load(Ordering::Relaxed);
+            if held_bytes == 0 || self.account.allows(held_bytes) {
+                return;
+            }
+            self.released.notified().await;
+        }
+    }
+
     /// Replaces a part of what the owner holds by another number of bytes. Returns what it holds now.
     fn replace(&self, before: usize, after: usize) -> usize {
         let change = |held: usize| held + after - before;
@@ -120,6 +137,9 @@
             account.excess_of(held_before),
             account.excess_of(held_after),
         );
+        if held_after < held_before {
+            self.released.notify_one();
+        }
         held_after
     }
 }
--- a/src/limits/memory_account/tests.rs
+++ b/src/limits/memory_account/tests.rs
@@ -73,3 +73,21 @@
     assert!(account.add_owner().reserve(134).is_none());
     assert!(account.add_owner().reserve(133).is_some());
 }
+
+/// An owner above its share waits until it has released enough, and never for others.
+#[tokio::test]
+async fn owner_above_its_share_waits_for_its_own_releases_only() {
+    let account = account(0);
+    let (owner, other) = (account.add_owner(), account.add_owner());
+    let mut large = MemoryReservation::new(&owner);
+    let mut of_other = MemoryReservation::new(&other);
+    large.set(600);
+    of_other.set(400);
+    let waiting = tokio::spawn(async move { owner.within_share().await });
+    tokio::task::yield_now().await;
+    assert!(!waiting.is_finished());
+    large.set(0);
+    waiting.await.expect("the wait ends");
+    drop(of_other);
+    other.within_share().await;
+}
