--- a/src/clients/msgpack/parser.rs
+++ b/src/clients/msgpack/parser.rs
@@ -25,6 +25,7 @@
             let message = IncompleteMessage {
                 call: reader.call,
                 expected_length: reader.expected_length,
+                min_length: reader.min_length,
             };
             check_incomplete_length(&message, input.len(), limits)?;
             Ok(Parsed::Incomplete(message))
@@ -32,18 +33,16 @@
     }
 }
 
-/// Checks the length of a message of which `received_bytes` have arrived. The limit applies to the
-/// body alone, for which the reader checks it, and to the rest with a small reserve.
+/// Checks the length of a message of which `received_bytes` have arrived. The limit applies to its
+/// largest part, for which the reader checks it, and to the rest with a small reserve.
 fn check_incomplete_length(
     message: &IncompleteMessage,
     received_bytes: usize,
     limits: &Limits,
 ) -> Result<(), MessageError> {
     let limit = limits.message_bytes;
-    let is_too_long = match message.expected_length {
-        Some(length) => length > limit + limits.client_input_buffer_bytes,
-        None => received_bytes > limit,
-    };
+    let is_too_long = message.min_length > limit + limits.client_input_buffer_bytes
+        || message.expected_length.is_none() && received_bytes > limit;
     if is_too_long {
         return Err(MessageError::TooLong {
             bytes: received_bytes,
@@ -82,4 +81,7 @@
     pub(crate) call: Option<CallHead>,
     /// Length of the whole message in bytes, if all but its body has arrived.
     pub(crate) expected_length: Option<usize>,
+    /// Lower bound on the length of the whole message in bytes. It need not be parsed again before
+    /// this number of bytes has arrived.
+    pub(crate) min_length: usize,
 }
--- a/src/clients/msgpack/reader.rs
+++ b/src/clients/msgpack/reader.rs
@@ -73,6 +73,8 @@
     pub(super) call: Option<CallHead>,
     /// Length of the whole message, once everything before its body was read.
     pub(super) expected_length: Option<usize>,
+    /// Lower bound on the length of the whole message.
+    pub(super) min_length: usize,
 }
 
 impl<'a> Reader<'a> {
@@ -82,6 +84,7 @@
             limits,
             call: None,
             expected_length: None,
+            min_length: 0,
         }
     }
 
@@ -103,6 +106,7 @@
         let start = self.position();
         let length = length as usize;
         self.check_length(length)?;
+        self.require(length);
         if start + length > self.input.get_ref().len() {
             return Err(ParseError::Incomplete);
         }
@@ -110,6 +114,11 @@
         Ok(start..start + length)
     }
 
+    /// Records that at least this number of bytes follows in the message.
+    fn require(&mut self, bytes: usize) {
+        self.min_length = self.min_length.max(self.position() + bytes);
+    }
+
     fn check_length(&self, bytes: usize) -> Result<(), MessageError> {
         let limit = self.limits.message_bytes;
         if bytes > limit {
@@ -216,7 +225,9 @@
         }
         let mut fields = Vec::with_capacity(count);
         let mut all_strings = true;
-        for _ in 0..count {
+        for read in 0..count {
+            // A name and a value take at least one byte each.
+            self.require(2 * (count - read));
             match (self.string_or_skip()?, self.string_or_skip()?) {
                 (Some(name), Some(value)) => fields.push((name, value)),
                 _ => all_strings = false,
@@ -264,7 +275,30 @@
         // elements than its limit in bytes.
         self.check_length(count)?;
         let remaining_depth = max_depth.checked_sub(1).ok_or(MessageError::TooDeep)?;
-        (0..count).try_for_each(|_| self.skip_nested(remaining_depth))
+        let mut remaining = count;
+        loop {
+            remaining -= self.skip_one_byte_values(remaining);
+            if remaining == 0 {
+                return Ok(());
+            }
+            self.require(remaining);
+            self.skip_nested(remaining_depth)?;
+            remaining -= 1;
+        }
+    }
+
+    /// Skips values of one byte each, up to `max_count`. Returns their number. A message may consist of
+    /// thousands of them.
+    fn skip_one_byte_values(&mut self, max_count: usize) -> usize {
+        let position = self.position();
+        let rest = &self.input.get_ref()[position..];
+        let count = rest
+            .iter()
+            .take(max_count)
+            .take_while(|byte| is_one_byte_value(**byte))
+            .count();
+        self.input.set_position((position + count) as u64);
+        count
     }
 
     /// The number of bytes after the marker of a value that is not a collection, a string or binary
@@ -301,6 +335,12 @@
     }
 }
 
+/// Whether this byte is the marker of a value that consists of the marker alone: a small number, nil
+/// or a boolean.
+fn is_one_byte_value(byte: u8) -> bool {
+    matches!(byte, 0x00..=0x7f | 0xc0 | 0xc2 | 0xc3 | 0xe0..=0xff)
+}
+
 fn is_array(marker: Marker) -> bool {
     matches!(
         marker,
--- a/src/clients/msgpack_rpc/input.rs
+++ b/src/clients/msgpack_rpc/input.rs
@@ -106,7 +106,8 @@
     pub(super) fn receive(&mut self, stream: &TcpStream) -> io::Result<ReadEnd> {
         loop {
             let read_end = self.buffer.receive(stream)?;
-            let may_read_ahead = self.parse_at_length() == 0 && !self.is_discarding();
+            let awaits_rest = self.buffer.unread().len() <= self.parse_at_length();
+            let may_read_ahead = !awaits_rest && !self.is_discarding();
             if read_end != ReadEnd::BufferFull || !may_read_ahead || !self.buffer.grow() {
                 return Ok(read_end);
             }
@@ -158,8 +159,9 @@
         &mut self,
         message: &IncompleteMessage,
     ) -> Result<Option<ReceivedMessage>, ProtocolError> {
-        if self.buffer.make_room(message.expected_length) {
-            self.set_parse_at_length(message.expected_length.unwrap_or(0));
+        let received = self.buffer.unread().len();
+        if self.buffer.make_room(message.min_length.max(received + 1)) {
+            self.set_parse_at_length(message.min_length);
             return Ok(None);
         }
         let (Some(call), Some(length)) = (&message.call, message.expected_length) else {
--- a/src/clients/msgpack_rpc/input_buffer.rs
+++ b/src/clients/msgpack_rpc/input_buffer.rs
@@ -110,16 +110,15 @@
         Some(reservation.attach_to(message))
     }
 
-    /// Makes space for a message whose first bytes are unread. `expected_length` is the length of
-    /// the whole message, if it is known. Returns false if the connection's share of the memory is
-    /// too small.
-    pub(super) fn make_room(&mut self, expected_length: Option<usize>) -> bool {
+    /// Makes space for a message of at least this length, whose first bytes are unread. Returns false
+    /// if the connection's share of the memory is too small.
+    pub(super) fn make_room(&mut self, min_length: usize) -> bool {
         self.compact();
-        let capacity = self.bytes.capacity();
-        match expected_length {
-            Some(length) => length <= capacity || self.grow_to(length),
-            None => self.bytes.len() < capacity || self.grow(),
+        let is_full = self.bytes.len() == self.bytes.capacity();
+        if is_full && min_length == self.bytes.len() + 1 {
+            return self.grow();
         }
+        min_length <= self.bytes.capacity() || self.grow_to(min_length)
     }
 
     /// Enlarges a full buffer, up to the size of the largest message. Returns false if it has that
--- a/tests/scene/flight_client.rs
+++ b/tests/scene/flight_client.rs
@@ -19,7 +19,7 @@
 use tonic_types::StatusExt;
 
 /// A client with one channel and any number of open calls, by the ids that scripts give them.
-pub(super) struct Client {
+pub(crate) struct Client {
     name: String,
     channel: Channel,
     calls: HashMap<String, JoinHandle<String>>,
@@ -27,7 +27,7 @@
 }
 
 impl Client {
-    pub(super) async fn new(name: &str, address: SocketAddr) -> Client {
+    pub(crate) async fn new(name: &str, address: SocketAddr) -> Client {
         let channel = Endpoint::from_shared(format!("http://{address}"))
             .expect("address")
             .connect()
@@ -50,7 +50,7 @@
     ///   DoGet with the ticket of 7.
     /// - `send action 7` calls DoAction, which is not offered.
     /// - `expect 7 ANSWER` waits for the answer; `close 7` drops the call.
-    pub(super) async fn step(&mut self, verb: &str, rest: &[&str]) {
+    pub(crate) async fn step(&mut self, verb: &str, rest: &[&str]) {
         let client = FlightServiceClient::new(self.channel.clone());
         match (verb, rest) {
             ("send", ["ticket", id, class, fields @ ..]) => {
--- a/tests/scene/mod.rs
+++ b/tests/scene/mod.rs
@@ -44,7 +44,7 @@
 pub(crate) mod child_process;
 pub(crate) mod engine_fleet;
 pub(crate) mod engine_listener;
-mod flight_client;
+pub(crate) mod flight_client;
 pub(crate) mod flight_engine;
 mod line_engine;
 pub(crate) mod list_feed;
--- a/tests/scene/msgpack_client.rs
+++ b/tests/scene/msgpack_client.rs
@@ -115,6 +115,11 @@
         self.write(bytes).await;
     }
 
+    /// Sends bytes, or does nothing if the connection is broken.
+    pub(crate) async fn try_send_bytes(&mut self, bytes: &[u8]) {
+        let _ = self.stream.write_all(bytes).await;
+    }
+
     async fn send_health(&mut self, id: &str) {
         let message = self.call(id.parse().expect("id"), "health", &[("deep", "0")], None);
         self.write(&message).await;
--- a/tests/service_guarantees/client_memory.rs
+++ b/tests/service_guarantees/client_memory.rs
@@ -4,126 +4,21 @@
 //! The manager is the program itself, on the smallest machine, so that its memory can be read from
 //! `/proc`. The platform kills a process that exceeds its memory.
 
-use crate::fake_engine;
-use crate::scene::child_process::start_program;
-use crate::scene::engine_listener::listen;
-use crate::scene::manager_process::ManagerProcess;
+use crate::process_on_small_machine::{MEMORY_KB, Manager, run};
 use crate::scene::msgpack_client::Client;
-use crate::scene::soak::ready_engines_event;
-use crate::scene::{apply_changes, configuration, within_timeout};
+use crate::scene::within_timeout;
 use bytes::Bytes;
 use h2::client::SendRequest;
+use rstest::rstest;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
-use tokio::time::{Instant, sleep};
-
-/// Memory of the machine, in kB.
-const MEMORY_KB: u64 = 32 << 10;
-
-/// Service time of a request whose label contains [`LONG_MARK`].
-const LONG_SERVICE_TIME: Duration = Duration::from_secs(3);
-
-const LONG_MARK: &str = "gateway.1";
+use tokio::net::TcpStream;
+use tokio::time::sleep;
 
 /// Largest size of a statement that these tests send, in bytes.
 const LARGE_STATEMENT_BYTES: usize = 60_000;
 
-/// A running manager with two engines.
-struct Manager {
-    process: ManagerProcess,
-    platform: SocketAddr,
-    flight: SocketAddr,
-    /// Accepts the manager's connection and sends nothing.
-    _feed: TcpListener,
-}
-
-impl Manager {
-    /// Starts a manager with this number of descriptors.
-    async fn start(name: &str, descriptors: usize) -> Manager {
-        let engines = [start_engine(), start_engine()];
-        let (feed, _) = listen();
-        let feed_address = feed.local_addr().expect("address");
-        let config = apply_changes(
-            &configuration(feed_address, &ready_engines_event(&engines)),
-            &[
-                &format!("sockets={descriptors}"),
-                "maxOpen=4096",
-                "quotaPerS=100000",
-            ],
-        );
-        let flight = free_address();
-        let settings = format!("[flight]\nlisten = \"{flight}\"\nengines = \"lines\"\n");
-        let child = start_program(name, &config, &settings);
-        let process = ManagerProcess::from_child(child).await;
-        Manager {
-            platform: process.address,
-            process,
-            flight,
-            _feed: feed,
-        }
-    }
-
-    /// Anonymous memory of the process, in kB.
-    fn memory_kb(&self) -> u64 {
-        let status = std::fs::read_to_string(format!("/proc/{}/status", self.process.child.id()));
-        let status = status.expect("the process runs");
-        let line = status.lines().find(|line| line.starts_with("RssAnon:"));
-        let value = line.and_then(|line| line.split_whitespace().nth(1));
-        value.expect("a value").parse().expect("a number")
-    }
-
-    /// Watches the memory for this time.
-    async fn assert_memory_suffices(&self, time: Duration) {
-        let end = Instant::now() + time;
-        while Instant::now() < end {
-            let memory_kb = self.memory_kb();
-            assert!(memory_kb <= MEMORY_KB, "the process has {memory_kb} kB");
-            sleep(Duration::from_millis(5)).await;
-        }
-    }
-
-    /// Serves a request on a new connection and returns the time until its answer.
-    async fn serve_new_client(&self, name: &str) -> Duration {
-        let sent_at = Instant::now();
-        let mut client = within_timeout("connection", Client::new(name, self.platform)).await;
-        client.step("send", &["1", "seat-check"]).await;
-        within_timeout("answer", client.step("expect", &["1", "served", "a\\n"])).await;
-        sent_at.elapsed()
-    }
-}
-
-/// An address of which the port is free.
-fn free_address() -> SocketAddr {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("bind");
-    listener.local_addr().expect("address")
-}
-
-fn start_engine() -> SocketAddr {
-    let (listener, _) = listen();
-    let address = listener.local_addr().expect("address");
-    let service_time = |label: &str| {
-        if label.contains(LONG_MARK) {
-            LONG_SERVICE_TIME
-        } else {
-            Duration::from_millis(5)
-        }
-    };
-    let handler = Arc::new(move |label: &str| (service_time(label), 50.0));
-    tokio::spawn(fake_engine::serve(listener, handler));
-    address
-}
-
-fn run(test: impl Future<Output = ()>) {
-    tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .expect("runtime")
-        .block_on(test);
-}
-
-/// A client with a request that is open for [`LONG_SERVICE_TIME`].
+/// A client with a request that is open for some seconds.
 async fn client_with_open_request(manager: &Manager) -> Client {
     let mut client = Client::new("gateway", manager.platform).await;
     client.step("send", &["1", "usage-report"]).await;
@@ -244,18 +139,65 @@
     });
 }
 
-/// Guards against a process that is killed for its memory while hundreds of clients stop inside a
-/// large request. Another client is served meanwhile.
-#[test]
-fn clients_that_stop_inside_a_large_request_stay_within_the_memory() {
+/// How a platform client sends a message that it does not complete.
+#[derive(Clone, Copy, Debug)]
+enum IncompleteMessage {
+    /// All but the end of a large statement at once.
+    LargeStatement,
+    /// The same in small parts.
+    SlowStatement,
+    /// A call with very many short fields, whose length is not known before its end.
+    ManyShortFields,
+}
+
+/// The bytes of the message. The last part never comes.
+fn incomplete_message(kind: IncompleteMessage, client: &Client) -> Vec<u8> {
+    match kind {
+        IncompleteMessage::LargeStatement | IncompleteMessage::SlowStatement => {
+            let call = client.call_bytes(1, "log-load", &padding(LARGE_STATEMENT_BYTES));
+            call[..call.len() - 100].to_vec()
+        }
+        IncompleteMessage::ManyShortFields => {
+            // A call whose parameters are an array of 65,000 numbers of one byte.
+            let mut call = b"\x94\x00\x01\xa8log-load\xdc\xfd\xe8".to_vec();
+            call.resize(LARGE_STATEMENT_BYTES, 1);
+            call
+        }
+    }
+}
+
+/// Guards against a process that is killed for its memory while hundreds of clients write slowly,
+/// stop inside a large request, or send very many short fields. Another client is served meanwhile.
+#[rstest]
+fn clients_that_do_not_complete_a_large_request_stay_within_the_memory(
+    #[values(
+        IncompleteMessage::LargeStatement,
+        IncompleteMessage::SlowStatement,
+        IncompleteMessage::ManyShortFields
+    )]
+    kind: IncompleteMessage,
+) {
     const CLIENTS: usize = 340;
+    const SLOW_PARTS: usize = 30;
     run(async {
-        let manager = Manager::start("stopped", 1024).await;
+        let manager = Manager::start(&format!("{kind:?}"), 1024).await;
         let mut clients = Vec::new();
         for number in 0..CLIENTS {
-            let mut client = Client::new(&format!("c{number}"), manager.platform).await;
-            send_part(&mut client, LARGE_STATEMENT_BYTES).await;
-            clients.push(client);
+            let client = Client::new(&format!("c{number}"), manager.platform).await;
+            let message = incomplete_message(kind, &client);
+            clients.push((client, message));
+        }
+        let parts = match kind {
+            IncompleteMessage::SlowStatement => SLOW_PARTS,
+            IncompleteMessage::LargeStatement | IncompleteMessage::ManyShortFields => 1,
+        };
+        for part in 0..parts {
+            for (client, message) in &mut clients {
+                let part_bytes = message.len().div_ceil(parts);
+                let start = (part * part_bytes).min(message.len());
+                let end = (start + part_bytes).min(message.len());
+                client.try_send_bytes(&message[start..end]).await;
+            }
             assert!(manager.memory_kb() <= MEMORY_KB);
         }
         let answer_time = manager.serve_new_client("other").await;
--- a/tests/service_guarantees/main.rs
+++ b/tests/service_guarantees/main.rs
@@ -11,5 +11,8 @@
 mod client_memory;
 mod descriptor_limit;
 mod fake_engine;
+mod flooding_client;
+mod process_on_small_machine;
 mod restart_readiness;
+mod reused_engine_address;
 mod slow_start;
