Drop the oldest ticket of the connection that holds most, not that of a bystander

Seen: a Flight SQL client that plans more queries than tickets are stored made other clients lose theirs, so that their fetch was answered with INVALID_ARGUMENT.

Cause: TicketStore dropped the oldest ticket of all.

--- a/src/clients/flight/connection/tests.rs
+++ b/src/clients/flight/connection/tests.rs
@@ -3,7 +3,8 @@
 mod flight_client;
 
 use self::flight_client::{
-    FlightClient, GRPC_INTERNAL, GRPC_OK, LARGE_WINDOW_BYTES, SMALL_WINDOW_BYTES,
+    FlightClient, GRPC_INTERNAL, GRPC_INVALID_ARGUMENT, GRPC_OK, LARGE_WINDOW_BYTES,
+    SMALL_WINDOW_BYTES,
 };
 use super::close_signal;
 use crate::clients::connection_slots::ConnectionSlots;
@@ -189,3 +190,23 @@
     assert_eq!(unread.read_to_end().await, GRPC_OK);
     assert_eq!(client.fetch(&ticket).await.read_to_end().await, GRPC_OK);
 }
+
+/// Guards against a client that loses its ticket because another one plans many queries: the oldest
+/// tickets were dropped, whoever had planned them.
+#[tokio::test]
+async fn client_that_plans_many_queries_costs_another_client_no_ticket() {
+    const TICKETS: usize = 8;
+    let test = TestFrontend::new(8, |limits| limits.flight_tickets = TICKETS).await;
+    tokio::spawn(serve_all_requests(test.mailbox));
+    tokio::spawn(listen(test.listener, test.frontend));
+    let mut client = FlightClient::connect(test.address, LARGE_WINDOW_BYTES).await;
+    let ticket = client.plan().await;
+    let mut other = FlightClient::connect(test.address, LARGE_WINDOW_BYTES).await;
+    let oldest_of_other = other.plan().await;
+    for _ in 0..2 * TICKETS {
+        other.plan().await;
+    }
+    assert_eq!(client.fetch(&ticket).await.read_to_end().await, GRPC_OK);
+    let answer = other.fetch(&oldest_of_other).await;
+    assert_eq!(answer.read_to_end().await, GRPC_INVALID_ARGUMENT);
+}
--- a/src/clients/flight/connection/tests/flight_client.rs
+++ b/src/clients/flight/connection/tests/flight_client.rs
@@ -17,6 +17,8 @@
 
 /// The gRPC status of a call that was served.
 pub(super) const GRPC_OK: &str = "0";
+/// The gRPC status of a call that is invalid.
+pub(super) const GRPC_INVALID_ARGUMENT: &str = "3";
 /// The gRPC status of a call that has failed.
 pub(super) const GRPC_INTERNAL: &str = "13";
 
--- a/src/clients/flight/service.rs
+++ b/src/clients/flight/service.rs
@@ -59,9 +59,15 @@
         self.tickets.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn store_ticket(&self, handle: Bytes, call: StatementCall) {
+    fn store_ticket(
+        &self,
+        handle: Bytes,
+        call: StatementCall,
+        connection: Option<&ClientConnection>,
+    ) {
         let limits = &self.frontend.limits;
-        self.tickets().insert(handle, call, limits);
+        let owner = connection.map(|connection| connection.slot.connection_id());
+        self.tickets().insert(handle, call, owner, limits);
     }
 
     /// Checks a query and returns a ticket for it. Nothing is sent to an engine.
@@ -76,7 +82,7 @@
         let connection = connection.as_deref();
         let call = StatementCall::parse(&self.frontend, connection, &metadata, statement)?;
         let handle = call.reference.clone();
-        self.store_ticket(handle.clone(), call);
+        self.store_ticket(handle.clone(), call, connection);
         let ticket = TicketStatementQuery {
             statement_handle: handle,
         };
@@ -121,13 +127,13 @@
             .clone()
             .reserve_for(&self.frontend, connection.as_deref())
         {
-            Ok(call) => serve(&self.frontend, call, kind, &metadata, connection).await,
+            Ok(call) => serve(&self.frontend, call, kind, &metadata, connection.clone()).await,
             Err(error) => Err(error.into()),
         };
         let served = served.inspect_err(|error| {
             // A rejected query did not run, so its ticket becomes valid again.
             if status::is_rejection(error) {
-                self.store_ticket(handle, call);
+                self.store_ticket(handle, call, connection.as_deref());
             }
         })?;
         let ServedCall {
