Share the references of bulk loads with the other process of a hot restart

Cause: spent references were known to one process alone.

Change: hot_restart::spent_reference_table, in the file of the order locks that every process has open: one entry is written before the first attempt of a non-idempotent request is sent, and removed if it provably never ran; one is read when such a request is admitted.

--- a/src/core/admission.rs
+++ b/src/core/admission.rs
@@ -1,12 +1,11 @@
 //! Admission of requests: the checks before a request enters the table, and the disconnection of
 //! its client.
 
-use super::requests::RequestState;
+use super::requests::{RequestState, has_spendable_reference};
 use super::timers::Timer;
 use super::{
     AcceptedRequest, Answer, Core, EnginePort, Event, FailureReason, Millis, Outcome, RequestId,
 };
-use crate::decision::Idempotency;
 use crate::metrics::Counter;
 use crate::retry_policy::{AttemptPolicy, RequestAttributes};
 
@@ -68,7 +67,7 @@
     /// Whether a client that has left comes again with a request that may have run and must not run
     /// a second time.
     fn may_have_run_before(&self, accepted: &AcceptedRequest) -> bool {
-        accepted.class.class.idempotency == Idempotency::NonIdempotent
+        has_spendable_reference(accepted)
             && self.spent_references.contains(&accepted.client_reference)
     }
 
--- a/src/core/attempt_end.rs
+++ b/src/core/attempt_end.rs
@@ -352,9 +352,13 @@
         let Some(request) = self.requests.remove(id) else {
             return;
         };
-        if request.is_non_idempotent() && request.history.may_have_run() {
-            self.spent_references
-                .insert(&request.accepted.client_reference);
+        if request.has_spendable_reference() {
+            let reference = &request.accepted.client_reference;
+            if request.history.may_have_run() {
+                self.spent_references.insert(reference);
+            } else {
+                self.spent_references.withdraw(reference);
+            }
         }
         if let Some(key) = request.accepted.order_key {
             self.remove_from_order_lease(now, key, id);
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -28,6 +28,7 @@
 pub use actor::{Clock, Handle, Mailbox, run};
 pub use order_leases::{OrderLocks, PeerProcesses};
 pub use ports::*;
+pub use spent_references::SharedReferences;
 
 use crate::decision::{
     Action, Dispatcher, Event, Millis, Outcome, RequestId, Settings, SettingsError,
--- a/src/core/spent_references.rs
+++ b/src/core/spent_references.rs
@@ -1,18 +1,43 @@
 //! Client references of non-idempotent requests that are over and may have run.
 //!
 //! A client that has left and comes again with the same reference means the same request. It must
-//! not run a second time, so it is answered as failed. Only the last references are kept.
+//! not run a second time, so it is answered as failed. Only the last references are kept. What was
+//! sent to an engine is also shared with the other processes of this workload manager.
 
+use super::{Core, EnginePort};
 use std::collections::{HashSet, VecDeque};
+use std::num::NonZeroU64;
 
 /// The digits of a client reference are hexadecimal.
 const REFERENCE_RADIX: u32 = 16;
 
+/// References that the processes of this workload manager share. No call blocks for long. An error
+/// counts as a reference that is not known.
+pub trait SharedReferences: Send {
+    /// Records the reference of a request that is being sent to an engine.
+    fn insert(&self, reference: NonZeroU64);
+    /// Removes the reference of a request that provably never ran.
+    fn remove(&self, reference: NonZeroU64);
+    /// Whether any process has recorded the reference.
+    fn contains(&self, reference: NonZeroU64) -> bool;
+}
+
+impl<E: EnginePort> Core<E> {
+    /// Sets the references that this process shares with the other processes of this workload
+    /// manager.
+    #[must_use]
+    pub fn with_shared_references(mut self, shared: Option<Box<dyn SharedReferences>>) -> Self {
+        self.spent_references.shared = shared;
+        self
+    }
+}
+
 /// The last references, up to a maximum number.
 pub(super) struct SpentReferences {
     capacity: usize,
-    references: HashSet<u64>,
-    oldest_first: VecDeque<u64>,
+    references: HashSet<NonZeroU64>,
+    oldest_first: VecDeque<NonZeroU64>,
+    shared: Option<Box<dyn SharedReferences>>,
 }
 
 impl SpentReferences {
@@ -21,6 +46,7 @@
             capacity,
             references: HashSet::new(),
             oldest_first: VecDeque::new(),
+            shared: None,
         }
     }
 
@@ -42,14 +68,34 @@
         }
     }
 
+    /// Whether a request with this reference may have run, here or in another process.
     pub(super) fn contains(&self, reference: &[u8]) -> bool {
-        parse(reference).is_some_and(|reference| self.references.contains(&reference))
+        parse(reference).is_some_and(|reference| {
+            let is_shared = |shared: &dyn SharedReferences| shared.contains(reference);
+            self.references.contains(&reference) || self.shared.as_deref().is_some_and(is_shared)
+        })
+    }
+
+    /// Tells the other processes that a request with this reference is being sent to an engine.
+    pub(super) fn share(&self, reference: &[u8]) {
+        if let (Some(shared), Some(reference)) = (&self.shared, parse(reference)) {
+            shared.insert(reference);
+        }
+    }
+
+    /// Tells the other processes that the request with this reference provably never ran.
+    pub(super) fn withdraw(&self, reference: &[u8]) {
+        if let (Some(shared), Some(reference)) = (&self.shared, parse(reference)) {
+            shared.remove(reference);
+        }
     }
 }
 
-fn parse(reference: &[u8]) -> Option<u64> {
+/// The number that a reference stands for; `None` if it has no 64 bits, or is zero.
+fn parse(reference: &[u8]) -> Option<NonZeroU64> {
     let digits = std::str::from_utf8(reference).ok()?;
-    u64::from_str_radix(digits, REFERENCE_RADIX).ok()
+    let number = u64::from_str_radix(digits, REFERENCE_RADIX).ok()?;
+    NonZeroU64::new(number)
 }
 
 #[cfg(test)]
--- a/src/hot_restart.rs
+++ b/src/hot_restart.rs
@@ -9,7 +9,8 @@
 //! - the stored state, which records the manual ejections of engines ([`stored_state`],
 //!   [`state_store`]);
 //! - the lock file of the order keys, which keeps the requests of a key in order across both
-//!   processes ([`order_lock_file`]).
+//!   processes ([`order_lock_file`]). It also has the table of spent references
+//!   ([`spent_reference_table`]).
 //!
 //! [`peer_sync`] contains the actor that exchanges state with the peer process. `node` opens the
 //! files at the start; `admin` records manual ejections through [`StateWriter`].
@@ -17,10 +18,11 @@
 mod order_lock_file;
 mod peer_process;
 mod peer_sync;
+mod spent_reference_table;
 mod state_store;
 mod stored_state;
 
-pub(crate) use order_lock_file::open_order_locks;
+pub(crate) use order_lock_file::{SharedRequestState, open_order_locks};
 pub(crate) use peer_sync::{PeerSync, StateWriter};
 pub(crate) use state_store::StateStore;
 pub(crate) use stored_state::ManualEjection;
--- a/src/hot_restart/order_lock_file.rs
+++ b/src/hot_restart/order_lock_file.rs
@@ -12,7 +12,8 @@
 //! exited, the content of its slot shows whether it may still have held keys.
 
 use super::shared_file;
-use crate::core::{OrderKey, OrderLocks, PeerProcesses};
+use super::spent_reference_table::SpentReferenceTable;
+use crate::core::{OrderKey, OrderLocks, PeerProcesses, SharedReferences};
 use crate::metrics::Metrics;
 use nix::errno::Errno;
 use nix::fcntl::{FcntlArg, fcntl};
@@ -47,9 +48,15 @@
     NoFreeSlot,
 }
 
+/// What the core shares with the other processes of this workload manager. Both parts use one file.
+pub(crate) struct SharedRequestState {
+    pub(crate) order_locks: Box<dyn OrderLocks>,
+    pub(crate) references: Box<dyn SharedReferences>,
+}
+
 /// The open lock file. The slot of this process is locked.
 struct OrderLockFile {
-    file: File,
+    file: Arc<File>,
     own_slot: i64,
     /// Number of keys that this process has locked.
     locked_keys: usize,
@@ -60,7 +67,8 @@
     metrics: Arc<Metrics>,
 }
 
-/// Opens the locks on order keys of the workload manager `name` in the shared folder.
+/// Opens the locks on order keys of the workload manager `name` in the shared folder, and the table
+/// of spent references in the same file.
 ///
 /// # Errors
 ///
@@ -69,9 +77,14 @@
     folder: &Path,
     name: &str,
     metrics: Arc<Metrics>,
-) -> Result<Box<dyn OrderLocks>, OrderLockError> {
+) -> Result<SharedRequestState, OrderLockError> {
     let path = shared_file(folder, name, "order");
-    Ok(Box::new(OrderLockFile::open(&path, metrics)?))
+    let locks = OrderLockFile::open(&path, metrics.clone())?;
+    let references = SpentReferenceTable::new(locks.file.clone(), metrics);
+    Ok(SharedRequestState {
+        order_locks: Box::new(locks),
+        references: Box::new(references),
+    })
 }
 
 impl OrderLockFile {
@@ -85,7 +98,7 @@
             .open(path)?;
         let own_slot = claim_process_slot(&file)?;
         let mut locks = OrderLockFile {
-            file,
+            file: Arc::new(file),
             own_slot,
             locked_keys: 0,
             earlier_exits_with_keys: 0,
--- a/src/node/startup.rs
+++ b/src/node/startup.rs
@@ -7,11 +7,11 @@
 use super::sockets::{BindError, BoundSocket, SnmpSocket, Sockets};
 use crate::admin::{self, AdminServer};
 use crate::clients::{ClientMemory, Frontend, flight, msgpack_rpc};
-use crate::core::{self, Clock, Core, CoreMessage, Handle, OrderLocks};
+use crate::core::{self, Clock, Core, CoreMessage, Handle};
 use crate::decision::{Settings, SettingsError};
 use crate::discovery::{self, FollowerContext};
 use crate::engines::{EngineContext, Fleet};
-use crate::hot_restart::{self, PeerSync, StateStore, StateWriter};
+use crate::hot_restart::{self, PeerSync, SharedRequestState, StateStore, StateWriter};
 use crate::lifecycle::Lifecycle;
 use crate::limits::Limits;
 use crate::metrics::Metrics;
@@ -51,7 +51,7 @@
 /// folder, or with one that cannot be used; it then detects no peer process.
 struct SharedState {
     store: Option<StateStore>,
-    order_locks: Option<Box<dyn OrderLocks>>,
+    request_state: Option<SharedRequestState>,
     /// Whether another process of this workload manager was running when this one started.
     is_successor: bool,
 }
@@ -73,7 +73,7 @@
         seed: config.seed,
         is_successor,
         policy: operator_config.policy.clone(),
-        order_locks: shared_state.order_locks,
+        request_state: shared_state.request_state,
     };
     let core = start_core(core_setup, engine_protocol, &context)?;
     count_operator_config_load(operator_config.path.as_deref(), &context.metrics);
@@ -179,16 +179,16 @@
         let Some(folder) = &config.shared_folder else {
             return SharedState {
                 store: None,
-                order_locks: None,
+                request_state: None,
                 is_successor: false,
             };
         };
         let store = open_store(folder, &config.name, context).await;
-        let order_locks = open_order_locks(folder, &config.name, &context.metrics);
+        let request_state = open_request_state(folder, &config.name, &context.metrics);
         let is_successor = store.as_ref().is_some_and(StateStore::peer_is_running);
         SharedState {
             store,
-            order_locks,
+            request_state,
             is_successor,
         }
     }
@@ -205,15 +205,15 @@
         .ok()
 }
 
-fn open_order_locks(
+fn open_request_state(
     folder: &Path,
     name: &str,
     metrics: &Arc<Metrics>,
-) -> Option<Box<dyn OrderLocks>> {
+) -> Option<SharedRequestState> {
     hot_restart::open_order_locks(folder, name, metrics.clone())
         .inspect_err(|error| {
             let folder = folder.display();
-            tracing::warn!(%folder, %error, "cannot open the order locks; requests of one key stay in order within this process only");
+            tracing::warn!(%folder, %error, "cannot open the order locks; requests of one key stay in order, and spent references are known, within this process only");
         })
         .ok()
 }
@@ -224,7 +224,7 @@
     seed: u64,
     is_successor: bool,
     policy: Arc<Policy>,
-    order_locks: Option<Box<dyn OrderLocks>>,
+    request_state: Option<SharedRequestState>,
 }
 
 /// Starts the core with its engine connections.
@@ -248,6 +248,10 @@
     } else {
         setup.seed
     };
+    let (order_locks, references) = setup
+        .request_state
+        .map(|state| (state.order_locks, state.references))
+        .unzip();
     let core = Core::new(
         setup.settings,
         seed,
@@ -256,7 +260,8 @@
         metrics.clone(),
     )?
     .with_policy(setup.policy)
-    .with_order_locks(setup.order_locks);
+    .with_order_locks(order_locks)
+    .with_shared_references(references);
     tokio::spawn(core::run(core, inputs, clock));
     Ok(handle)
 }
