Decide in one place which reference is spent, and derive what the parser stored twice

- Which requests have a reference that can be spent was decided in core/requests.rs, once as a function and once as a method, and each caller of SpentReferences asked first.
SpentReferences now takes the request and decides itself; its own comment named a case that the check had already excluded.
- A parsed call stored its head beside its parts, which have id and method: the head is a part now.
The known length of a message was stored beside its lower bound, though both are the same number once it is known: a flag says so.
The length of a body was checked twice.
- A notification was copied whole, although nothing of it is kept.
- A ticket's statement was reserved after the ticket was taken out, so that a refusal had to put it back: redeem reserves it first.
- The input of an update is dropped by the function that reads it, in place of two explicit drops.
The body of a call no longer repeats two methods whose defaults are right for it (twin of answer_body.rs).

--- a/src/clients/flight/call_input.rs
+++ b/src/clients/flight/call_input.rs
@@ -8,7 +8,7 @@
 use crate::limits::{MemoryOwner, MemoryReservation};
 use bytes::Bytes;
 use http::HeaderMap;
-use http_body::{Body as HttpBody, Frame, SizeHint};
+use http_body::{Body as HttpBody, Frame};
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll};
@@ -61,14 +61,6 @@
         let frame = Pin::new(&mut self.body).poll_frame(context);
         frame.map(|frame| frame.map(|frame| self.record_frame(frame?)))
     }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
 }
 
 /// Counts the memory of a call's metadata, which is held by the returned reservation, and of its
--- a/src/clients/flight/service.rs
+++ b/src/clients/flight/service.rs
@@ -95,15 +95,21 @@
         Ok(response_of_call(info, open_call))
     }
 
-    /// Returns a ticket's handle and its planned call, under the settings of now. The ticket of a
+    /// Returns a ticket's handle and its planned call, under the settings of now and in memory of the
+    /// client that fetches it. The ticket of a
     /// non-idempotent class is removed, so that it can be used only once. This happens before
     /// anything is sent to an engine.
-    fn redeem(&self, ticket: &Ticket) -> Result<(Bytes, StatementCall), CallError> {
+    fn redeem(
+        &self,
+        ticket: &Ticket,
+        connection: Option<&ClientConnection>,
+    ) -> Result<(Bytes, StatementCall), CallError> {
         let handle = command::statement_handle(&ticket.ticket)?;
         let planned = self.tickets().get(&handle);
         let mut call = planned
             .ok_or(CallError::UnknownTicket)?
-            .under_current_settings(&self.frontend)?;
+            .under_current_settings(&self.frontend)?
+            .reserve_for(&self.frontend, connection)?;
         if call.class.class.idempotency == Idempotency::NonIdempotent {
             self.tickets().remove(&handle);
         } else {
@@ -121,15 +127,10 @@
     ) -> Result<Response<FlightDataStream>, Status> {
         let connection = client_connection(&request);
         let (metadata, _, ticket) = request.into_parts();
-        let (handle, call) = self.redeem(&ticket)?;
+        let (handle, call) = self.redeem(&ticket, connection.as_deref())?;
         let kind = StatementKind::Query;
-        let served = match call
-            .clone()
-            .reserve_for(&self.frontend, connection.as_deref())
-        {
-            Ok(call) => serve(&self.frontend, call, kind, &metadata, connection.clone()).await,
-            Err(error) => Err(error.into()),
-        };
+        let (planned, client) = (call.clone(), connection.clone());
+        let served = serve(&self.frontend, planned, kind, &metadata, client).await;
         let served = served.inspect_err(|error| {
             // A rejected query did not run, so its ticket becomes valid again.
             if status::is_rejection(error) {
@@ -145,25 +146,28 @@
         Ok(response_of_call(messages, open_call))
     }
 
-    /// Runs an update and returns the number of changed rows.
-    async fn run_update(
-        &self,
-        request: Request<Streaming<FlightData>>,
-    ) -> Result<Response<<Self as FlightService>::DoPutStream>, Status> {
-        let connection = client_connection(&request);
-        let (metadata, _, mut input) = request.into_parts();
+    /// Reads the command of an update and returns its statement. Nothing more of the input is needed,
+    /// so it is dropped, and what follows is not kept.
+    async fn read_update(&self, mut input: Streaming<FlightData>) -> Result<String, Status> {
         // Without this timeout, a call that sends no command would stay open forever.
         let first_message = timeout(self.frontend.limits.client_read_timeout, input.message())
             .await
             .map_err(|_| CallError::CommandTimeout)??
             .ok_or(CallError::MissingCommand)?;
-        // Nothing more of the input is needed, so what follows is not kept.
-        drop(input);
         let descriptor = first_message
             .flight_descriptor
             .ok_or(CallError::MissingDescriptor)?;
-        let statement = command::update_statement(&descriptor.cmd)?;
-        drop(descriptor);
+        Ok(command::update_statement(&descriptor.cmd)?)
+    }
+
+    /// Runs an update and returns the number of changed rows.
+    async fn run_update(
+        &self,
+        request: Request<Streaming<FlightData>>,
+    ) -> Result<Response<<Self as FlightService>::DoPutStream>, Status> {
+        let connection = client_connection(&request);
+        let (metadata, _, input) = request.into_parts();
+        let statement = self.read_update(input).await?;
         let client = connection.as_deref();
         let call = StatementCall::parse(&self.frontend, client, &metadata, statement)?;
         let kind = StatementKind::Update;
--- a/src/clients/msgpack/message_parts.rs
+++ b/src/clients/msgpack/message_parts.rs
@@ -19,8 +19,7 @@
 /// The positions of a message's parts within its bytes.
 pub(super) enum MessageParts {
     Call {
-        id: u64,
-        method: Range<usize>,
+        head: CallHead,
         parameters: ParameterRanges,
     },
     Cancel {
@@ -41,13 +40,9 @@
     /// Builds the message from slices of its bytes.
     pub(super) fn slice(self, bytes: &Bytes) -> Message {
         match self {
-            MessageParts::Call {
-                id,
-                method,
-                parameters,
-            } => Message::Call(Call {
-                id,
-                method: bytes.slice(method),
+            MessageParts::Call { head, parameters } => Message::Call(Call {
+                id: head.id,
+                method: bytes.slice(head.method),
                 fields: parameters.fields.map(|ranges| slice_fields(ranges, bytes)),
                 body: parameters.body.map(|range| bytes.slice(range)),
             }),
--- a/src/clients/msgpack/parser.rs
+++ b/src/clients/msgpack/parser.rs
@@ -17,14 +17,13 @@
     match reader.message() {
         Ok(parts) => Ok(Parsed::Complete(CompleteMessage {
             length: reader.position(),
-            call: reader.call,
             parts,
         })),
         Err(ParseError::Invalid(error)) => Err(error),
         Err(ParseError::Incomplete) => {
             let message = IncompleteMessage {
                 call: reader.call,
-                expected_length: reader.expected_length,
+                is_length_known: reader.is_length_known,
                 min_length: reader.min_length,
             };
             check_incomplete_length(&message, input.len(), limits)?;
@@ -42,7 +41,7 @@
 ) -> Result<(), MessageError> {
     let limit = limits.message_bytes;
     let is_too_long = message.min_length > limit + limits.client_input_buffer_bytes
-        || message.expected_length.is_none() && received_bytes > limit;
+        || !message.is_length_known && received_bytes > limit;
     if is_too_long {
         return Err(MessageError::TooLong {
             bytes: received_bytes,
@@ -62,12 +61,18 @@
 pub(crate) struct CompleteMessage {
     /// Length of the message in bytes.
     pub(crate) length: usize,
-    /// The head, if the message is a call.
-    pub(crate) call: Option<CallHead>,
     parts: MessageParts,
 }
 
 impl CompleteMessage {
+    /// The head, if the message is a call.
+    pub(crate) fn call(&self) -> Option<&CallHead> {
+        match &self.parts {
+            MessageParts::Call { head, .. } => Some(head),
+            MessageParts::Cancel { .. } | MessageParts::UnknownNotification => None,
+        }
+    }
+
     /// Builds the message from the bytes that it was parsed from, without a copy.
     pub(crate) fn slice(self, bytes: &Bytes) -> Message {
         self.parts.slice(bytes)
@@ -75,13 +80,12 @@
 }
 
 /// A message whose rest has not arrived yet.
-#[derive(Default)]
 pub(crate) struct IncompleteMessage {
     /// The head, if the message is a call and its head has arrived.
     pub(crate) call: Option<CallHead>,
-    /// Length of the whole message in bytes, if all but its body has arrived.
-    pub(crate) expected_length: Option<usize>,
     /// Lower bound on the length of the whole message in bytes. It need not be parsed again before
     /// this number of bytes has arrived.
     pub(crate) min_length: usize,
+    /// Whether `min_length` is the length of the message: all but its body has arrived.
+    pub(crate) is_length_known: bool,
 }
--- a/src/clients/msgpack/reader.rs
+++ b/src/clients/msgpack/reader.rs
@@ -71,10 +71,10 @@
     limits: &'a Limits,
     /// The head of the call, once it was read.
     pub(super) call: Option<CallHead>,
-    /// Length of the whole message, once everything before its body was read.
-    pub(super) expected_length: Option<usize>,
     /// Lower bound on the length of the whole message.
     pub(super) min_length: usize,
+    /// Whether `min_length` is the length of the message: everything before its body was read.
+    pub(super) is_length_known: bool,
 }
 
 impl<'a> Reader<'a> {
@@ -83,8 +83,8 @@
             input: Cursor::new(input),
             limits,
             call: None,
-            expected_length: None,
             min_length: 0,
+            is_length_known: false,
         }
     }
 
@@ -154,16 +154,10 @@
     fn call(&mut self) -> ParseResult<MessageParts> {
         let id = decode::read_int(&mut self.input)?;
         let method = self.string()?;
-        self.call = Some(CallHead {
-            id,
-            method: method.clone(),
-        });
+        let head = CallHead { id, method };
+        self.call = Some(head.clone());
         let parameters = self.parameters()?;
-        Ok(MessageParts::Call {
-            id,
-            method,
-            parameters,
-        })
+        Ok(MessageParts::Call { head, parameters })
     }
 
     fn notification(&mut self) -> ParseResult<MessageParts> {
@@ -204,9 +198,8 @@
     fn body(&mut self) -> ParseResult<Option<Range<usize>>> {
         if is_binary(self.peek_marker()?) {
             let length = decode::read_bin_len(&mut self.input)?;
-            self.check_length(length as usize)?;
             // The body is the last part of a message.
-            self.expected_length = Some(self.position() + length as usize);
+            self.is_length_known = true;
             return self.bytes(length).map(Some);
         }
         self.skip_value()?;
--- a/src/clients/msgpack_rpc/input.rs
+++ b/src/clients/msgpack_rpc/input.rs
@@ -139,19 +139,17 @@
     /// kept of it does not keep other messages of the buffer.
     fn take_message(&mut self, message: CompleteMessage) -> ReceivedMessage {
         self.set_parse_at_length(0);
-        let Some(call) = message.call.clone() else {
-            let bytes = Bytes::copy_from_slice(&self.buffer.unread()[..message.length]);
+        let Some(call) = message.call() else {
+            // Nothing of a notification is kept.
             self.buffer.consume(message.length);
-            return ReceivedMessage::Message(message.slice(&bytes));
+            return ReceivedMessage::Message(message.slice(&Bytes::new()));
         };
-        match self.buffer.take(message.length) {
-            Some(bytes) => ReceivedMessage::Message(message.slice(&bytes)),
-            None => {
-                let refused = self.refused_call(&call);
-                self.buffer.consume(message.length);
-                ReceivedMessage::Refused(refused)
-            }
+        if let Some(bytes) = self.buffer.take(message.length) {
+            return ReceivedMessage::Message(message.slice(&bytes));
         }
+        let refused = self.refused_call(call);
+        self.buffer.consume(message.length);
+        ReceivedMessage::Refused(refused)
     }
 
     /// Makes space for the rest of a message, or refuses the call if there is no memory for it.
@@ -164,12 +162,12 @@
             self.set_parse_at_length(message.min_length);
             return Ok(None);
         }
-        let (Some(call), Some(length)) = (&message.call, message.expected_length) else {
+        let Some(call) = message.call.as_ref().filter(|_| message.is_length_known) else {
             return Err(ProtocolError::NoMemoryForMessage);
         };
         self.state = InputState::Skipping {
             call: self.refused_call(call),
-            remaining_bytes: length,
+            remaining_bytes: message.min_length,
             incomplete_since: self.incomplete_since().unwrap_or_else(Instant::now),
         };
         Ok(self.skip().map(ReceivedMessage::Refused))
--- a/src/core/admission.rs
+++ b/src/core/admission.rs
@@ -1,7 +1,7 @@
 //! Admission of requests: the checks before a request enters the table, and the disconnection of
 //! its client.
 
-use super::requests::{RequestState, has_spendable_reference};
+use super::requests::RequestState;
 use super::timers::Timer;
 use super::{
     AcceptedRequest, Answer, Core, EnginePort, Event, FailureReason, Millis, Outcome, RequestId,
@@ -45,7 +45,9 @@
         // Engines distinguish attempts by the client's reference, so two open requests must not
         // share one.
         let reference = &accepted.client_reference;
-        if self.requests.has_client_reference(reference) || self.may_have_run_before(accepted) {
+        if self.requests.has_client_reference(reference)
+            || self.spent_references.may_have_run(accepted)
+        {
             return Err(AdmissionError::DuplicateReference);
         }
         if self.requests.len() >= self.limits.open_requests {
@@ -64,13 +66,6 @@
         }))
     }
 
-    /// Whether a client that has left comes again with a request that may have run and must not run
-    /// a second time.
-    fn may_have_run_before(&self, accepted: &AcceptedRequest) -> bool {
-        has_spendable_reference(accepted)
-            && self.spent_references.contains(&accepted.client_reference)
-    }
-
     fn refuse_request(&self, accepted: &AcceptedRequest, error: AdmissionError) {
         tracing::debug!(
             id = accepted.id,
--- a/src/core/attempt_end.rs
+++ b/src/core/attempt_end.rs
@@ -352,14 +352,8 @@
         let Some(request) = self.requests.remove(id) else {
             return;
         };
-        if request.has_spendable_reference() {
-            let reference = &request.accepted.client_reference;
-            if request.history.may_have_run() {
-                self.spent_references.insert(reference);
-            } else {
-                self.spent_references.withdraw(reference);
-            }
-        }
+        self.spent_references
+            .record_end(&request.accepted, request.history.may_have_run());
         if let Some(key) = request.accepted.order_key {
             self.remove_from_order_lease(now, key, id);
         }
--- a/src/core/attempt_start.rs
+++ b/src/core/attempt_start.rs
@@ -152,7 +152,7 @@
             statement_kind: request.accepted.statement_kind,
             cancellation: request.cancellation.clone(),
         };
-        request.share_reference(&self.spent_references);
+        self.spent_references.record_sent(&request.accepted);
         if !self.engines.start_attempt(engine, attempt_request) {
             return Err(Outcome::NoConnection);
         }
--- a/src/core/requests.rs
+++ b/src/core/requests.rs
@@ -1,11 +1,10 @@
 //! The table of requests: every accepted request, until its last attempt has ended and its client
 //! has the answer.
 
-use super::spent_references::SpentReferences;
 use super::{AcceptedRequest, CancellationFlag};
 use crate::attempt::AttemptHistory;
 use crate::decision::{EngineId, Idempotency, Millis, Outcome, RequestId};
-use crate::retry_policy::{AttemptPolicy, FrontendKind};
+use crate::retry_policy::AttemptPolicy;
 use bytes::Bytes;
 use std::collections::{HashMap, HashSet};
 
@@ -50,32 +49,12 @@
         }
     }
 
-    /// Tells the other processes of this workload manager, before an attempt is sent, that the request
-    /// must not run there.
-    pub(super) fn share_reference(&self, references: &SpentReferences) {
-        if self.has_spendable_reference() {
-            references.share(&self.accepted.client_reference);
-        }
-    }
-
-    /// Whether the request must not run again if it comes again with its client reference.
-    pub(super) fn has_spendable_reference(&self) -> bool {
-        has_spendable_reference(&self.accepted)
-    }
-
     /// Whether its class is idempotent, so that it may run any number of times.
     pub(super) fn is_idempotent(&self) -> bool {
         self.accepted.class.class.idempotency == Idempotency::Idempotent
     }
 }
 
-/// Whether this request must not run again if it comes again with its client reference: its class is
-/// non-idempotent, and the client has chosen the reference.
-pub(super) fn has_spendable_reference(accepted: &AcceptedRequest) -> bool {
-    accepted.class.class.idempotency == Idempotency::NonIdempotent
-        && accepted.frontend == FrontendKind::Platform
-}
-
 /// How and where the last attempt of a request ended.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) struct LastEnd {
--- a/src/core/spent_references.rs
+++ b/src/core/spent_references.rs
@@ -4,7 +4,9 @@
 //! not run a second time, so it is answered as failed. Only the last references are kept. What was
 //! sent to an engine is also shared with the other processes of this workload manager.
 
-use super::{Core, EnginePort};
+use super::{AcceptedRequest, Core, EnginePort};
+use crate::decision::Idempotency;
+use crate::retry_policy::FrontendKind;
 use std::collections::{HashSet, VecDeque};
 use std::num::NonZeroU64;
 
@@ -50,50 +52,57 @@
         }
     }
 
-    /// Records a reference. If there are too many, the oldest one is dropped. References that this
-    /// process has made itself may be longer than 16 digits; they never come again and are not
-    /// recorded.
-    pub(super) fn insert(&mut self, reference: &[u8]) {
-        let Some(reference) = parse(reference) else {
-            return;
-        };
-        if !self.references.insert(reference) {
-            return;
-        }
-        self.oldest_first.push_back(reference);
-        if self.oldest_first.len() > self.capacity
-            && let Some(oldest) = self.oldest_first.pop_front()
-        {
-            self.references.remove(&oldest);
-        }
-    }
-
-    /// Whether a request with this reference may have run, here or in another process.
-    pub(super) fn contains(&self, reference: &[u8]) -> bool {
-        parse(reference).is_some_and(|reference| {
+    /// Whether this request may have run under its reference, here or in another process.
+    pub(super) fn may_have_run(&self, request: &AcceptedRequest) -> bool {
+        spendable_reference(request).is_some_and(|reference| {
             let is_shared = |shared: &dyn SharedReferences| shared.contains(reference);
             self.references.contains(&reference) || self.shared.as_deref().is_some_and(is_shared)
         })
     }
 
-    /// Tells the other processes that a request with this reference is being sent to an engine.
-    pub(super) fn share(&self, reference: &[u8]) {
-        if let (Some(shared), Some(reference)) = (&self.shared, parse(reference)) {
+    /// Tells the other processes that this request is being sent to an engine, so that they do not
+    /// run it.
+    pub(super) fn record_sent(&self, request: &AcceptedRequest) {
+        if let (Some(shared), Some(reference)) = (&self.shared, spendable_reference(request)) {
             shared.insert(reference);
         }
     }
 
-    /// Tells the other processes that the request with this reference provably never ran.
-    pub(super) fn withdraw(&self, reference: &[u8]) {
-        if let (Some(shared), Some(reference)) = (&self.shared, parse(reference)) {
+    /// Records the end of this request. If it provably never ran, it may come again.
+    pub(super) fn record_end(&mut self, request: &AcceptedRequest, may_have_run: bool) {
+        let Some(reference) = spendable_reference(request) else {
+            return;
+        };
+        if may_have_run {
+            self.insert(reference);
+        } else if let Some(shared) = &self.shared {
             shared.remove(reference);
         }
     }
+
+    /// Keeps a reference. If there are too many, the oldest one is dropped.
+    fn insert(&mut self, reference: NonZeroU64) {
+        if !self.references.insert(reference) {
+            return;
+        }
+        self.oldest_first.push_back(reference);
+        if self.oldest_first.len() > self.capacity
+            && let Some(oldest) = self.oldest_first.pop_front()
+        {
+            self.references.remove(&oldest);
+        }
+    }
 }
 
-/// The number that a reference stands for; `None` if it has no 64 bits, or is zero.
-fn parse(reference: &[u8]) -> Option<NonZeroU64> {
-    let digits = std::str::from_utf8(reference).ok()?;
+/// The reference under which this request must not run again; `None` if its class is idempotent, or
+/// if the manager made the reference itself, so that it never comes again. A reference that is zero
+/// or has no 64 bits is not kept either.
+fn spendable_reference(request: &AcceptedRequest) -> Option<NonZeroU64> {
+    let is_non_idempotent = request.class.class.idempotency == Idempotency::NonIdempotent;
+    if !is_non_idempotent || request.frontend != FrontendKind::Platform {
+        return None;
+    }
+    let digits = std::str::from_utf8(&request.client_reference).ok()?;
     let number = u64::from_str_radix(digits, REFERENCE_RADIX).ok()?;
     NonZeroU64::new(number)
 }
