Wake all who wait under a shared limit when the peer process starts or ends

Seat checks with 2.5 s to live got no answer.

Cause: while both processes run, each has two fifths of the slots. A listener without a free slot waited for a notification that only the connections of its own process gave. `set_peer_process` raised the limit and notified nobody.

Change: `limits::shared_limit` owns the value. A share can be read, and waited for, only through a `SharedLimit`; its `wait_until` checks the condition again after each release and after each change of the share, so nobody who waits can be missed. Both front ends' slots and the memory of streamed results wait there now. New gauge `client_listeners_waiting`, object 78 of the MIB; the SNMP test that steps from the last scalar to the table of classes starts at that object now. `connection_slots` is split by concern.

The test of streamed results' memory is new with the type.

--- a/src/clients/flight/client_connection/tests.rs
+++ b/src/clients/flight/client_connection/tests.rs
@@ -15,7 +15,7 @@
 async fn connection() -> (Arc<ClientConnection>, Arc<Metrics>) {
     let test = TestFrontend::new(1, |_| {}).await;
     let limits = test.frontend.limits.clone();
-    let slots = ConnectionSlots::new(4, limits, test.metrics.clone());
+    let slots = ConnectionSlots::new(4, &limits, test.metrics.clone());
     let connection = ClientConnection::new(slots.take_slot(), &test.frontend);
     (connection, test.metrics)
 }
--- a/src/clients/flight/connection/tests.rs
+++ b/src/clients/flight/connection/tests.rs
@@ -24,7 +24,7 @@
 async fn close_request_outlasts_the_first_call_timeout() {
     let test = TestFrontend::new(1, |_| {}).await;
     let limits = test.frontend.limits.clone();
-    let slots = ConnectionSlots::new(4, limits.clone(), test.metrics.clone());
+    let slots = ConnectionSlots::new(4, &limits, test.metrics.clone());
     let slot = slots.take_slot();
     slot.record_call();
     let started_at = Instant::now();
--- a/src/clients/mod.rs
+++ b/src/clients/mod.rs
@@ -84,7 +84,7 @@
     /// Creates the connection slots of one listener and starts a task that drains its connections
     /// while the lifecycle state is draining.
     pub(crate) fn create_connection_slots(&self, capacity: usize) -> Arc<ConnectionSlots> {
-        let slots = ConnectionSlots::new(capacity, self.limits.clone(), self.metrics.clone());
+        let slots = ConnectionSlots::new(capacity, &self.limits, self.metrics.clone());
         tokio::spawn(slots.clone().follow_lifecycle(self.lifecycle.clone()));
         slots
     }
--- a/src/engines/connection_slots.rs
+++ b/src/engines/connection_slots.rs
@@ -6,7 +6,7 @@
 //! longest is evicted. The design is described in `docs/large-lists.md`.
 
 use super::connection_load::ConnectionLoad;
-use crate::limits::Limits;
+use crate::limits::{Limits, SharedLimit};
 use crate::metrics::Metrics;
 use std::collections::BTreeMap;
 use std::future::Future;
@@ -28,7 +28,10 @@
 /// The table of all slots.
 #[derive(Debug)]
 pub(crate) struct ConnectionSlots {
-    limits: Arc<Limits>,
+    /// Slots for connections of every purpose.
+    shared_slots: SharedLimit,
+    /// Slots for engines that cannot be reached otherwise.
+    reserved_slots: SharedLimit,
     metrics: Arc<Metrics>,
     table: Mutex<SlotTable>,
 }
@@ -97,9 +100,10 @@
 }
 
 impl ConnectionSlots {
-    pub(crate) fn new(limits: Arc<Limits>, metrics: Arc<Metrics>) -> Arc<ConnectionSlots> {
+    pub(crate) fn new(limits: &Arc<Limits>, metrics: Arc<Metrics>) -> Arc<ConnectionSlots> {
         Arc::new(ConnectionSlots {
-            limits,
+            shared_slots: SharedLimit::new(limits, limits.engine_connections),
+            reserved_slots: SharedLimit::new(limits, limits.engine_connections_reserved),
             metrics,
             table: Mutex::default(),
         })
@@ -121,8 +125,8 @@
     /// The number of slots that may be in use before a connection for this purpose needs an
     /// eviction. Some slots are reserved for engines that cannot be reached otherwise.
     fn capacity_for(&self, purpose: SlotPurpose) -> usize {
-        let shared = self.limits.share(self.limits.engine_connections);
-        let reserved = self.limits.share(self.limits.engine_connections_reserved);
+        let shared = self.shared_slots.capacity();
+        let reserved = self.reserved_slots.capacity();
         match purpose {
             SlotPurpose::FirstConnection => shared + reserved,
             SlotPurpose::ExclusiveUse | SlotPurpose::AdditionalConnection => shared,
--- a/src/engines/context.rs
+++ b/src/engines/context.rs
@@ -101,7 +101,7 @@
         metrics: Arc<Metrics>,
         protocol: EngineProtocol,
     ) -> EngineContext {
-        let slots = ConnectionSlots::new(limits.clone(), metrics.clone());
+        let slots = ConnectionSlots::new(&limits, metrics.clone());
         let size = AccountSize {
             limit_bytes: limits.partial_result_bytes,
             owners: 0,
--- a/src/hot_restart/peer_sync.rs
+++ b/src/hot_restart/peer_sync.rs
@@ -96,8 +96,7 @@
     /// Reports to the core that the peer process has started or ended.
     async fn report_peer_presence(&self) {
         let running = self.store.peer_is_running();
-        let was_running = self.limits.set_peer_process(running);
-        if was_running == running {
+        if !self.limits.set_peer_process(running) {
             return;
         }
         let metrics = self.store.metrics();
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -3,37 +3,26 @@
 //! the program may use can be read in one place.
 //!
 //! `table` has each limit with its unit, value and reason. `basis` has the resources of the machine
-//! and the settings from which the values are computed. `memory_account` has the accounts of memory
-//! that several owners share.
+//! and the settings from which the values are computed. `shared_limit` has the part of a limit that this
+//! process may use while a peer process runs. `memory_account` has the accounts of memory that several
+//! owners share.
 
 mod basis;
 mod memory_account;
+mod shared_limit;
 mod table;
 
 #[cfg(test)]
 mod tests;
 
 pub(crate) use memory_account::{AccountSize, MemoryAccount, MemoryOwner, MemoryReservation};
+pub(crate) use shared_limit::SharedLimit;
 pub use table::Limits;
 
-use std::sync::atomic::Ordering;
-
 impl Limits {
-    /// Returns this process's share of a limit, in connections or bytes, that applies to the whole
-    /// workload manager. While a peer process runs, the share is two fifths of `total`. It is less
-    /// than half because each process also keeps its own descriptors and program text.
-    pub(crate) fn share(&self, total: usize) -> usize {
-        if self.has_peer_process.load(Ordering::Relaxed) {
-            total * 2 / 5
-        } else {
-            total
-        }
-    }
-
-    /// Stores whether a peer process runs, for all clones of these limits, and returns the previous
-    /// value. Relaxed ordering is enough: the flag publishes no other data, and an actor that reads
-    /// the old value uses the new one when it next reads the flag.
+    /// Stores whether a peer process runs, for all clones of these limits, and wakes all tasks that
+    /// wait under a limit that the two processes share. Returns whether that has changed.
     pub(crate) fn set_peer_process(&self, is_running: bool) -> bool {
-        self.has_peer_process.swap(is_running, Ordering::Relaxed)
+        self.peer_presence.set(is_running)
     }
 }
--- a/src/limits/memory_account.rs
+++ b/src/limits/memory_account.rs
@@ -9,7 +9,7 @@
 //! Relaxed ordering is enough: the sums publish no other data, and each addition and subtraction is
 //! atomic.
 
-use super::Limits;
+use super::{Limits, SharedLimit};
 use bytes::Bytes;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -31,19 +31,12 @@
     pub(crate) owners: usize,
 }
 
-impl AccountSize {
-    fn quota_bytes(self) -> usize {
-        (self.limit_bytes / QUOTAS_DIVISOR)
-            .checked_div(self.owners)
-            .unwrap_or(0)
-    }
-}
-
 /// Memory that all owners on the account together may hold.
 #[derive(Debug)]
 pub(crate) struct MemoryAccount {
-    limits: Arc<Limits>,
-    size: AccountSize,
+    limit: SharedLimit,
+    /// Number of owners that get a quota; 0 if there are no quotas.
+    owners: usize,
     held_bytes: AtomicUsize,
     /// Sum of what each owner holds beyond its quota.
     excess_bytes: AtomicUsize,
@@ -52,8 +45,8 @@
 impl MemoryAccount {
     pub(crate) fn new(limits: &Arc<Limits>, size: AccountSize) -> Arc<MemoryAccount> {
         Arc::new(MemoryAccount {
-            limits: limits.clone(),
-            size,
+            limit: SharedLimit::new(limits, size.limit_bytes),
+            owners: size.owners,
             held_bytes: AtomicUsize::new(0),
             excess_bytes: AtomicUsize::new(0),
         })
@@ -74,17 +67,23 @@
         self.held_bytes.load(Ordering::Relaxed)
     }
 
+    fn quota_bytes(&self) -> usize {
+        (self.limit.total() / QUOTAS_DIVISOR)
+            .checked_div(self.owners)
+            .unwrap_or(0)
+    }
+
     fn excess_of(&self, held_bytes: usize) -> usize {
-        held_bytes.saturating_sub(self.size.quota_bytes())
+        held_bytes.saturating_sub(self.quota_bytes())
     }
 
     /// Whether an owner may hold this much, which is already counted.
     fn allows(&self, held_bytes: usize) -> bool {
-        let limit = self.limits.share(self.size.limit_bytes);
+        let limit = self.limit.capacity();
         if self.held_bytes.load(Ordering::Relaxed) > limit {
             return false;
         }
-        let excess_limit = match self.size.owners {
+        let excess_limit = match self.owners {
             0 => limit,
             _ => limit - limit / QUOTAS_DIVISOR,
         };
@@ -111,16 +110,14 @@
     }
 
     /// Waits until the owner is within its share or holds nothing. So it waits for its own releases
-    /// only, whatever the others hold.
+    /// only, whatever the others hold, or until this process has a larger part of the limit.
     pub(crate) async fn within_share(&self) {
-        loop {
-            // `notify_one` stores a permit, so a release between the check and the wait is not missed.
+        let is_within_share = || {
             let held_bytes = self.held_bytes.load(Ordering::Relaxed);
-            if held_bytes == 0 || self.account.allows(held_bytes) {
-                return;
-            }
-            self.released.notified().await;
-        }
+            held_bytes == 0 || self.account.allows(held_bytes)
+        };
+        let limit = &self.account.limit;
+        limit.wait_until(&self.released, is_within_share).await;
     }
 
     /// Replaces a part of what the owner holds by another number of bytes. Returns what it holds now.
--- a/src/limits/memory_account/tests.rs
+++ b/src/limits/memory_account/tests.rs
@@ -3,17 +3,25 @@
 use super::{AccountSize, MemoryAccount, MemoryReservation};
 use crate::core::{Clock, Handle};
 use crate::engines::EngineContext;
+use crate::limits::Limits;
 use std::sync::Arc;
 
 /// An account of 1,000 bytes with this number of quotas.
 fn account(owners: usize) -> Arc<MemoryAccount> {
+    account_under(&limits(), owners)
+}
+
+fn limits() -> Arc<Limits> {
     let (core, _) = Handle::new(1, Clock::new());
-    let limits = EngineContext::for_tests(core).limits;
+    EngineContext::for_tests(core).limits
+}
+
+fn account_under(limits: &Arc<Limits>, owners: usize) -> Arc<MemoryAccount> {
     let size = AccountSize {
         limit_bytes: 1000,
         owners,
     };
-    MemoryAccount::new(&limits, size)
+    MemoryAccount::new(limits, size)
 }
 
 /// Lets a new owner reserve as much as it can, one byte at a time.
@@ -68,8 +76,9 @@
 /// While a peer process runs, this process has two fifths of the limit.
 #[test]
 fn peer_processes_share_the_limit() {
-    let account = account(0);
-    account.limits.set_peer_process(true);
+    let limits = limits();
+    let account = account_under(&limits, 0);
+    limits.set_peer_process(true);
     assert!(account.add_owner().reserve(134).is_none());
     assert!(account.add_owner().reserve(133).is_some());
 }
@@ -91,3 +100,21 @@
     drop(of_other);
     other.within_share().await;
 }
+
+/// Guards against an owner that goes on waiting although the end of the peer process has raised its
+/// share.
+#[tokio::test]
+async fn owner_above_its_share_is_woken_by_the_end_of_the_peer_process() {
+    let limits = limits();
+    let account = account_under(&limits, 0);
+    limits.set_peer_process(true);
+    let owner = account.add_owner();
+    let mut large = MemoryReservation::new(&owner);
+    large.set(300);
+    let waiting = tokio::spawn(async move { owner.within_share().await });
+    tokio::task::yield_now().await;
+    assert!(!waiting.is_finished(), "300 of 400 bytes are above a share");
+    limits.set_peer_process(false);
+    tokio::task::yield_now().await;
+    assert!(waiting.is_finished());
+}
--- a/src/limits/table.rs
+++ b/src/limits/table.rs
@@ -1,9 +1,8 @@
 //! The table of limits. The unit of each limit is in its type, name or doc comment.
 
 use super::basis::{Basis, PAGE_BYTES, RECORD_BYTES, REFERENCES_PER_CONNECTION, duration_of_ms};
+use super::shared_limit::PeerPresence;
 use crate::settings_json::PlatformSettings;
-use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 const KIB: usize = 1 << 10;
@@ -17,7 +16,7 @@
         pub struct Limits {
             $($(#[$doc])* pub $name: $kind,)*
             /// Whether a peer process runs, so that the two processes share some of the limits.
-            pub(super) has_peer_process: Arc<AtomicBool>,
+            pub(super) peer_presence: PeerPresence,
         }
 
         impl Limits {
@@ -35,7 +34,7 @@
                 let $basis = Basis { sockets, memory_mb, progress_reports, platform };
                 Limits {
                     $($name: $value,)*
-                    has_peer_process: Arc::default(),
+                    peer_presence: PeerPresence::default(),
                 }
             }
         }
--- a/src/limits/tests.rs
+++ b/src/limits/tests.rs
@@ -67,10 +67,11 @@
         "{required_bytes} bytes needed, {memory_mb} MB available"
     );
     // Two processes during a hot restart.
-    assert!(!limits.set_peer_process(true) && limits.set_peer_process(true));
-    let bytes_per_process = limits.share(buffered_bytes)
-        + limits.share(connection_bytes)
-        + limits.share(limits.flight_message_bytes)
+    assert!(limits.set_peer_process(true) && !limits.set_peer_process(true));
+    let share = |total| limits.peer_presence.share(total);
+    let bytes_per_process = share(buffered_bytes)
+        + share(connection_bytes)
+        + share(limits.flight_message_bytes)
         + list_bytes
         + process_state_bytes;
     let required_bytes = 2 * bytes_per_process + program_text_bytes;
@@ -87,7 +88,7 @@
     ];
     let descriptors_per_process = shared_limits
         .iter()
-        .map(|limit| limits.share(*limit))
+        .map(|limit| share(*limit))
         .sum::<usize>()
         + 17;
     assert!(
--- a/src/metrics/table.rs
+++ b/src/metrics/table.rs
@@ -207,4 +207,6 @@
     ordinal: Gauge,
     /// Requests held back until this process has the lease on their order key.
     requests_held_for_order_key: Counter,
+    /// Front ends that accept no connection now, because this process has no free slot for one.
+    client_listeners_waiting: Gauge,
 }
--- a/tests/scenarios/snmp_agent.rs
+++ b/tests/scenarios/snmp_agent.rs
@@ -27,7 +27,7 @@
     s expect $.42.0=0
     s send next $.50.0
     s expect $.51.0=0
-    s send next $.77.0
+    s send next $.78.0
     s expect $.100.1.2.1=seat-check
     s send next $.100.1.5.3
     s expect $.100.1.5.3=EndOfMibView
--- a/tests/scene/manager_process.rs
+++ b/tests/scene/manager_process.rs
@@ -28,13 +28,28 @@
     /// Starts a process, and waits until it serves clients.
     pub(crate) async fn start(config: &Path, folder: &Path) -> ManagerProcess {
         let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
-        let address = listener.local_addr().expect("address");
-        let child = start_with_listener(&listener, config, folder);
-        let mut process = ManagerProcess::new(child, address);
+        ManagerProcess::start_on(&listener, config, folder).await
+    }
+
+    /// Starts a process on a listening socket that other processes may have too, and waits until it
+    /// serves clients.
+    pub(crate) async fn start_on(
+        listener: &TcpListener,
+        config: &Path,
+        folder: &Path,
+    ) -> ManagerProcess {
+        let mut process = ManagerProcess::spawn_on(listener, config, folder);
         process.await_line(" serves on ").await;
         process
     }
 
+    /// Starts a process on a listening socket that other processes may have too.
+    pub(crate) fn spawn_on(listener: &TcpListener, config: &Path, folder: &Path) -> ManagerProcess {
+        let address = listener.local_addr().expect("address");
+        let child = start_with_listener(listener, config, folder);
+        ManagerProcess::new(child, address)
+    }
+
     /// Takes over a process that opens its own listening socket, and waits until it serves clients.
     pub(crate) async fn from_child(child: Child) -> ManagerProcess {
         let unknown_address = SocketAddr::from(([127, 0, 0, 1], 0));
