Give a peer process its share of the limits only while it accepts clients

What callers saw: the old process served two fifths of its clients as soon as a successor was started, even one that never became ready; and a successor had two fifths of the slots until the old process had exited, although that had closed most of its connections. Clients waited in the backlog meanwhile.

Cause: the one sign of a peer was its file lock, from its start to its end. Two more faults of the same sign in hot restarts in a row: a successor stayed the successor for good, so in the next hot restart both processes used three quarters of the budget on engines that are warming up; and a third process that found no free process slot never claimed one, and believed for good that a peer runs.

A starting peer takes nothing. A successor says `serving` 0.1 s before it accepts clients, so the old process knows its share by then. A successor may use the client connections that a closing process does not have any more, and at least two fifths. The role changes with the peer's end, and a process without a slot claims one at a later poll. The files are read at the poll that was there before, each 50 ms.

--- a/src/hot_restart/state_store.rs
+++ b/src/hot_restart/state_store.rs
@@ -1,7 +1,7 @@
 //! The store of manual ejections: the decisions known to this process, synchronized with the stored
 //! state file.
 
-use super::peer_process::{PeerDetector, open_for_locking};
+use super::peer_process::{OwnState, PeerDetector, PeerState, open_for_locking};
 use super::shared_file;
 use super::stored_state::{ManualEjection, StoredState};
 use crate::decision::{EngineId, Millis};
@@ -35,8 +35,8 @@
     /// The lock file that a process keeps locked while it replaces the state file.
     write_lock: File,
     peer: PeerDetector,
-    /// Whether a peer was running when this process started.
-    is_successor: bool,
+    /// The peer when this process started.
+    peer_at_start: PeerState,
     /// The last decision on each engine.
     ejections: BTreeMap<EngineId, ManualEjection>,
     /// Decisions read from the file that [`StateStore::take_peer_changes`] has not returned yet.
@@ -84,13 +84,13 @@
         metrics: Arc<Metrics>,
     ) -> io::Result<StateStore> {
         let write_lock = open_for_locking(&shared_file(folder, name, "lock"))?;
-        let peer = PeerDetector::open(folder, name, &limits).await?;
-        let is_successor = peer.peer_is_running();
+        let mut peer = PeerDetector::open(folder, name, &limits).await?;
+        let peer_at_start = peer.peer_state();
         Ok(StateStore {
             state_path: shared_file(folder, name, "state"),
             write_lock,
             peer,
-            is_successor,
+            peer_at_start,
             ejections: BTreeMap::new(),
             peer_changes: Vec::new(),
             write_failed: false,
@@ -100,14 +100,25 @@
         })
     }
 
-    /// Returns true if another process of this workload manager is running.
-    pub(crate) fn peer_is_running(&self) -> bool {
-        self.peer.peer_is_running()
+    /// Returns the state of the other process of this workload manager.
+    pub(crate) fn peer_state(&mut self) -> PeerState {
+        self.peer.peer_state()
     }
 
-    /// Returns true if a peer was running when this process started.
-    pub(super) fn is_successor(&self) -> bool {
-        self.is_successor
+    /// Returns the state that the other process had when this one started.
+    pub(crate) fn peer_at_start(&self) -> PeerState {
+        self.peer_at_start
+    }
+
+    /// Shows the peer the state of this process.
+    pub(super) fn set_own_state(&mut self, state: OwnState) {
+        self.peer.set_own_state(state);
+    }
+
+    /// The limits of this process.
+    #[cfg(test)]
+    pub(super) fn limits(&self) -> &Arc<Limits> {
+        &self.limits
     }
 
     /// The metrics of this process.
--- a/src/hot_restart/tests.rs
+++ b/src/hot_restart/tests.rs
@@ -9,7 +9,7 @@
 use std::fs;
 use std::sync::Arc;
 
-async fn open_store(folder: &Path, metrics: &Arc<Metrics>) -> StateStore {
+pub(super) async fn open_store(folder: &Path, metrics: &Arc<Metrics>) -> StateStore {
     let limits =
         crate::engines::EngineContext::for_tests(Handle::new(4, Default::default()).0).limits;
     StateStore::open(folder, "n1", limits, metrics.clone())
@@ -17,7 +17,7 @@
         .expect("store")
 }
 
-fn empty_folder(name: &str) -> PathBuf {
+pub(super) fn empty_folder(name: &str) -> PathBuf {
     let folder =
         std::env::temp_dir().join(format!("magpiechute-test-{}-{name}", std::process::id()));
     let _ = fs::remove_dir_all(&folder);
@@ -25,7 +25,7 @@
     folder
 }
 
-fn run_async<T>(test: impl Future<Output = T>) -> T {
+pub(super) fn run_async<T>(test: impl Future<Output = T>) -> T {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build();
@@ -51,10 +51,10 @@
     let metrics = Arc::default();
     run_async(async {
         let mut old = open_store(&folder, &metrics).await;
-        assert!(!old.peer_is_running());
+        assert!(!old.peer_state().is_running());
         old.record(engine_id(1), ejection(true, 100.0)).await;
         let mut new = open_store(&folder, &metrics).await;
-        assert!(old.peer_is_running() && new.peer_is_running());
+        assert!(old.peer_state().is_running() && new.peer_state().is_running());
         assert_eq!(new.take_peer_changes(100.0), [change(1, true, 100.0)]);
         new.record(engine_id(2), ejection(true, 200.0)).await;
         old.record(engine_id(1), ejection(false, 300.0)).await;
@@ -67,7 +67,7 @@
             "an earlier decision changes nothing"
         );
         drop(old);
-        assert!(!new.peer_is_running());
+        assert!(!new.peer_state().is_running());
         drop(new);
         let mut last = open_store(&folder, &metrics).await;
         let changes = last.take_peer_changes(400.0);
@@ -76,6 +76,25 @@
     let _ = fs::remove_dir_all(&folder);
 }
 
+/// Guards against a process that found no free slot at its start, while two others were running, and
+/// believed for good that a peer is running.
+#[test]
+fn a_third_process_detects_the_ends_of_the_two_others() {
+    let folder = empty_folder("three");
+    let metrics = Arc::default();
+    run_async(async {
+        let first = open_store(&folder, &metrics).await;
+        let mut second = open_store(&folder, &metrics).await;
+        let mut third = open_store(&folder, &metrics).await;
+        assert!(third.peer_state().is_running());
+        drop(first);
+        assert!(third.peer_state().is_running() && second.peer_state().is_running());
+        drop(second);
+        assert!(!third.peer_state().is_running());
+    });
+    let _ = fs::remove_dir_all(&folder);
+}
+
 /// After a backward step of the wall clock, a successor still adopts the ejections of the old
 /// process. The successor's own decisions win, although the clock gives them earlier times.
 #[test]
--- a/src/lifecycle.rs
+++ b/src/lifecycle.rs
@@ -6,6 +6,9 @@
 /// The state of a node, as flags that the node and on-call staff set.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct LifecycleState {
+    /// The peer process is told that this one accepts clients. That is so a moment later, when the
+    /// peer has read it.
+    pub(crate) announced: bool,
     /// Startup is complete: the listeners and the core are running, and the core has an endpoint
     /// list.
     pub(crate) started: bool,
--- a/src/limits/shared_limit.rs
+++ b/src/limits/shared_limit.rs
@@ -21,7 +21,6 @@
     Nothing,
     /// Its share of every limit.
     Share,
-    #[cfg_attr(not(test), expect(dead_code, reason = "no peer says so yet"))]
     /// The peer accepts no more clients, and has at most this number of client connections left. It
     /// uses its share of the other limits.
     ClosingClientConnections(usize),
--- a/src/node/startup.rs
+++ b/src/node/startup.rs
@@ -26,7 +26,11 @@
 use thiserror::Error;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
+
+/// Intervals between two reads of the peer's state for which a successor waits before it accepts
+/// clients: the old process may be late by up to one.
+const PEER_POLLS_BEFORE_SERVING: u32 = 2;
 
 /// An error while starting a node.
 #[derive(Debug, Error)]
@@ -88,9 +92,7 @@
         .admin
         .map(|bound| spawn_listener(bound, |listener| admin::serve(listener, admin_server)));
     register_classes(&settings.borrow(), &context.metrics);
-    if is_successor {
-        wait_for_first_frame(first_frame, &context.limits).await;
-    }
+    context.prepare_to_serve(is_successor, first_frame).await;
     let frontend = context.frontend(&core, settings);
     let flight_frontend = frontend.clone();
     let flight_address = sockets
@@ -156,6 +158,19 @@
         }
     }
 
+    /// Waits until clients can be accepted, and tells the peer process. A successor waits for an
+    /// endpoint list that is up to date, and until the old process uses only its own share of the
+    /// limits.
+    async fn prepare_to_serve(&self, is_successor: bool, first_frame: watch::Receiver<bool>) {
+        if is_successor {
+            wait_for_first_frame(first_frame, &self.limits).await;
+        }
+        self.lifecycle.update(|state| state.announced = true);
+        if is_successor {
+            sleep(PEER_POLLS_BEFORE_SERVING * self.limits.state_poll_interval).await;
+        }
+    }
+
     /// Creates the handles that the front ends need.
     fn frontend(
         &self,
@@ -185,7 +200,9 @@
         };
         let store = open_store(folder, &config.name, context).await;
         let request_state = open_request_state(folder, &config.name, &context.metrics);
-        let is_successor = store.as_ref().is_some_and(StateStore::peer_is_running);
+        let is_successor = store
+            .as_ref()
+            .is_some_and(|store| store.peer_at_start().is_running());
         SharedState {
             store,
             request_state,
@@ -308,7 +325,8 @@
 ) -> StateWriter {
     let (writer, mailbox) = StateWriter::new(&context.limits);
     if let Some(store) = store {
-        let mut peer_sync = PeerSync::new(store, core.clone(), context.limits.clone());
+        let (limits, lifecycle) = (context.limits.clone(), &context.lifecycle);
+        let mut peer_sync = PeerSync::new(store, core.clone(), limits, lifecycle);
         peer_sync.synchronize().await;
         tokio::spawn(peer_sync.run(mailbox));
     }
--- a/tests/hot_restart_limits.rs
+++ b/tests/hot_restart_limits.rs
@@ -208,6 +208,30 @@
     });
 }
 
+/// Guards against a successor that has only its share of the slots although the old process, which
+/// accepts no more clients, has closed most of its connections.
+#[test]
+fn a_successor_uses_the_slots_that_the_old_process_has_freed_during_its_shutdown() {
+    block_on(async {
+        let manager = HotRestart::new("freed", 64).await;
+        let mut old = manager.start().await;
+        let mut idle_client = manager.connect_health_check("idle").await;
+        expect_healthy(&mut idle_client).await;
+        let _holders = manager.connect_busy_clients("holder", 1).await;
+        old.await_counter("requests_open=1").await;
+        let mut new = manager.start().await;
+        // The old process closes this connection once it accepts no more clients.
+        old.signal("TERM");
+        within_timeout("closed", idle_client.step("expect", &["closed"])).await;
+        let free_slots = client_connections(64) - 1;
+        let _busy_clients = manager.connect_busy_clients("busy", free_slots).await;
+        new.await_counter(&format!("requests_open={free_slots}"))
+            .await;
+        assert!(old.child.try_wait().expect("status").is_none());
+        manager.finish();
+    });
+}
+
 /// Limits count for both processes together: the old process closes idle connections, of clients and
 /// to engines, that the share of its successor does not leave to it.
 #[test]
@@ -261,3 +285,29 @@
         manager.finish();
     });
 }
+
+/// A peer that starts and does not become ready takes no share: the old process goes on serving as
+/// many clients as without it.
+#[test]
+fn a_successor_that_does_not_become_ready_leaves_all_slots_to_the_old_process() {
+    block_on(async {
+        let manager = HotRestart::new("unready", 64).await;
+        let mut old = manager.start().await;
+        let busy_count = share_with_peer(client_connections(64)) + 1;
+        let _busy_clients = manager.connect_busy_clients("busy", busy_count).await;
+        old.await_counter(&format!("requests_open={busy_count}"))
+            .await;
+        // The successor waits for the first frame of this feed, which sends none.
+        let silent_feed = TcpListener::bind("127.0.0.1:0").expect("bind");
+        let feed_address = silent_feed.local_addr().expect("address");
+        let config = manager.write_config("unready.json", feed_address, 64);
+        let mut new = ManagerProcess::spawn_on(&manager.listener, &config, &manager.folder);
+        old.await_line("peer process started").await;
+        new.signal("STOP");
+        expect_healthy(&mut manager.connect_health_check("late").await).await;
+        new.child.kill().expect("kill");
+        old.await_line("peer process ended").await;
+        expect_healthy(&mut manager.connect_health_check("later").await).await;
+        manager.finish();
+    });
+}
