Do not let an evicted connection that became busy hold up new connections

What callers saw: with every slot taken, a client could wait until a long request of another one ended, although idle connections could have been evicted for it.

Cause: one connection at a time is accepted beyond the slots, until the one evicted for it is closed. A connection on which a request is opened before it closes stays open, and counted as closing.

Change: such a connection counts as one that stays. The acceptor's test `an_evicted_connection_that_becomes_busy_does_not_hold_up_new_ones` guards it.

--- a/src/clients/acceptor/tests.rs
+++ b/src/clients/acceptor/tests.rs
@@ -24,6 +24,10 @@
 
 impl TwoListeners {
     async fn new() -> TwoListeners {
+        TwoListeners::with_slots(SLOTS).await
+    }
+
+    async fn with_slots(slots: usize) -> TwoListeners {
         let test = TestFrontend::new(1, |_| {}).await;
         let listener = StdTcpListener::bind("127.0.0.1:0").expect("bind");
         listener.set_nonblocking(true).expect("option");
@@ -33,7 +37,7 @@
             acceptor: Acceptor::new(
                 from_std(listener),
                 &test.frontend,
-                SharedLimit::new(&test.frontend.limits, SLOTS),
+                SharedLimit::new(&test.frontend.limits, slots),
             ),
             other_process: from_std(other_process),
             limits: test.frontend.limits.clone(),
@@ -135,6 +139,29 @@
     assert!(listeners.accepts_now().await);
 }
 
+/// Guards against a listener that waits for an evicted connection on which a request was opened
+/// meanwhile: it does not close before the answer, and other connections can be evicted.
+#[tokio::test]
+async fn an_evicted_connection_that_becomes_busy_does_not_hold_up_new_ones() {
+    // Twice as many slots, so that this process may keep more than its share of four.
+    let listeners = TwoListeners::with_slots(2 * SLOTS).await;
+    listeners.limits.set_peer_use(PeerUse::Share);
+    let mut connections = Vec::new();
+    for is_busy in [false, false, false, true, true] {
+        let connection = listeners.accept_client(is_busy).await;
+        connection.1.mark_served();
+        connections.push(connection);
+    }
+    let is_evicted = |slot: &ConnectionSlot| slot.asked_to_close().now_or_never().is_some();
+    for (_, slot) in &connections[..2] {
+        assert!(is_evicted(slot));
+        slot.request_opened();
+    }
+    let _waiting = listeners.connect().await;
+    assert!(listeners.accepts_now().await);
+    assert!(is_evicted(&connections[2].1));
+}
+
 /// Guards against a wait that misses that a connection may be evicted now: a served connection may
 /// be evicted once few others were never served.
 #[tokio::test]
--- a/src/clients/connection_slots.rs
+++ b/src/clients/connection_slots.rs
@@ -41,7 +41,7 @@
 /// How many connections the slots allow, and how many there are.
 struct SlotCounts {
     capacity: usize,
-    /// Connections that have not been asked to close.
+    /// Connections that do not close soon.
     staying_open: usize,
     /// Those of them on which no request was served.
     unserved: usize,
--- a/src/clients/connection_slots/registry.rs
+++ b/src/clients/connection_slots/registry.rs
@@ -93,11 +93,12 @@
 }
 
 impl Registry {
-    /// The connections that have not been asked to close.
+    /// The connections that do not close soon: those that have not been asked to, and those on which a
+    /// request was opened before they could.
     pub(super) fn staying_open(&self) -> impl Iterator<Item = &ConnectionState> {
         self.connections
             .values()
-            .filter(|connection| !connection.asked_to_close)
+            .filter(|connection| !connection.asked_to_close || connection.open_requests > 0)
     }
 
     /// The idle connection that is evicted next: one that was never served if there is any, and among
