Keep the deadline of a request when timers without effect are dropped

What callers saw: under load, a non-idempotent request whose engine hung got no answer while the process ran, or one that was seconds late, from the timers that a shutdown sets.

Cause: `open_request` set the timer of the deadline before it recorded the request.

The unit test shows the lost timer directly.

Change: the queue is cleaned before a timer is added, and the request is recorded first. `a_request_whose_timer_makes_the_queue_drop_others_is_answered_at_its_deadline` failed before and passes.

--- a/src/core/admission.rs
+++ b/src/core/admission.rs
@@ -94,13 +94,11 @@
     fn open_request(&mut self, now: Millis, mut accepted: AcceptedRequest, policy: AttemptPolicy) {
         let id = accepted.id;
         accepted.deadline_ms = self.effective_deadline(now, accepted.deadline_ms, &policy);
-        self.set_timer(
-            accepted.deadline_ms - self.limits.answer_margin_ms,
-            Timer::RequestDeadline(id),
-        );
+        let answer_by_ms = accepted.deadline_ms - self.limits.answer_margin_ms;
         log_admission(&accepted);
         self.metrics.requests_open.increment();
         self.requests.insert(RequestState::new(accepted, policy));
+        self.set_timer(answer_by_ms, Timer::RequestDeadline(id));
         self.submit_when_leased(now, id);
     }
 
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -374,6 +374,32 @@
     );
 }
 
+/// Guards against a request that is never answered: the timer of its deadline was removed with those
+/// that have no effect, because the request was recorded after it.
+#[test]
+fn a_request_whose_timer_makes_the_queue_drop_others_is_answered_at_its_deadline() {
+    let text = r#"{"nInstances":1,"classes":[{"name":"a","effect":"once","promiseMs":500,"giveUpMs":20000}],
+        "guarantees":{"coldMs":1000,"coldShare":0.3,"overloadForMs":1500,"tipMultiple":3},
+        "limits":{"attemptsCap":6},"shapes":["std-8c"],"specifics":{"sizeCores":[8]}}"#;
+    let TestCore {
+        mut core, classes, ..
+    } = TestCore::from_json(text);
+    let kept_open = (1..10_000).find(|id| {
+        let timers_before = core.state_sizes().timers;
+        let request = accepted_request(*id, &classes[0], 21_000.0, 50.0, Arc::new(NullClient));
+        core.handle(1000.0, CoreMessage::Request(request));
+        let were_dropped = core.state_sizes().timers < timers_before;
+        if !were_dropped {
+            core.handle(1000.0, CoreMessage::ClientDisconnected(*id));
+        }
+        were_dropped
+    });
+    assert!(kept_open.is_some(), "no timers were dropped");
+    assert_eq!(core.open_requests(), 1);
+    core.run_due_timers(21_000.0);
+    assert_eq!(core.open_requests(), 0, "the request has no answer");
+}
+
 /// A cancellation that is not confirmed is sent again. If it is never confirmed, the request fails
 /// before its deadline and is not retried. A further request with the same client reference fails,
 /// and a client that disconnects does not free the reference, while the attempt may still run.
--- a/src/core/timers.rs
+++ b/src/core/timers.rs
@@ -132,12 +132,17 @@
 
     /// Sets a timer for this Unix time in ms.
     pub(super) fn set_timer(&mut self, due: Millis, timer: Timer) {
+        self.remove_timers_without_effect();
         self.timers.push(due, timer);
-        // Timers of ended requests stay in the queue until they are due. With many short requests
-        // the queue would grow far beyond the number of open requests, so timers without effect are
-        // removed.
+    }
+
+    /// Timers of ended requests stay in the queue until they are due. With many short requests the
+    /// queue would grow far beyond the number of open requests, so timers without effect are removed.
+    /// This happens before a timer is added, because the state that gives the new one its effect may
+    /// not be recorded yet.
+    fn remove_timers_without_effect(&mut self) {
         let limit = BASE_TIMER_LIMIT + TIMERS_PER_REQUEST * self.requests.len();
-        if self.timers.len() > limit {
+        if self.timers.len() >= limit {
             let requests = &self.requests;
             self.timers
                 .heap
